--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,123 @@
+//! The members of the fleet as this process sees them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::Vm;
+use crate::message::{Card, Standing};
+use crate::token::Seat;
+
+/// One VM.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// The newest statement about it.
+    pub card: Card,
+    /// Since when it has its standing, since this process started.
+    pub since: Duration,
+    /// Whether this process has heard from this boot itself.
+    pub heard: bool,
+    /// Whether the platform is about to take it away.
+    pub listed_leaving: bool,
+}
+
+impl Member {
+    /// The boot that the statement is about.
+    pub fn seat(&self) -> Seat {
+        Seat {
+            vm: self.card.vm,
+            incarnation: self.card.incarnation,
+        }
+    }
+
+    /// Tells whether callers may be sent to it.
+    pub fn takes_callers(&self) -> bool {
+        let standing = matches!(self.card.standing, Standing::Up | Standing::Suspect);
+        standing && self.card.incarnation != 0 && !self.listed_leaving
+    }
+
+    /// Tells whether messages may reach it.
+    pub fn answers(&self) -> bool {
+        self.card.standing != Standing::Down
+    }
+}
+
+/// All known members, without this process itself.
+#[derive(Debug, Default)]
+pub struct Roster {
+    members: BTreeMap<Vm, Member>,
+}
+
+impl Roster {
+    /// Finds a member.
+    pub fn get(&self, vm: Vm) -> Option<&Member> {
+        self.members.get(&vm)
+    }
+
+    /// Finds a member for change.
+    pub fn get_mut(&mut self, vm: Vm) -> Option<&mut Member> {
+        self.members.get_mut(&vm)
+    }
+
+    /// Lists the members by number.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Number of members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Tells whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Removes a member.
+    pub fn remove(&mut self, vm: Vm) {
+        self.members.remove(&vm);
+    }
+
+    /// Takes in a statement where it is newer; tells whether it was.
+    ///
+    /// A newer boot goes before an older one only if it has been heard, since boots carry no
+    /// order: an unheard other boot replaces a member that is down or was never heard.
+    pub fn learn(&mut self, card: Card, now: Duration, heard: bool) -> bool {
+        match self.members.get_mut(&card.vm) {
+            None => {
+                self.members.insert(
+                    card.vm,
+                    Member {
+                        card,
+                        since: now,
+                        heard,
+                        listed_leaving: false,
+                    },
+                );
+                true
+            }
+            Some(member) => member.learn(card, now, heard),
+        }
+    }
+}
+
+impl Member {
+    fn learn(&mut self, card: Card, now: Duration, heard: bool) -> bool {
+        let same_boot = card.incarnation == self.card.incarnation;
+        let newer = if same_boot {
+            (card.version, card.standing) > (self.card.version, self.card.standing)
+        } else {
+            heard || !self.heard || self.card.standing == Standing::Down
+        };
+        if newer {
+            if !same_boot || card.standing != self.card.standing {
+                self.since = now;
+            }
+            self.heard = heard || (same_boot && self.heard);
+            self.card = card;
+        } else if same_boot && heard {
+            self.heard = true;
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,138 @@
+//! Messages between entry VMs. Each goes one way; answers are messages of their own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id::{Incarnation, Key, Ticket, Vm, Zone};
+use crate::token::Seat;
+
+/// What a VM says of itself, and others pass on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Card {
+    /// The VM.
+    pub vm: Vm,
+    /// Its boot.
+    pub incarnation: Incarnation,
+    /// Order among statements about one boot; only the VM itself raises it.
+    pub version: u64,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// What is said of it.
+    pub standing: Standing,
+}
+
+/// What is said of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// It answers but does not know the newest ticket yet.
+    Joining,
+    /// It answers and takes callers.
+    Up,
+    /// It did not answer a probe; it may refute.
+    Suspect,
+    /// It takes no new callers and ends when its work has.
+    Leaving,
+    /// It does not answer, or has ended.
+    Down,
+}
+
+/// What a witness holds about an id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Record {
+    /// No intent came and none will be acknowledged.
+    Sealed,
+    /// The owner was cleared for dispatch; no outcome is known.
+    Intent,
+    /// The owner gave the whole answer of this HTTP status to its record.
+    Answered {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The owner gave up before the first byte was written.
+    NeverRan,
+    /// The owner knows that it can't know.
+    Uncertain,
+}
+
+/// A message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// Asks for a sign of life.
+    Probe {
+        /// Matches the answer.
+        number: u64,
+        /// The sender's highest ticket.
+        ticket: Ticket,
+    },
+    /// Answers a probe.
+    ProbeAck {
+        /// Number of the probe.
+        number: u64,
+        /// The sender's highest ticket.
+        ticket: Ticket,
+    },
+    /// Asks the receiver to probe a third VM.
+    ProbeFor {
+        /// Number to answer with.
+        number: u64,
+        /// The VM in question.
+        target: Vm,
+    },
+    /// Statements about VMs.
+    Cards {
+        /// The statements.
+        cards: Vec<Card>,
+    },
+    /// Asks the witness to record that the owner is about to dispatch.
+    Intent {
+        /// The id.
+        key: Key,
+        /// Boot of the witness that the token names.
+        witness: Incarnation,
+        /// End of the id's life, since the Unix epoch.
+        expiry: Duration,
+    },
+    /// Answers an intent.
+    IntentAck {
+        /// The id.
+        key: Key,
+        /// Whether the owner may dispatch.
+        granted: bool,
+    },
+    /// Tells the witness how a dispatched call ended.
+    Outcome {
+        /// The id.
+        key: Key,
+        /// How it ended.
+        record: Record,
+    },
+    /// Acknowledges an outcome.
+    OutcomeAck {
+        /// The id.
+        key: Key,
+    },
+    /// Asks the witness to seal an id whose owner can't be reached.
+    Seal {
+        /// The id.
+        key: Key,
+        /// The owner that the token names.
+        owner: Seat,
+        /// Boot of the witness that the token names.
+        witness: Incarnation,
+        /// End of the id's life, since the Unix epoch.
+        expiry: Duration,
+    },
+    /// Answers a seal; absent when this boot of the witness can't know.
+    SealAck {
+        /// The id.
+        key: Key,
+        /// What the witness holds after the seal.
+        record: Option<Record>,
+    },
+}
--- /dev/null
+++ b/crates/core/src/reduce/arrival.rs
@@ -0,0 +1,440 @@
+//! Requests as they come in: whose they are, whether they were seen before, whether they fit.
+
+use rand::Rng;
+
+use crate::event::{Arrival, Effect, Work};
+use crate::id::{Call, Exchange, Key};
+use crate::refusal::{Reason, Refusal};
+use crate::state::{End, Lifecycle, Phase, Request, Tombstone};
+use crate::ticket::Kind as EndpointKind;
+use crate::timeline::{Kind, Note};
+use crate::token::{self, Seat, Token};
+
+use super::Step;
+
+/// Advice on when to come back after a refusal for lack of room.
+const BUSY_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
+
+impl Step<'_> {
+    pub(super) fn arrived(&mut self, arrival: Arrival) {
+        match arrival.id.clone() {
+            None => self.arrived_without_id(arrival),
+            Some(id) => match Token::parse_id(&id, &self.state.ring) {
+                Ok(token) => self.arrived_with_token(arrival, id, token),
+                Err(token::Error::Malformed) => {
+                    self.refuse(
+                        arrival.exchange,
+                        None,
+                        Refusal::not_run(Reason::IdMalformed),
+                    );
+                }
+                // The key may have been retired since, so nothing is claimed about the id.
+                Err(token::Error::Forged) => {
+                    self.refuse(arrival.exchange, None, Refusal::unknown(Reason::IdForged));
+                }
+            },
+        }
+    }
+
+    /// Mints an id whose owner is this process.
+    fn arrived_without_id(&mut self, arrival: Arrival) {
+        let seat = self.state.seat;
+        let zone = self.state.settings.zone.clone();
+        let token = self.mint(seat, &zone);
+        let id = format!(
+            "{}.{:016x}",
+            token.encode(&self.state.ring),
+            self.state.rng.random::<u64>()
+        );
+        self.admit(arrival, id, token, false);
+    }
+
+    fn arrived_with_token(&mut self, arrival: Arrival, id: String, token: Token) {
+        let key = Key::of(&id);
+        if token.owner != self.state.seat {
+            self.route_to_owner(arrival, key, token);
+            return;
+        }
+        if let Some(&call) = self.state.by_key.get(&key) {
+            self.repeat(call, &arrival);
+            return;
+        }
+        if let Some(stone) = self.state.tombstones.get(&key).copied() {
+            let refusal = if stone.fingerprint == arrival.fingerprint {
+                stone.refusal
+            } else {
+                Refusal::unknown(Reason::IdReused)
+            };
+            self.refuse(arrival.exchange, Some(key), refusal);
+            return;
+        }
+        if self.now.unix >= token.expiry {
+            self.refuse(
+                arrival.exchange,
+                Some(key),
+                Refusal::unknown(Reason::IdExpired),
+            );
+            return;
+        }
+        self.admit(arrival, id, token, true);
+    }
+
+    /// Passes a request to the process that its id names, or finds out what became of it there.
+    fn route_to_owner(&mut self, arrival: Arrival, key: Key, token: Token) {
+        let conclusive = self.seal_is_conclusive(&arrival, &token);
+        let owner = self.state.roster.get(token.owner.vm);
+        let reachable = owner.filter(|member| member.seat() == token.owner && member.answers());
+        let Some(member) = reachable.filter(|_| !arrival.forwarded) else {
+            self.seal(arrival.exchange, key, token, conclusive);
+            return;
+        };
+        let (vm, address) = (member.card.vm, member.card.caller_address);
+        let forwarded = crate::state::Forwarded {
+            key,
+            token,
+            conclusive,
+        };
+        self.state.forwarded.insert(arrival.exchange, forwarded);
+        self.state.counters.forwarded += 1;
+        self.note(Note {
+            request: Some(key),
+            subject: Some(format!("vm {vm}")),
+            ..Note::new(Kind::Forwarded)
+        });
+        self.emit(Effect::Forward {
+            exchange: arrival.exchange,
+            vm,
+            address,
+        });
+    }
+
+    pub(super) fn forward_failed(&mut self, exchange: Exchange) {
+        let Some(forwarded) = self.state.forwarded.remove(&exchange) else {
+            return;
+        };
+        self.seal(
+            exchange,
+            forwarded.key,
+            forwarded.token,
+            forwarded.conclusive,
+        );
+    }
+
+    /// Tells whether the owner must have asked the witness before it dispatched this call.
+    ///
+    /// The owner goes without an intent only under an endpoint state that stood already when the
+    /// token was made and allows repeats. If this process holds that same state and it forbids
+    /// repeats, no dispatch can go past a seal.
+    fn seal_is_conclusive(&self, arrival: &Arrival, token: &Token) -> bool {
+        let Work::Service { method, path } = &arrival.work else {
+            return false;
+        };
+        let table = &self.state.table;
+        let same_state = table.newest() >= token.ticket
+            && table.endpoint_version(&arrival.endpoint) <= token.ticket;
+        let endpoint = table.endpoint(&arrival.endpoint);
+        same_state && endpoint.is_some_and(|endpoint| !endpoint.may_repeat(method, path))
+    }
+
+    /// Attaches a repeat of an id to its call.
+    fn repeat(&mut self, call: Call, arrival: &Arrival) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        let key = request.key;
+        if request.fingerprint != arrival.fingerprint {
+            let running = request.is_active();
+            let refusal = Refusal {
+                code: if running {
+                    crate::refusal::Code::InProgress
+                } else {
+                    crate::refusal::Code::Unknown
+                },
+                reason: Reason::IdReused,
+                retry_after: None,
+            };
+            self.refuse(arrival.exchange, Some(key), refusal);
+            return;
+        }
+        self.state.counters.repeated += 1;
+        self.note(Note {
+            request: Some(key),
+            ..Note::new(Kind::Repeated)
+        });
+        match request_phase(self.state.requests.get(&call)) {
+            Some(Phase::Done(End::Refused(refusal))) => {
+                self.refuse(arrival.exchange, Some(key), refusal)
+            }
+            Some(Phase::Done(End::Answered { .. })) => self.replay(call, arrival),
+            Some(Phase::Parked) => {
+                self.take_over(call, arrival);
+                self.unpark(call);
+            }
+            _ => self.take_over(call, arrival),
+        }
+    }
+
+    fn replay(&mut self, call: Call, arrival: &Arrival) {
+        let is_model = self
+            .state
+            .requests
+            .get(&call)
+            .is_some_and(Request::is_model);
+        let exchange = arrival.exchange;
+        self.emit(if is_model {
+            Effect::Attach {
+                exchange,
+                call,
+                after: arrival.after,
+            }
+        } else {
+            Effect::Answer {
+                exchange,
+                call,
+                replay: true,
+            }
+        });
+    }
+
+    /// Gives a running call to the newest exchange that asks for it; the earlier one is told so.
+    fn take_over(&mut self, call: Call, arrival: &Arrival) {
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        let earlier = request.exchange.replace(arrival.exchange);
+        request.after = arrival.after;
+        request.caller_gone = None;
+        request.attached = request.emitted > 0;
+        let attached = request.attached;
+        let key = request.key;
+        if let Some(earlier) = earlier {
+            self.state.by_exchange.remove(&earlier);
+            self.refuse(earlier, Some(key), Refusal::in_progress(Reason::TakenOver));
+        }
+        self.state.by_exchange.insert(arrival.exchange, call);
+        if attached {
+            self.emit(Effect::Attach {
+                exchange: arrival.exchange,
+                call,
+                after: arrival.after,
+            });
+        }
+    }
+
+    /// Decides whether a new request is accepted; every refusal here is final for its id.
+    fn admit(&mut self, arrival: Arrival, id: String, token: Token, presented: bool) {
+        let key = Key::of(&id);
+        match self.check_admission(&arrival) {
+            Ok(()) => self.accept(arrival, id, token, presented),
+            Err(refusal) => {
+                let refusal = self.keep_claim(key, &arrival, token, presented, refusal);
+                self.refuse(arrival.exchange, Some(key), refusal);
+            }
+        }
+    }
+
+    /// Keeps a claim of "not run" for the life of the id; without room for it nothing is claimed.
+    fn keep_claim(
+        &mut self,
+        key: Key,
+        arrival: &Arrival,
+        token: Token,
+        presented: bool,
+        refusal: Refusal,
+    ) -> Refusal {
+        if !presented {
+            return refusal;
+        }
+        if self.state.tombstones.len() >= self.state.settings.tombstones_max {
+            return Refusal {
+                code: crate::refusal::Code::Unknown,
+                ..refusal
+            };
+        }
+        let stone = Tombstone {
+            refusal,
+            fingerprint: arrival.fingerprint,
+            expiry: token.expiry,
+        };
+        self.state.tombstones.insert(key, stone);
+        refusal
+    }
+
+    fn check_admission(&self, arrival: &Arrival) -> Result<(), Refusal> {
+        let state = &self.state;
+        match state.lifecycle {
+            Lifecycle::Running => {}
+            Lifecycle::Leaving { serve_until } if self.now.up < serve_until => {}
+            _ => return Err(Refusal::not_run(Reason::Leaving)),
+        }
+        if let Some(at) = state.table.shutdown_at() {
+            if self.now.unix.as_secs() >= at {
+                return Err(Refusal::not_run(Reason::ShutDown));
+            }
+        }
+        let leaving = state.lifecycle != Lifecycle::Running;
+        if !leaving && state.not_ready(self.now.up).is_some() {
+            return Err(Refusal::not_run(Reason::NotReady).retry_after(BUSY_RETRY));
+        }
+        let endpoint = state.table.endpoint(&arrival.endpoint);
+        let kind = match arrival.work {
+            Work::Model { .. } => EndpointKind::Model,
+            Work::Service { .. } => EndpointKind::Service,
+        };
+        if endpoint.is_none_or(|endpoint| endpoint.kind != kind) {
+            return Err(Refusal::not_run(Reason::UnknownEndpoint));
+        }
+        let limit = state.table.organisation(&arrival.organisation);
+        let running = state
+            .organisations
+            .get(&arrival.organisation)
+            .copied()
+            .unwrap_or(0);
+        if limit.is_some_and(|limit| running >= limit.concurrent) {
+            return Err(Refusal::not_run(Reason::OrganisationLimit).retry_after(BUSY_RETRY));
+        }
+        let queued = state
+            .queue
+            .get(&arrival.endpoint)
+            .map_or(0, |queue| queue.len());
+        if queued >= state.settings.queue_max || state.requests.len() >= state.settings.calls_max {
+            return Err(Refusal::not_run(Reason::Busy).retry_after(BUSY_RETRY));
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, arrival: Arrival, id: String, token: Token, presented: bool) {
+        let call = self.state.next_number();
+        let key = Key::of(&id);
+        let repeatable = self.may_go_without_intent(&arrival, &token);
+        self.emit(Effect::Keep {
+            exchange: arrival.exchange,
+            call,
+            id: id.clone(),
+        });
+        self.note(Note {
+            request: Some(key),
+            subject: Some(arrival.endpoint.to_string()),
+            ..Note::new(Kind::Accepted)
+        });
+        self.state.counters.accepted += 1;
+        *self
+            .state
+            .organisations
+            .entry(arrival.organisation.clone())
+            .or_default() += 1;
+        self.state.by_key.insert(key, call);
+        self.state.by_exchange.insert(arrival.exchange, call);
+        let request = Request {
+            id,
+            key,
+            presented,
+            expiry: token.expiry,
+            fingerprint: arrival.fingerprint,
+            organisation: arrival.organisation,
+            endpoint: arrival.endpoint,
+            work: arrival.work,
+            repeatable,
+            witness: token.witness,
+            exchange: Some(arrival.exchange),
+            after: arrival.after,
+            attached: false,
+            phase: Phase::Queued,
+            attempts: 0,
+            tried: Vec::new(),
+            accepted: self.now.up,
+            caller_gone: None,
+            emitted: 0,
+            answer_bytes: 0,
+        };
+        self.state.requests.insert(call, request);
+        self.start(call);
+    }
+
+    /// Tells whether a call may be dispatched without the witness: model work, and calls that may
+    /// be repeated under an endpoint state that stood already when the token was made.
+    fn may_go_without_intent(&self, arrival: &Arrival, token: &Token) -> bool {
+        let Work::Service { method, path } = &arrival.work else {
+            return true;
+        };
+        let table = &self.state.table;
+        let same_state = table.newest() >= token.ticket
+            && table.endpoint_version(&arrival.endpoint) <= token.ticket;
+        let endpoint = table.endpoint(&arrival.endpoint);
+        same_state && endpoint.is_some_and(|endpoint| endpoint.may_repeat(method, path))
+    }
+
+    pub(super) fn caller_gone(&mut self, exchange: Exchange) {
+        self.state.seals.remove(&exchange);
+        self.state.forwarded.remove(&exchange);
+        let Some(call) = self.state.by_exchange.remove(&exchange) else {
+            return;
+        };
+        let up = self.now.up;
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        if request.exchange != Some(exchange) {
+            return;
+        }
+        request.exchange = None;
+        request.attached = false;
+        request.caller_gone = Some(up);
+        let key = request.key;
+        let (active, presented) = (request.is_active(), request.presented);
+        if active {
+            self.note(Note {
+                request: Some(key),
+                ..Note::new(Kind::CallerGone)
+            });
+        }
+        if active && !presented {
+            self.abandon_for_gone_caller(call);
+        }
+    }
+
+    /// Refuses an exchange.
+    pub(super) fn refuse(&mut self, exchange: Exchange, key: Option<Key>, refusal: Refusal) {
+        let code: &'static str = refusal.code.into();
+        let reason: &'static str = refusal.reason.into();
+        *self
+            .state
+            .counters
+            .refused
+            .entry((code, reason))
+            .or_default() += 1;
+        self.note(Note {
+            request: key,
+            detail: Some(format!("{code} {reason}")),
+            ..Note::new(Kind::Refused)
+        });
+        let elsewhere = match refusal.reason {
+            Reason::Leaving | Reason::NotReady | Reason::WitnessUnreachable | Reason::Sealed => {
+                self.other_addresses()
+            }
+            _ => Vec::new(),
+        };
+        self.emit(Effect::Refuse {
+            exchange,
+            refusal,
+            elsewhere,
+        });
+    }
+
+    /// Makes a token for requests to `owner`, with a witness in another zone where there is one.
+    pub(super) fn mint(&mut self, owner: Seat, zone: &str) -> Token {
+        Token {
+            owner,
+            witness: self.pick_witness(owner, zone),
+            expiry: std::time::Duration::from_secs(
+                (self.now.unix + self.state.settings.token_life).as_secs(),
+            ),
+            ticket: self.state.table.newest(),
+            salt: self.state.rng.random(),
+        }
+    }
+}
+
+fn request_phase(request: Option<&Request>) -> Option<Phase> {
+    request.map(|request| request.phase.clone())
+}
--- /dev/null
+++ b/crates/core/src/reduce/cancel.rs
@@ -0,0 +1,187 @@
+//! Clean-up for callers that are gone: engines free the memory, and the order is repeated until
+//! they say so.
+
+use std::time::Duration;
+
+use crate::event::Effect;
+use crate::id::{Attempt, Call, Runner};
+use crate::state::{PendingCancel, Phase};
+use crate::timeline::{Kind, Note};
+
+use super::Step;
+
+/// How long a gone caller may take to come back before its engine work is cancelled.
+const RETURN_GRACE: Duration = Duration::from_millis(1_500);
+
+impl Step<'_> {
+    /// Stops what a gone caller's call holds. Calls that may run only once go on: their outcome is
+    /// recorded for the caller's return.
+    pub(super) fn abandon_for_gone_caller(&mut self, call: Call) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        if !request.is_model() {
+            return;
+        }
+        let phase = request.phase.clone();
+        if let Some(attempt) = request.attempt() {
+            self.emit(Effect::Abandon { attempt });
+        }
+        match &phase {
+            Phase::Prefill {
+                attempt, runner, ..
+            }
+            | Phase::Decode {
+                attempt, runner, ..
+            } => {
+                self.cancel_at(call, *attempt, runner);
+            }
+            _ => {}
+        }
+        self.park(call);
+    }
+
+    /// Takes a call out of its attempt and keeps what was generated.
+    fn park(&mut self, call: Call) {
+        self.unqueue(call);
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        let phase = std::mem::replace(&mut request.phase, Phase::Parked);
+        let (endpoint, organisation) = (request.endpoint.clone(), request.organisation.clone());
+        let presented = request.presented || request.emitted > 0;
+        let held: Vec<(Attempt, Vec<Runner>)> = match phase {
+            Phase::Plain { attempt, runner }
+            | Phase::Decode {
+                attempt, runner, ..
+            } => {
+                vec![(attempt, vec![runner])]
+            }
+            Phase::Prefill {
+                attempt,
+                runner,
+                decode,
+            } => vec![(attempt, vec![runner, decode])],
+            _ => Vec::new(),
+        };
+        for (attempt, runners) in held {
+            self.state.by_attempt.remove(&attempt);
+            runners
+                .iter()
+                .for_each(|runner| self.release(&endpoint, runner));
+        }
+        self.leave_organisation(&organisation);
+        if !presented {
+            self.drop_record(call);
+        }
+        self.drain_queue(&endpoint);
+    }
+
+    /// Goes on with a parked call whose caller has returned.
+    pub(super) fn unpark(&mut self, call: Call) {
+        let up = self.now.up;
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        request.phase = Phase::Queued;
+        request.accepted = up;
+        request.attempts = 0;
+        request.tried.clear();
+        let organisation = request.organisation.clone();
+        *self.state.organisations.entry(organisation).or_default() += 1;
+        self.try_dispatch(call);
+    }
+
+    /// Stops calls whose caller did not come back in time.
+    pub(super) fn tick_parked(&mut self) {
+        let up = self.now.up;
+        let gone: Vec<Call> = self
+            .state
+            .requests
+            .iter()
+            .filter(|(_, request)| request.is_model() && request.is_active())
+            .filter(|(_, request)| {
+                request
+                    .caller_gone
+                    .is_some_and(|since| up >= since + RETURN_GRACE)
+            })
+            .map(|(call, _)| *call)
+            .collect();
+        for call in gone {
+            self.abandon_for_gone_caller(call);
+        }
+    }
+
+    /// Orders the engine of an attempt to drop it.
+    pub(super) fn cancel_at(&mut self, call: Call, attempt: Attempt, runner: &Runner) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        let item = self.state.table.endpoint(&request.endpoint);
+        let found = item.and_then(|item| item.runners.iter().find(|item| item.id == *runner));
+        let Some(address) = found.map(|runner| runner.address) else {
+            return;
+        };
+        let key = request.key;
+        let name = self.engine_request(attempt);
+        let cancel = self.state.next_number();
+        let pending = PendingCancel {
+            address,
+            request: name,
+            since: self.now.up,
+            again: None,
+        };
+        self.state.cancels.insert(cancel, pending);
+        self.note(Note {
+            request: Some(key),
+            subject: Some(runner.to_string()),
+            ..Note::new(Kind::CancelSent)
+        });
+        self.send_cancel(cancel);
+    }
+
+    fn send_cancel(&mut self, cancel: u64) {
+        let Some(pending) = self.state.cancels.get_mut(&cancel) else {
+            return;
+        };
+        pending.again = None;
+        let (address, request) = (pending.address, pending.request.clone());
+        self.state.counters.cancels += 1;
+        self.emit(Effect::Cancel {
+            cancel,
+            address,
+            request,
+        });
+    }
+
+    pub(super) fn cancel_ended(&mut self, cancel: u64, acknowledged: bool) {
+        let again = self.now.up + self.state.settings.retry_interval;
+        let give_up = self.now.up.saturating_sub(self.state.settings.retry_for);
+        let Some(pending) = self.state.cancels.get_mut(&cancel) else {
+            return;
+        };
+        if acknowledged {
+            self.state.cancels.remove(&cancel);
+            self.note(Note::new(Kind::Cancelled));
+        } else if pending.since < give_up {
+            self.state.cancels.remove(&cancel);
+        } else {
+            pending.again = Some(again);
+        }
+    }
+
+    pub(super) fn tick_cancels(&mut self) {
+        let up = self.now.up;
+        let due = |pending: &PendingCancel| pending.again.is_some_and(|again| again <= up);
+        let numbers: Vec<u64> = self
+            .state
+            .cancels
+            .iter()
+            .filter(|(_, pending)| due(pending))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in numbers {
+            self.send_cancel(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/dispatch.rs
@@ -0,0 +1,350 @@
+//! From an accepted request to an attempt: intent, choice of runners, queue.
+
+use std::time::Duration;
+
+use crate::event::{Effect, Kv, Stage};
+use crate::id::{Attempt, Call, Endpoint, Runner};
+use crate::message::Message;
+use crate::plan::{self, Want};
+use crate::refusal::{Reason, Refusal};
+use crate::state::Phase;
+use crate::ticket::RunnerItem;
+use crate::timeline::{Kind, Note};
+
+use super::Step;
+
+/// Wait and priority of a class that no ticket describes.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+const DEFAULT_PRIORITY: u8 = 100;
+/// Silence bound for an endpoint that has gone from the table while a call was under way.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Advice on when to come back after waiting too long.
+const WAITED_RETRY: Duration = Duration::from_secs(2);
+
+impl Step<'_> {
+    /// Begins an accepted call.
+    pub(super) fn start(&mut self, call: Call) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        match request.witness {
+            Some(witness) if !request.repeatable => self.ask_intent(call, witness),
+            _ => self.try_dispatch(call),
+        }
+    }
+
+    fn ask_intent(&mut self, call: Call, witness: crate::token::Seat) {
+        let since = self.now.up;
+        if let Some(request) = self.state.requests.get_mut(&call) {
+            request.phase = Phase::AwaitingIntent { since };
+            let key = request.key;
+            self.note(Note {
+                request: Some(key),
+                subject: Some(format!("vm {}", witness.vm)),
+                ..Note::new(Kind::IntentSent)
+            });
+        }
+        self.send_intent(call);
+    }
+
+    pub(super) fn send_intent(&mut self, call: Call) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        let Some(witness) = request.witness else {
+            return;
+        };
+        let message = Message::Intent {
+            key: request.key,
+            witness: witness.incarnation,
+            expiry: request.expiry,
+        };
+        self.send(witness.vm, message);
+    }
+
+    /// Dispatches a call if runners have room, else queues it.
+    pub(super) fn try_dispatch(&mut self, call: Call) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        let started = if request.is_model() {
+            self.start_model(call)
+        } else {
+            self.start_plain(call)
+        };
+        if started {
+            self.unqueue(call);
+        } else {
+            self.enqueue(call);
+        }
+    }
+
+    fn start_plain(&mut self, call: Call) -> bool {
+        let Some(runner) = self.pick_for(call, Want::Plain) else {
+            return false;
+        };
+        let attempt = self.begin_attempt(call, &runner);
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return false;
+        };
+        request.phase = Phase::Plain {
+            attempt,
+            runner: runner.id.clone(),
+        };
+        let reuse = request.repeatable;
+        self.dispatch(call, attempt, &runner, Stage::Plain { reuse });
+        true
+    }
+
+    /// Begins a prefill only with a decode slot held for when it will be done.
+    fn start_model(&mut self, call: Call) -> bool {
+        let Some(decode) = self.pick_for(call, Want::Decode) else {
+            return false;
+        };
+        let Some(prefill) = self.pick_for(call, Want::Prefill) else {
+            return false;
+        };
+        let endpoint = self.state.requests[&call].endpoint.clone();
+        self.hold(&endpoint, &decode.id);
+        let attempt = self.begin_attempt(call, &prefill);
+        if let Some(request) = self.state.requests.get_mut(&call) {
+            request.phase = Phase::Prefill {
+                attempt,
+                runner: prefill.id.clone(),
+                decode: decode.id.clone(),
+            };
+        }
+        self.state.counters.prefills += 1;
+        self.dispatch(call, attempt, &prefill, Stage::Prefill);
+        true
+    }
+
+    /// Begins a decode at a runner whose slot is held already.
+    pub(super) fn start_decode(&mut self, call: Call, runner: &RunnerItem, kv: Kv) {
+        let attempt = self.state.next_number();
+        self.state.by_attempt.insert(attempt, call);
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        request.phase = Phase::Decode {
+            attempt,
+            runner: runner.id.clone(),
+            kv: kv.clone(),
+        };
+        let from = request.emitted;
+        self.dispatch(call, attempt, runner, Stage::Decode { kv, from });
+    }
+
+    fn pick_for(&mut self, call: Call, want: Want) -> Option<RunnerItem> {
+        let request = self.state.requests.get(&call)?;
+        let (endpoint, tried) = (request.endpoint.clone(), request.tried.clone());
+        plan::pick(self.state, self.now, &endpoint, want, &tried)
+    }
+
+    /// Gives a KV cache that waits at its prefill runner to another decode runner with room.
+    pub(super) fn redirect_decode(&mut self, call: Call, kv: Kv) -> bool {
+        let Some(runner) = self.pick_for(call, Want::Decode) else {
+            return false;
+        };
+        let endpoint = self.state.requests[&call].endpoint.clone();
+        self.hold(&endpoint, &runner.id);
+        self.start_decode(call, &runner, kv);
+        true
+    }
+
+    fn begin_attempt(&mut self, call: Call, runner: &RunnerItem) -> Attempt {
+        let attempt = self.state.next_number();
+        self.state.by_attempt.insert(attempt, call);
+        let mut endpoint = None;
+        if let Some(request) = self.state.requests.get_mut(&call) {
+            request.attempts += 1;
+            endpoint = Some(request.endpoint.clone());
+            self.state.counters.retried += u64::from(request.attempts > 1);
+        }
+        if let Some(endpoint) = endpoint {
+            self.hold(&endpoint, &runner.id);
+        }
+        attempt
+    }
+
+    fn dispatch(&mut self, call: Call, attempt: Attempt, runner: &RunnerItem, stage: Stage) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        let key = request.key;
+        let timeout = self
+            .state
+            .table
+            .endpoint(&request.endpoint)
+            .map_or(DEFAULT_TIMEOUT, |item| item.timeout());
+        let priority = self.class_of(&request.endpoint).0;
+        let name = self.engine_request(attempt);
+        let what = match stage {
+            Stage::Plain { .. } => "plain",
+            Stage::Prefill => "prefill",
+            Stage::Decode { .. } => "decode",
+        };
+        self.state.counters.dispatched += 1;
+        self.note(Note {
+            request: Some(key),
+            subject: Some(runner.id.to_string()),
+            detail: Some(what.to_owned()),
+            ..Note::new(Kind::Dispatched)
+        });
+        self.emit(Effect::Dispatch {
+            attempt,
+            call,
+            address: runner.address,
+            stage,
+            request: name,
+            priority,
+            timeout,
+        });
+    }
+
+    /// Name of an attempt at an engine; no two attempts of any process share one.
+    pub(super) fn engine_request(&self, attempt: Attempt) -> String {
+        let seat = self.state.seat;
+        format!("{}-{:016x}-{attempt}", seat.vm, seat.incarnation)
+    }
+
+    /// Priority and longest wait of an endpoint's class.
+    fn class_of(&self, endpoint: &Endpoint) -> (u8, Duration) {
+        let table = &self.state.table;
+        let class = table
+            .endpoint(endpoint)
+            .and_then(|item| table.class(&item.class));
+        class.map_or((DEFAULT_PRIORITY, DEFAULT_WAIT), |class| {
+            (class.priority, Duration::from_millis(class.wait_ms))
+        })
+    }
+
+    pub(super) fn hold(&mut self, endpoint: &Endpoint, runner: &Runner) {
+        let key = (endpoint.clone(), runner.clone());
+        self.state.loads.entry(key).or_default().running += 1;
+    }
+
+    pub(super) fn release(&mut self, endpoint: &Endpoint, runner: &Runner) {
+        let key = (endpoint.clone(), runner.clone());
+        if let Some(load) = self.state.loads.get_mut(&key) {
+            load.running = load.running.saturating_sub(1);
+        }
+    }
+
+    /// Keeps work away from a runner for a while.
+    pub(super) fn rest(&mut self, endpoint: &Endpoint, runner: &Runner, time: Duration) {
+        let key = (endpoint.clone(), runner.clone());
+        self.state.loads.entry(key).or_default().rest_until = self.now.up + time;
+    }
+
+    pub(super) fn enqueue(&mut self, call: Call) {
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        let newly = request.phase != Phase::Queued || request.attempts == 0;
+        request.phase = Phase::Queued;
+        let (endpoint, key) = (request.endpoint.clone(), request.key);
+        let priority = self.class_of(&endpoint).0;
+        let queue = self.state.queue.entry(endpoint).or_default();
+        if queue.insert((priority, call), ()).is_none() && newly {
+            self.note(Note {
+                request: Some(key),
+                ..Note::new(Kind::Queued)
+            });
+        }
+    }
+
+    pub(super) fn unqueue(&mut self, call: Call) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        let endpoint = request.endpoint.clone();
+        if let Some(queue) = self.state.queue.get_mut(&endpoint) {
+            queue.retain(|(_, queued), ()| *queued != call);
+            if queue.is_empty() {
+                self.state.queue.remove(&endpoint);
+            }
+        }
+    }
+
+    /// Dispatches waiting calls of one endpoint in order, as far as there is room.
+    pub(super) fn drain_queue(&mut self, endpoint: &Endpoint) {
+        loop {
+            let first = self
+                .state
+                .queue
+                .get(endpoint)
+                .and_then(|queue| queue.keys().next().copied());
+            let Some((_, call)) = first else {
+                return;
+            };
+            self.try_dispatch(call);
+            let still = self
+                .state
+                .queue
+                .get(endpoint)
+                .and_then(|queue| queue.keys().next().copied());
+            if still == first {
+                return;
+            }
+        }
+    }
+
+    /// Refuses calls that have waited too long, and gives the others a try.
+    pub(super) fn tick_queue(&mut self) {
+        let endpoints: Vec<Endpoint> = self.state.queue.keys().cloned().collect();
+        for endpoint in endpoints {
+            self.drop_overdue(&endpoint);
+            self.drain_queue(&endpoint);
+        }
+    }
+
+    fn drop_overdue(&mut self, endpoint: &Endpoint) {
+        let (_, wait) = self.class_of(endpoint);
+        let up = self.now.up;
+        let Some(queue) = self.state.queue.get(endpoint) else {
+            return;
+        };
+        let overdue = |call: &Call| {
+            self.state
+                .requests
+                .get(call)
+                .is_some_and(|r| up > r.accepted + wait)
+        };
+        let late: Vec<Call> = queue
+            .keys()
+            .map(|(_, call)| *call)
+            .filter(overdue)
+            .collect();
+        for call in late {
+            let dispatched = self.state.requests[&call].attempts > 0;
+            let refusal = if !self.has_open_runner(endpoint) {
+                Refusal::not_run(Reason::NoRunner)
+            } else {
+                Refusal::not_run(Reason::WaitedTooLong)
+            };
+            self.fail(
+                call,
+                claim(refusal, dispatched && self.state.requests[&call].is_model())
+                    .retry_after(WAITED_RETRY),
+            );
+        }
+    }
+
+    fn has_open_runner(&self, endpoint: &Endpoint) -> bool {
+        let item = self.state.table.endpoint(endpoint);
+        item.is_some_and(|item| item.runners.iter().any(|runner| !runner.leaving))
+    }
+}
+
+/// Weakens a claim of "not run" for work that an engine has begun.
+pub(super) fn claim(refusal: Refusal, begun: bool) -> Refusal {
+    if begun {
+        Refusal {
+            code: crate::refusal::Code::Unknown,
+            ..refusal
+        }
+    } else {
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/entries.rs
@@ -0,0 +1,132 @@
+//! Which addresses callers should use, and which process witnesses for which.
+
+use rand::seq::SliceRandom;
+use rand::Rng;
+
+use crate::event::{Effect, Entry};
+use crate::id::{Exchange, Vm, Zone};
+use crate::message::Standing;
+use crate::state::Lifecycle;
+use crate::token::Seat;
+
+use super::Step;
+
+struct Candidate {
+    seat: Seat,
+    zone: Zone,
+    address: std::net::SocketAddr,
+}
+
+impl Step<'_> {
+    /// Answers with live addresses in random order, those of the caller's zone first.
+    pub(super) fn entries_asked(&mut self, exchange: Exchange, zone: Option<Zone>) {
+        let mut candidates = self.candidates();
+        candidates.shuffle(&mut self.state.rng);
+        if let Some(zone) = zone {
+            candidates.sort_by_key(|candidate| candidate.zone != zone);
+        }
+        candidates.truncate(self.state.settings.entries_max);
+        let entries = candidates
+            .into_iter()
+            .map(|candidate| self.entry(candidate))
+            .collect();
+        let keep = self.state.settings.keep_entries;
+        self.emit(Effect::Entries {
+            exchange,
+            entries,
+            keep,
+        });
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let mut all: Vec<Candidate> = Vec::new();
+        let settings = &self.state.settings;
+        if self.state.lifecycle == Lifecycle::Running && self.state.not_ready(self.now.up).is_none()
+        {
+            all.push(Candidate {
+                seat: self.state.seat,
+                zone: settings.zone.clone(),
+                address: settings.caller_address,
+            });
+        }
+        for member in self
+            .state
+            .roster
+            .iter()
+            .filter(|member| member.takes_callers())
+        {
+            all.push(Candidate {
+                seat: member.seat(),
+                zone: member.card.zone.clone(),
+                address: member.card.caller_address,
+            });
+        }
+        all
+    }
+
+    /// Addresses of other processes that take callers, in random order.
+    pub(super) fn other_addresses(&mut self) -> Vec<std::net::SocketAddr> {
+        let members = self
+            .state
+            .roster
+            .iter()
+            .filter(|member| member.takes_callers());
+        let mut all: Vec<_> = members.map(|member| member.card.caller_address).collect();
+        all.shuffle(&mut self.state.rng);
+        all.truncate(self.state.settings.entries_max);
+        all
+    }
+
+    fn entry(&mut self, candidate: Candidate) -> Entry {
+        let token = self.mint(candidate.seat, &candidate.zone);
+        Entry {
+            vm: candidate.seat.vm,
+            zone: candidate.zone,
+            address: candidate.address,
+            token: token.encode(&self.state.ring),
+        }
+    }
+
+    /// Picks a process that answers, in another zone than the owner's where there is one.
+    pub(super) fn pick_witness(&mut self, owner: Seat, zone: &str) -> Option<Seat> {
+        let mut seats: Vec<(Seat, bool)> = Vec::new();
+        for member in self.state.roster.iter() {
+            let good = member.card.standing == Standing::Up && member.takes_callers();
+            if good && member.card.vm != owner.vm {
+                seats.push((member.seat(), &*member.card.zone != zone));
+            }
+        }
+        if owner.vm != self.state.seat.vm && self.state.lifecycle == Lifecycle::Running {
+            seats.push((self.state.seat, &*self.state.settings.zone != zone));
+        }
+        let elsewhere: Vec<Seat> = seats
+            .iter()
+            .filter(|(_, other)| *other)
+            .map(|(seat, _)| *seat)
+            .collect();
+        let choices: Vec<Seat> = if elsewhere.is_empty() {
+            seats.into_iter().map(|(seat, _)| seat).collect()
+        } else {
+            elsewhere
+        };
+        if choices.is_empty() {
+            return None;
+        }
+        let at = self.state.rng.random_range(0..choices.len());
+        Some(choices[at])
+    }
+
+    /// Random members that answer, without `except`.
+    pub(super) fn random_members(&mut self, count: usize, except: Option<Vm>) -> Vec<Vm> {
+        let mut vms: Vec<Vm> = self
+            .state
+            .roster
+            .iter()
+            .filter(|member| member.answers() && Some(member.card.vm) != except)
+            .map(|member| member.card.vm)
+            .collect();
+        vms.shuffle(&mut self.state.rng);
+        vms.truncate(count);
+        vms
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/fleet.rs
@@ -0,0 +1,323 @@
+//! Membership: random probes, help from others, suspicion with a chance to refute.
+//!
+//! Each process probes one member an interval, whatever the size of the fleet.
+
+use crate::id::{Ticket, Vm};
+use crate::message::{Card, Message, Standing};
+use crate::state::{Lifecycle, Probe};
+use crate::timeline::{Kind, Note};
+use crate::token::Seat;
+
+use super::Step;
+
+/// Members asked to probe one that did not answer.
+const HELPERS: usize = 2;
+/// Times that a statement is passed on.
+const GOSSIP_TIMES: u32 = 6;
+/// Statements passed on in one message.
+const GOSSIP_CARDS: usize = 8;
+/// Members told directly when this process's own standing changes.
+const ANNOUNCE_FANOUT: usize = 16;
+/// One probe in this many goes to a member that counts as down, to find out when it is back.
+const DOWN_PROBE_SHARE: u64 = 4;
+
+impl Step<'_> {
+    pub(super) fn own_card(&self) -> Card {
+        let state = &self.state;
+        let standing = match state.lifecycle {
+            Lifecycle::Running if state.not_ready(self.now.up).is_some() => Standing::Joining,
+            Lifecycle::Running => Standing::Up,
+            _ => Standing::Leaving,
+        };
+        Card {
+            vm: state.seat.vm,
+            incarnation: state.seat.incarnation,
+            version: state.version,
+            zone: state.settings.zone.clone(),
+            caller_address: state.settings.caller_address,
+            peer_address: state.settings.peer_address,
+            standing,
+        }
+    }
+
+    /// Tells others at once that this process's own standing has changed.
+    pub(super) fn announce(&mut self) {
+        self.state.version += 1;
+        for vm in self.random_members(ANNOUNCE_FANOUT, None) {
+            self.send_cards(vm);
+        }
+    }
+
+    pub(super) fn restart_probes(&mut self) {
+        self.state.probes.clear();
+        let up = self.now.up;
+        let vms: Vec<Vm> = self
+            .state
+            .roster
+            .iter()
+            .map(|member| member.card.vm)
+            .collect();
+        for vm in vms {
+            if let Some(member) = self.state.roster.get_mut(vm) {
+                member.since = up;
+            }
+        }
+    }
+
+    pub(super) fn tick_fleet(&mut self) {
+        if self.now.up >= self.state.probe_at {
+            self.state.probe_at = self.now.up + self.state.settings.probe_interval;
+            self.probe_someone();
+        }
+        self.check_probes();
+        self.check_suspects();
+    }
+
+    fn probe_someone(&mut self) {
+        let number = self.state.next_number();
+        let want_down = number % DOWN_PROBE_SHARE == 0;
+        let down: Vec<Vm> = self
+            .state
+            .roster
+            .iter()
+            .filter(|member| !member.answers())
+            .map(|member| member.card.vm)
+            .collect();
+        let target = if want_down && !down.is_empty() {
+            Some(down[(number / DOWN_PROBE_SHARE) as usize % down.len()])
+        } else {
+            self.random_members(1, None).first().copied()
+        };
+        if let Some(target) = target {
+            self.send_probe(number, target, None);
+        }
+    }
+
+    fn send_probe(&mut self, number: u64, target: Vm, helping: Option<(Vm, u64)>) {
+        let probe = Probe {
+            target,
+            sent: self.now.up,
+            indirect: false,
+            helping,
+        };
+        self.state.probes.insert(number, probe);
+        let ticket = self.state.table.newest();
+        self.send(target, Message::Probe { number, ticket });
+        self.send_cards(target);
+    }
+
+    /// Sends this process's own statement and some of what it has heard.
+    fn send_cards(&mut self, to: Vm) {
+        let mut cards = vec![self.own_card()];
+        let mut again = Vec::new();
+        for _ in 0..self.state.gossip.len().min(GOSSIP_CARDS) {
+            let Some((vm, left)) = self.state.gossip.pop_front() else {
+                break;
+            };
+            if let Some(member) = self.state.roster.get(vm) {
+                cards.push(member.card.clone());
+            }
+            if left > 1 {
+                again.push((vm, left - 1));
+            }
+        }
+        self.state.gossip.extend(again);
+        self.send(to, Message::Cards { cards });
+    }
+
+    pub(super) fn probed(&mut self, from: Seat, number: u64, ticket: Ticket) {
+        self.hear_ticket(ticket);
+        let own = self.state.table.newest();
+        self.send(
+            from.vm,
+            Message::ProbeAck {
+                number,
+                ticket: own,
+            },
+        );
+        self.contradict(from);
+        self.send_cards(from.vm);
+    }
+
+    /// Tells a member that answers what is wrongly said of it, so that it refutes.
+    fn contradict(&mut self, from: Seat) {
+        let member = self.state.roster.get(from.vm);
+        let doubted = |standing: Standing| matches!(standing, Standing::Suspect | Standing::Down);
+        let card = member
+            .filter(|member| member.seat() == from && doubted(member.card.standing))
+            .map(|member| member.card.clone());
+        if let Some(card) = card {
+            self.send(from.vm, Message::Cards { cards: vec![card] });
+        }
+    }
+
+    pub(super) fn probe_acknowledged(&mut self, from: Seat, number: u64, ticket: Ticket) {
+        self.hear_ticket(ticket);
+        self.contradict(from);
+        let Some(probe) = self.state.probes.get(&number).copied() else {
+            return;
+        };
+        // An answer through a helper comes from the helper; it vouches for the target.
+        self.state.probes.remove(&number);
+        if let Some((asker, theirs)) = probe.helping {
+            self.send(
+                asker,
+                Message::ProbeAck {
+                    number: theirs,
+                    ticket,
+                },
+            );
+        }
+    }
+
+    pub(super) fn probe_for(&mut self, from: Seat, number: u64, target: Vm) {
+        if target == self.state.seat.vm {
+            let ticket = self.state.table.newest();
+            self.send(from.vm, Message::ProbeAck { number, ticket });
+            return;
+        }
+        let own = self.state.next_number();
+        self.send_probe(own, target, Some((from.vm, number)));
+    }
+
+    fn check_probes(&mut self) {
+        let up = self.now.up;
+        let timeout = self.state.settings.probe_timeout;
+        let overdue: Vec<(u64, Probe)> = self
+            .state
+            .probes
+            .iter()
+            .filter(|(_, probe)| up >= probe.sent + timeout)
+            .map(|(number, probe)| (*number, *probe))
+            .collect();
+        for (number, probe) in overdue {
+            if probe.helping.is_some() {
+                self.state.probes.remove(&number);
+            } else if !probe.indirect {
+                self.ask_helpers(number, probe);
+            } else if up >= probe.sent + 2 * timeout {
+                self.state.probes.remove(&number);
+                self.suspect(probe.target);
+            }
+        }
+    }
+
+    fn ask_helpers(&mut self, number: u64, probe: Probe) {
+        self.state.probes.insert(
+            number,
+            Probe {
+                indirect: true,
+                ..probe
+            },
+        );
+        for helper in self.random_members(HELPERS, Some(probe.target)) {
+            self.send(
+                helper,
+                Message::ProbeFor {
+                    number,
+                    target: probe.target,
+                },
+            );
+        }
+    }
+
+    fn suspect(&mut self, vm: Vm) {
+        let Some(member) = self.state.roster.get(vm) else {
+            return;
+        };
+        if !matches!(
+            member.card.standing,
+            Standing::Joining | Standing::Up | Standing::Leaving
+        ) {
+            return;
+        }
+        self.set_standing(vm, Standing::Suspect);
+    }
+
+    fn set_standing(&mut self, vm: Vm, standing: Standing) {
+        let up = self.now.up;
+        if let Some(member) = self.state.roster.get_mut(vm) {
+            member.card.standing = standing;
+            member.since = up;
+            self.state.gossip.push_back((vm, GOSSIP_TIMES));
+        }
+        if standing == Standing::Down {
+            self.note(Note {
+                subject: Some(format!("vm {vm}")),
+                ..Note::new(Kind::MemberDown)
+            });
+        }
+    }
+
+    fn check_suspects(&mut self) {
+        let up = self.now.up;
+        let timeout = self.state.settings.suspect_timeout;
+        let lost: Vec<Vm> = self
+            .state
+            .roster
+            .iter()
+            .filter(|member| {
+                member.card.standing == Standing::Suspect && up >= member.since + timeout
+            })
+            .map(|member| member.card.vm)
+            .collect();
+        for vm in lost {
+            self.set_standing(vm, Standing::Down);
+        }
+    }
+
+    pub(super) fn learn_cards(&mut self, from: Seat, cards: Vec<Card>) {
+        for card in cards {
+            if card.vm == self.state.seat.vm {
+                self.refute(&card);
+            } else {
+                let heard = card.vm == from.vm && card.incarnation == from.incarnation;
+                self.learn_card(card, heard);
+            }
+        }
+    }
+
+    /// Answers a statement that this process, in this boot, does not answer.
+    fn refute(&mut self, card: &Card) {
+        let doubted = matches!(card.standing, Standing::Suspect | Standing::Down);
+        if card.incarnation != self.state.seat.incarnation
+            || !doubted
+            || card.version < self.state.version
+        {
+            return;
+        }
+        self.state.version = card.version;
+        self.announce();
+    }
+
+    fn learn_card(&mut self, card: Card, heard: bool) {
+        let vm = card.vm;
+        let before = self
+            .state
+            .roster
+            .get(vm)
+            .map(|member| (member.card.standing, member.card.incarnation));
+        if !self.state.roster.learn(card, self.now.up, heard) {
+            return;
+        }
+        let after = self
+            .state
+            .roster
+            .get(vm)
+            .map(|member| (member.card.standing, member.card.incarnation));
+        if before == after {
+            return;
+        }
+        self.state.gossip.push_back((vm, GOSSIP_TIMES));
+        let kind = match after.map(|(standing, _)| standing) {
+            Some(Standing::Up) => Kind::MemberUp,
+            Some(Standing::Leaving) => Kind::MemberLeaving,
+            Some(Standing::Down) => Kind::MemberDown,
+            _ => return,
+        };
+        self.note(Note {
+            subject: Some(format!("vm {vm}")),
+            ..Note::new(kind)
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/leave.rs
@@ -0,0 +1,35 @@
+//! A graceful leave: out of the entries at once, no request cut.
+
+use crate::event::Effect;
+use crate::state::Lifecycle;
+use crate::timeline::{Kind, Note};
+
+use super::Step;
+
+impl Step<'_> {
+    pub(super) fn leave(&mut self) {
+        if self.state.lifecycle != Lifecycle::Running {
+            return;
+        }
+        let serve_until = self.now.up + self.state.settings.keep_entries;
+        self.state.lifecycle = Lifecycle::Leaving { serve_until };
+        self.note(Note::new(Kind::LeaveStarted));
+        self.announce();
+    }
+
+    /// Ends the process once kept answers have expired and nothing is under way or owed.
+    pub(super) fn tick_leave(&mut self) {
+        let Lifecycle::Leaving { serve_until } = self.state.lifecycle else {
+            return;
+        };
+        let idle = self.state.active() == 0
+            && self.state.seals.is_empty()
+            && self.state.forwarded.is_empty()
+            && self.state.owed.is_empty()
+            && self.state.cancels.is_empty();
+        if idle && self.now.up >= serve_until {
+            self.state.lifecycle = Lifecycle::Ended;
+            self.emit(Effect::Exit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/reduce/witness.rs
@@ -0,0 +1,293 @@
+//! The hand-over record between owner and witness: intents, outcomes and seals.
+
+use std::time::Duration;
+
+use crate::id::{Call, Exchange, Incarnation, Key};
+use crate::message::{Message, Record};
+use crate::refusal::{Reason, Refusal};
+use crate::state::{Owed, Phase, SealWait, Witnessed};
+use crate::timeline::{Kind, Note};
+use crate::token::{Seat, Token};
+
+use super::Step;
+
+/// Interval at which an unacknowledged intent is sent again.
+const INTENT_RESEND: Duration = Duration::from_millis(100);
+
+impl Step<'_> {
+    /// As witness: clears an owner for dispatch unless the id is sealed or ended.
+    pub(super) fn intent_asked(
+        &mut self,
+        from: Seat,
+        key: Key,
+        witness: Incarnation,
+        expiry: Duration,
+    ) {
+        let granted = self.grant_intent(key, witness, expiry);
+        if granted {
+            self.note(Note {
+                request: Some(key),
+                ..Note::new(Kind::Witnessed)
+            });
+        }
+        self.send(from.vm, Message::IntentAck { key, granted });
+    }
+
+    fn grant_intent(&mut self, key: Key, witness: Incarnation, expiry: Duration) -> bool {
+        if witness != self.state.seat.incarnation || self.is_expired(expiry) {
+            return false;
+        }
+        match self.witnessed(key) {
+            Some(witnessed) => witnessed.record == Record::Intent,
+            None => self.record(key, Record::Intent, expiry),
+        }
+    }
+
+    /// Keeps a record; tells whether there was room.
+    fn record(&mut self, key: Key, record: Record, expiry: Duration) -> bool {
+        let room = self.state.witnessed.len() < self.state.settings.witness_max;
+        if room {
+            self.state
+                .witnessed
+                .insert(key, Witnessed { record, expiry });
+        }
+        room
+    }
+
+    /// As owner: dispatches once the witness has the intent.
+    pub(super) fn intent_acknowledged(&mut self, from: Seat, key: Key, granted: bool) {
+        let Some(&call) = self.state.by_key.get(&key) else {
+            return;
+        };
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        let awaited =
+            matches!(request.phase, Phase::AwaitingIntent { .. }) && request.witness == Some(from);
+        if !awaited {
+            return;
+        }
+        if !granted {
+            self.fail(call, Refusal::not_run(Reason::Sealed));
+            return;
+        }
+        request.phase = Phase::Queued;
+        self.note(Note {
+            request: Some(key),
+            ..Note::new(Kind::IntentRecorded)
+        });
+        self.try_dispatch(call);
+    }
+
+    /// As witness: takes the outcome of a call that it cleared.
+    pub(super) fn outcome_told(&mut self, from: Seat, key: Key, record: Record) {
+        match self.state.witnessed.get_mut(&key) {
+            Some(witnessed) if witnessed.record != Record::Sealed => witnessed.record = record,
+            _ => {}
+        }
+        self.send(from.vm, Message::OutcomeAck { key });
+    }
+
+    /// As owner: owes the witness the outcome until it is acknowledged.
+    pub(super) fn owe_outcome(&mut self, key: Key, witness: Seat, record: Record) {
+        let up = self.now.up;
+        self.state.owed.insert(
+            key,
+            Owed {
+                witness,
+                record,
+                since: up,
+                sent: up,
+            },
+        );
+        self.send(witness.vm, Message::Outcome { key, record });
+    }
+
+    pub(super) fn outcome_acknowledged(&mut self, key: Key) {
+        self.state.owed.remove(&key);
+    }
+
+    /// Finds out from the witness what became of an id whose owner can't be asked.
+    pub(super) fn seal(&mut self, exchange: Exchange, key: Key, token: Token, conclusive: bool) {
+        let Some(witness) = token.witness else {
+            self.refuse(
+                exchange,
+                Some(key),
+                Refusal::unknown(Reason::OwnerUnreachable),
+            );
+            return;
+        };
+        let wait = SealWait {
+            exchange,
+            key,
+            conclusive,
+            owner: token.owner,
+            witness,
+            expiry: token.expiry,
+            since: self.now.up,
+            sent: self.now.up,
+        };
+        if witness == self.state.seat {
+            let record = self.seal_here(key, witness.incarnation, token.expiry);
+            self.tell_sealed(&wait, record);
+            return;
+        }
+        let known = self
+            .state
+            .roster
+            .get(witness.vm)
+            .is_some_and(|member| member.seat() == witness);
+        if !known {
+            self.refuse(
+                exchange,
+                Some(key),
+                Refusal::unknown(Reason::OwnerUnreachable),
+            );
+            return;
+        }
+        self.send_seal(&wait);
+        self.state.seals.insert(exchange, wait);
+    }
+
+    fn send_seal(&mut self, wait: &SealWait) {
+        let message = Message::Seal {
+            key: wait.key,
+            owner: wait.owner,
+            witness: wait.witness.incarnation,
+            expiry: wait.expiry,
+        };
+        self.send(wait.witness.vm, message);
+    }
+
+    /// As witness: seals an id that has no intent, and says what is held.
+    pub(super) fn seal_asked(
+        &mut self,
+        from: Seat,
+        key: Key,
+        _owner: Seat,
+        witness: Incarnation,
+        expiry: Duration,
+    ) {
+        let record = self.seal_here(key, witness, expiry);
+        self.send(from.vm, Message::SealAck { key, record });
+    }
+
+    fn seal_here(&mut self, key: Key, witness: Incarnation, expiry: Duration) -> Option<Record> {
+        if witness != self.state.seat.incarnation {
+            return None;
+        }
+        if let Some(witnessed) = self.witnessed(key) {
+            return Some(witnessed.record);
+        }
+        // Past its life a record may have been dropped, so its absence proves nothing.
+        if self.is_expired(expiry) || !self.record(key, Record::Sealed, expiry) {
+            return None;
+        }
+        self.note(Note {
+            request: Some(key),
+            ..Note::new(Kind::SealedHere)
+        });
+        Some(Record::Sealed)
+    }
+
+    pub(super) fn seal_acknowledged(&mut self, from: Seat, key: Key, record: Option<Record>) {
+        let waiting = self
+            .state
+            .seals
+            .values()
+            .filter(|wait| wait.key == key && wait.witness == from);
+        let exchanges: Vec<Exchange> = waiting.map(|wait| wait.exchange).collect();
+        for exchange in exchanges {
+            if let Some(wait) = self.state.seals.remove(&exchange) {
+                self.tell_sealed(&wait, record);
+            }
+        }
+    }
+
+    /// Tells a caller what the witness's record proves.
+    fn tell_sealed(&mut self, wait: &SealWait, record: Option<Record>) {
+        let refusal = match record {
+            Some(Record::Sealed | Record::NeverRan) if wait.conclusive => {
+                Refusal::not_run(Reason::Sealed)
+            }
+            Some(Record::Answered { .. }) => Refusal::unknown(Reason::AnswerDropped),
+            Some(Record::Uncertain) => Refusal::unknown(Reason::RunnerLost),
+            _ => Refusal::unknown(Reason::OwnerUnreachable),
+        };
+        self.refuse(wait.exchange, Some(wait.key), refusal);
+    }
+
+    pub(super) fn tick_witness(&mut self) {
+        self.tick_intents();
+        self.tick_seals();
+        self.tick_owed();
+    }
+
+    fn tick_intents(&mut self) {
+        let up = self.now.up;
+        let waiting: Vec<(Call, Duration)> = self
+            .state
+            .requests
+            .iter()
+            .filter_map(|(call, request)| match request.phase {
+                Phase::AwaitingIntent { since } => Some((*call, since)),
+                _ => None,
+            })
+            .collect();
+        for (call, since) in waiting {
+            if up >= since + self.state.settings.intent_timeout {
+                self.fail(
+                    call,
+                    Refusal::not_run(Reason::WitnessUnreachable).retry_after(Duration::ZERO),
+                );
+            } else if up >= since + INTENT_RESEND {
+                self.send_intent(call);
+            }
+        }
+    }
+
+    fn tick_seals(&mut self) {
+        let up = self.now.up;
+        let waits: Vec<SealWait> = self.state.seals.values().cloned().collect();
+        for mut wait in waits {
+            if up >= wait.since + self.state.settings.seal_timeout {
+                self.state.seals.remove(&wait.exchange);
+                self.refuse(
+                    wait.exchange,
+                    Some(wait.key),
+                    Refusal::unknown(Reason::OwnerUnreachable),
+                );
+            } else if up >= wait.sent + self.state.settings.retry_interval {
+                wait.sent = up;
+                self.send_seal(&wait);
+                self.state.seals.insert(wait.exchange, wait);
+            }
+        }
+    }
+
+    fn tick_owed(&mut self) {
+        let up = self.now.up;
+        let (interval, give_up) = (
+            self.state.settings.retry_interval,
+            self.state.settings.retry_for,
+        );
+        self.state.owed.retain(|_, owed| up < owed.since + give_up);
+        let due: Vec<(Key, Owed)> = self
+            .state
+            .owed
+            .iter()
+            .filter(|(_, owed)| up >= owed.sent + interval)
+            .map(|(key, owed)| (*key, *owed))
+            .collect();
+        for (key, owed) in due {
+            self.state.owed.insert(key, Owed { sent: up, ..owed });
+            self.send(
+                owed.witness.vm,
+                Message::Outcome {
+                    key,
+                    record: owed.record,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ticket/mod.rs
@@ -0,0 +1,13 @@
+//! Change tickets: their schema, the checks on them, and the state they add up to.
+//!
+//! A ticket carries the whole new value of every item it touches, so that the state is a map from
+//! item to (ticket number, value). Applying is a join: the higher number wins, whatever the order.
+
+mod schema;
+mod table;
+
+pub use schema::{
+    ClassItem, EndpointItem, Fault, Item, Kind, Limit, Repeatable, Role, RunnerItem, Shutdown,
+    Ticket,
+};
+pub use table::{Applied, Table};
--- /dev/null
+++ b/crates/core/src/timeline.rs
@@ -0,0 +1,221 @@
+//! The time line: typed notes of what a process decided, stamped for merging over processes.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::id::Vm;
+
+/// A hybrid logical time: wall clock in microseconds, then a counter.
+///
+/// It never goes back in one process, and a message's receipt is later than its sending, whatever
+/// the two clocks say.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Microseconds since the Unix epoch.
+    pub micros: u64,
+    /// Order among stamps of the same microsecond.
+    pub counter: u32,
+}
+
+/// The clock that gives stamps.
+#[derive(Debug, Default)]
+pub struct Clock {
+    last: Stamp,
+}
+
+impl Clock {
+    /// Gives the stamp of a local event.
+    pub fn stamp(&mut self, unix: Duration) -> Stamp {
+        self.merge(unix, Stamp::default())
+    }
+
+    /// Takes over a stamp received from a peer.
+    pub fn merge(&mut self, unix: Duration, seen: Stamp) -> Stamp {
+        let wall = Stamp {
+            micros: unix.as_micros() as u64,
+            counter: 0,
+        };
+        let latest = self.last.max(seen);
+        self.last = if wall > latest {
+            wall
+        } else {
+            Stamp {
+                micros: latest.micros,
+                counter: latest.counter.saturating_add(1),
+            }
+        };
+        self.last
+    }
+}
+
+/// What happened.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Display,
+    EnumString,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// The process started.
+    Started,
+    /// A request was accepted.
+    Accepted,
+    /// A repeated id was attached to the running exchange or got the recorded answer.
+    Repeated,
+    /// A request waits for a runner.
+    Queued,
+    /// An intent was sent to the witness.
+    IntentSent,
+    /// The witness acknowledged the intent.
+    IntentRecorded,
+    /// This process recorded an intent as witness.
+    Witnessed,
+    /// This process sealed an id as witness.
+    SealedHere,
+    /// An attempt was dispatched to a runner.
+    Dispatched,
+    /// A prefill ended.
+    Prefilled,
+    /// The first token came.
+    FirstToken,
+    /// An attempt failed.
+    AttemptFailed,
+    /// A request ended with its answer.
+    Answered,
+    /// A request was refused.
+    Refused,
+    /// A request was passed to its owner.
+    Forwarded,
+    /// The caller of a request is gone.
+    CallerGone,
+    /// A cancel was sent to a runner.
+    CancelSent,
+    /// A cancel was acknowledged.
+    Cancelled,
+    /// A ticket came into force.
+    TicketApplied,
+    /// A ticket was refused.
+    TicketRefused,
+    /// A VM was found to answer.
+    MemberUp,
+    /// A VM was found not to answer.
+    MemberDown,
+    /// A VM is leaving.
+    MemberLeaving,
+    /// This process began to leave.
+    LeaveStarted,
+    /// This process woke late.
+    WokeLate,
+}
+
+/// One thing that happened, before it is stamped.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// What.
+    pub kind: Kind,
+    /// To which request, as the digest of its id.
+    pub request: Option<crate::id::Key>,
+    /// At or by which runner, VM, or item.
+    pub subject: Option<String>,
+    /// Under which ticket.
+    pub ticket: Option<u64>,
+    /// Further detail, such as a refusal's code and reason.
+    pub detail: Option<String>,
+}
+
+impl Note {
+    /// A note with nothing but its kind.
+    pub fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            request: None,
+            subject: None,
+            ticket: None,
+            detail: None,
+        }
+    }
+}
+
+/// One entry of a time line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// When, comparable over processes.
+    pub stamp: Stamp,
+    /// Where.
+    pub vm: Vm,
+    /// What.
+    pub kind: Kind,
+    /// To which request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<String>,
+    /// At or by which runner, VM, or item.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub subject: Option<String>,
+    /// Under which ticket.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ticket: Option<u64>,
+    /// Further detail.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<String>,
+}
+
+/// A bounded store of entries; the oldest go first.
+#[derive(Debug)]
+pub struct Ring {
+    vm: Vm,
+    capacity: usize,
+    entries: VecDeque<Entry>,
+    dropped: u64,
+}
+
+impl Ring {
+    /// Makes an empty ring for this VM that holds up to `capacity` entries.
+    pub fn new(vm: Vm, capacity: usize) -> Self {
+        Self {
+            vm,
+            capacity,
+            entries: VecDeque::new(),
+            dropped: 0,
+        }
+    }
+
+    /// Adds a note.
+    pub fn push(&mut self, stamp: Stamp, note: Note) {
+        if self.entries.len() >= self.capacity {
+            self.entries.pop_front();
+            self.dropped += 1;
+        }
+        self.entries.push_back(Entry {
+            stamp,
+            vm: self.vm,
+            kind: note.kind,
+            request: note.request.map(|key| key.to_string()),
+            subject: note.subject,
+            ticket: note.ticket,
+            detail: note.detail,
+        });
+    }
+
+    /// Gives the entries, oldest first.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
+    /// Number of entries that had to go.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
--- /dev/null
+++ b/crates/hornbeamctl/src/cli.rs
@@ -0,0 +1,183 @@
+//! Flags of all commands.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use hornbeamtiller_standin::deployment::Deployment;
+
+/// Operates, shows and measures hornbeamtiller.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 success, 1 a check or bound failed, 2 wrong flags, \
+                                 3 a process can't be reached or started."
+)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Runs a small fleet with stand-ins in this process and sends requests of each kind.
+    Demo(DemoFlags),
+    /// Runs a deployment's stand-ins alone.
+    Standin(StandinFlags),
+    /// Shows which addresses callers are told to use.
+    Entries(EntriesFlags),
+    /// Shows what a process knows.
+    Status(OperatorFlags),
+    /// Merges the time lines of processes in causal order.
+    Timeline(TimelineFlags),
+    /// Checks and compares tickets.
+    Ticket(TicketFlags),
+    /// Makes a process leave without cutting a request.
+    Drain(DrainFlags),
+}
+
+/// A deployment, by its short name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Place {
+    /// Myto Szlak sp. z o.o.
+    Myto,
+    /// Lakeshore Safelight Labs.
+    Lakeshore,
+}
+
+impl From<Place> for Deployment {
+    fn from(place: Place) -> Self {
+        match place {
+            Place::Myto => Deployment::Myto,
+            Place::Lakeshore => Deployment::Lakeshore,
+        }
+    }
+}
+
+/// Flags of `demo`.
+#[derive(Debug, Args)]
+pub struct DemoFlags {
+    /// Whose stand-ins to run.
+    #[arg(
+        long,
+        env = "HORNBEAMCTL_DEPLOYMENT",
+        value_enum,
+        default_value = "myto"
+    )]
+    pub deployment: Place,
+    /// Number of entry VM processes (threads here).
+    #[arg(long, env = "HORNBEAMCTL_NODES", default_value_t = 8)]
+    pub nodes: u32,
+    /// Keeps everything up after the requests, until interrupted.
+    #[arg(long, env = "HORNBEAMCTL_STAY")]
+    pub stay: bool,
+}
+
+/// Flags of `standin`.
+#[derive(Debug, Args)]
+pub struct StandinFlags {
+    /// Whose stand-ins to run.
+    #[arg(
+        long,
+        env = "HORNBEAMCTL_DEPLOYMENT",
+        value_enum,
+        default_value = "myto"
+    )]
+    pub deployment: Place,
+    /// Address of the control listener, IP:PORT. The platform gets the next port, then the runners.
+    #[arg(
+        long,
+        env = "HORNBEAMCTL_STANDIN_LISTEN",
+        default_value = "127.0.1.1:9000"
+    )]
+    pub listen: SocketAddr,
+    /// Number of entry VMs on the platform's list: VM n at 127.0.0.n, callers at port 8080, peers at
+    /// port 8081.
+    #[arg(long, env = "HORNBEAMCTL_VMS", default_value_t = 8)]
+    pub vms: u8,
+}
+
+/// Flags of commands that ask a process's operator listener.
+#[derive(Debug, Args)]
+pub struct OperatorFlags {
+    /// Operator address of the process, IP:PORT.
+    #[arg(long, env = "HORNBEAMCTL_OPERATOR")]
+    pub operator: SocketAddr,
+}
+
+/// Flags of `entries`.
+#[derive(Debug, Args)]
+pub struct EntriesFlags {
+    /// Caller address of any process, IP:PORT.
+    #[arg(long, env = "HORNBEAMCTL_CALLER")]
+    pub caller: SocketAddr,
+    /// Availability zone to be nearest to.
+    #[arg(long, env = "HORNBEAMCTL_ZONE")]
+    pub zone: Option<String>,
+}
+
+/// Flags of `drain`.
+#[derive(Debug, Args)]
+pub struct DrainFlags {
+    /// Operator address of the process, IP:PORT.
+    #[arg(long, env = "HORNBEAMCTL_OPERATOR")]
+    pub operator: SocketAddr,
+    /// Token of the operator.
+    #[arg(long, env = "HORNBEAMCTL_OPERATOR_TOKEN", hide_env_values = true)]
+    pub token: String,
+}
+
+/// Flags of `timeline`.
+#[derive(Debug, Args)]
+pub struct TimelineFlags {
+    /// Operator addresses of the processes, IP:PORT, separated by commas.
+    #[arg(
+        long,
+        env = "HORNBEAMCTL_OPERATORS",
+        value_delimiter = ',',
+        required = true
+    )]
+    pub operators: Vec<SocketAddr>,
+    /// Only entries about this request: its whole id, or the digest that entries show.
+    #[arg(long)]
+    pub request: Option<String>,
+    /// Only entries about this runner.
+    #[arg(long)]
+    pub runner: Option<String>,
+    /// Only entries of this VM.
+    #[arg(long)]
+    pub vm: Option<u32>,
+    /// Only entries about this ticket.
+    #[arg(long)]
+    pub ticket: Option<u64>,
+    /// Writes one JSON object a line.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Flags of `ticket`.
+#[derive(Debug, Args)]
+pub struct TicketFlags {
+    /// What to do with tickets.
+    #[command(subcommand)]
+    pub command: TicketCommand,
+}
+
+/// What to do with tickets.
+#[derive(Debug, Subcommand)]
+pub enum TicketCommand {
+    /// Checks a ticket and lists all its faults.
+    Check {
+        /// File with the ticket's JSON.
+        file: PathBuf,
+    },
+    /// Lists the items in which two tickets differ.
+    Diff {
+        /// File with the earlier ticket's JSON.
+        before: PathBuf,
+        /// File with the later ticket's JSON.
+        after: PathBuf,
+    },
+}
--- /dev/null
+++ b/crates/hornbeamctl/src/commands/mod.rs
@@ -0,0 +1,6 @@
+//! The commands of operators.
+
+pub mod operator;
+pub mod standin;
+pub mod ticket;
+pub mod timeline;
--- /dev/null
+++ b/crates/hornbeamctl/src/commands/ticket.rs
@@ -0,0 +1,54 @@
+//! Checks of tickets before they are published.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use error_stack::{Report, ResultExt as _};
+use hornbeamtiller_core::ticket::Ticket;
+
+use crate::cli::{TicketCommand, TicketFlags};
+use crate::error::{Error, Result};
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// [`Error::Faults`] where a ticket fails its check, [`Error::File`] where it can't be read.
+pub fn run(flags: &TicketFlags) -> Result<()> {
+    match &flags.command {
+        TicketCommand::Check { file } => check(file).map(|ticket| {
+            println!(
+                "ticket {} is good: {} items",
+                ticket.number,
+                ticket.items.len()
+            );
+        }),
+        TicketCommand::Diff { before, after } => diff(&check(before)?, &check(after)?),
+    }
+}
+
+fn check(file: &Path) -> Result<Ticket> {
+    let text = std::fs::read_to_string(file)
+        .change_context_lazy(|| Error::File(file.display().to_string()))?;
+    Ticket::parse(&text).map_err(|faults| {
+        faults
+            .iter()
+            .for_each(|fault| eprintln!("{}: {fault}", file.display()));
+        Report::new(Error::Faults(faults.len()))
+    })
+}
+
+fn diff(before: &Ticket, after: &Ticket) -> Result<()> {
+    let names: BTreeSet<&String> = before.items.keys().chain(after.items.keys()).collect();
+    for name in names {
+        match (before.items.get(name), after.items.get(name)) {
+            (Some(_), None) => println!("- {name} is not touched by ticket {}", after.number),
+            (None, Some(_)) => println!("+ {name} is new in ticket {}", after.number),
+            (Some(old), Some(new)) if old != new => {
+                println!("~ {name}\n    before: {old:?}\n    after:  {new:?}")
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/hornbeamctl/src/fleet.rs
@@ -0,0 +1,314 @@
+//! A small fleet on loopback addresses in this process: a thread for each entry VM, and one for
+//! the stand-ins.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt as _};
+use hornbeamtiller_http::client::Client;
+use hornbeamtiller_node::{Flags, Node};
+use hornbeamtiller_standin::control;
+use hornbeamtiller_standin::deployment::Deployment;
+use hornbeamtiller_standin::fixture::{self, Fixture};
+use hornbeamtiller_standin::observed::Observed;
+use hornbeamtiller_standin::platform::Vm;
+use http::Method;
+
+use crate::caller::{self, Ask};
+use crate::error::{Error, Result};
+
+/// Key of a fleet that lives for one run on loopback addresses only.
+const LOOPBACK_KEY: &str = "key of a fleet on loopback addresses";
+/// Operator token of such a fleet.
+pub const OPERATOR_TOKEN: &str = "operator of a loopback fleet";
+/// Interval at which threads look whether to end.
+const STOP_CHECK: Duration = Duration::from_millis(20);
+/// Time for a part of the fleet to start.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One entry VM of the fleet.
+pub struct Member {
+    /// Its number.
+    pub vm: u32,
+    /// Its zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub caller: SocketAddr,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
+    /// Where operators reach it.
+    pub operator: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// The stand-ins of the fleet.
+pub struct Standins {
+    /// Where their control listener is.
+    pub control: SocketAddr,
+    /// Where the platform is.
+    pub platform: SocketAddr,
+    /// Where each runner is.
+    pub runners: Vec<(String, SocketAddr)>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// Whose stand-ins it has.
+    pub deployment: Deployment,
+    /// The entry VMs.
+    pub members: Vec<Member>,
+    /// The stand-ins.
+    pub standins: Standins,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and `nodes` entry VMs, and lists the VMs at the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] where a part does not start.
+    pub fn open(nodes: u32, settings: fixture::Settings) -> Result<Self> {
+        let deployment = settings.deployment;
+        let standins = Standins::open(settings)?;
+        let mut members = Vec::new();
+        for vm in 1..=nodes {
+            members.push(Member::open(vm, deployment, standins.platform)?);
+        }
+        Ok(Self {
+            deployment,
+            members,
+            standins,
+        })
+    }
+
+    /// Puts the VMs on the platform's list and waits until each takes callers.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] where that takes too long.
+    pub async fn settle(&self, client: &Client) -> Result<()> {
+        self.list(client).await?;
+        let deadline = std::time::Instant::now() + START_TIMEOUT;
+        for member in &self.members {
+            loop {
+                let entries = caller::entries(client, member.caller).await;
+                if entries.is_ok_and(|entries| entries.entries.len() == self.members.len().min(8)) {
+                    break;
+                }
+                if std::time::Instant::now() > deadline {
+                    return Err(Report::new(Error::Start(
+                        "the fleet: not all VMs see each other",
+                    )));
+                }
+                monoio::time::sleep(STOP_CHECK).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Puts the VMs on the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// As [`caller::json`].
+    pub async fn list(&self, client: &Client) -> Result<()> {
+        let vms: Vec<Vm> = self
+            .members
+            .iter()
+            .map(|member| Vm {
+                id: member.vm,
+                zone: member.zone.clone(),
+                caller: member.caller,
+                peer: member.peer,
+                leaving: false,
+            })
+            .collect();
+        let body = serde_json::to_string(&vms).unwrap_or_default();
+        let ask = Ask::new(Method::PUT, "/control/vms").body(body);
+        caller::json::<serde_json::Value>(client, self.standins.control, ask).await?;
+        Ok(())
+    }
+
+    /// What the stand-ins saw.
+    ///
+    /// # Errors
+    ///
+    /// As [`caller::json`].
+    pub async fn observed(&self, client: &Client) -> Result<Observed> {
+        caller::json(client, self.standins.control, Ask::get("/observed")).await
+    }
+
+    /// Operator addresses of all VMs.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| member.operator).collect()
+    }
+
+    /// Ends all threads.
+    pub fn close(self) {
+        self.members.into_iter().for_each(Member::close);
+        self.standins.close();
+    }
+}
+
+impl Member {
+    /// Starts one entry VM on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] where it does not start.
+    pub fn open(vm: u32, deployment: Deployment, platform: SocketAddr) -> Result<Self> {
+        let zones = deployment.zones();
+        let zone = zones[(vm as usize - 1) % zones.len()].to_owned();
+        let flags = flags(vm, &zone, platform);
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let (sender, receiver) = mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name(format!("vm-{vm}"))
+            .spawn(move || run_node(flags, &stopped, &sender))
+            .change_context(Error::Start("a thread"))?;
+        let addresses = receiver
+            .recv_timeout(START_TIMEOUT)
+            .change_context(Error::Start("an entry VM"))?;
+        let [caller, peer, operator] = addresses;
+        Ok(Self {
+            vm,
+            zone,
+            caller,
+            peer,
+            operator,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Ends the thread at once, as the end of the process would.
+    pub fn close(mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            _ = thread.join();
+        }
+    }
+
+    /// Tells whether the thread has ended by itself, as it does after a graceful leave.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+}
+
+/// Flags of an entry VM on loopback addresses with ports that the system chooses.
+pub fn flags(vm: u32, zone: &str, platform: SocketAddr) -> Flags {
+    let ip = IpAddr::V4(Ipv4Addr::new(127, 0, (vm >> 8) as u8, vm as u8));
+    let any = SocketAddr::new(ip, 0);
+    Flags {
+        vm,
+        zone: zone.to_owned(),
+        caller_listen: any,
+        peer_listen: any,
+        operator_listen: any,
+        platform,
+        key: LOOPBACK_KEY.to_owned(),
+        previous_key: None,
+        operator_token: OPERATOR_TOKEN.to_owned(),
+        keep_entries_ms: 3_000,
+        token_life_s: 600,
+        body_bytes: 1 << 20,
+        head_bytes: 16 << 10,
+        head_timeout_ms: 30_000,
+        body_timeout_ms: 20_000,
+        answer_bytes: 4 << 20,
+        connections: 10_000,
+        timeline: 20_000,
+        seed: Some(u64::from(vm)),
+    }
+}
+
+fn run_node(flags: Flags, stop: &AtomicBool, started: &mpsc::Sender<[SocketAddr; 3]>) {
+    let Ok(settings) = flags.check() else {
+        return;
+    };
+    let run = hornbeamtiller_http::runtime::block_on(async {
+        let node = match Node::open(settings) {
+            Ok(node) => node,
+            Err(report) => {
+                eprintln!("{report:?}");
+                return;
+            }
+        };
+        _ = started.send([
+            node.caller_address(),
+            node.peer_address(),
+            node.operator_address(),
+        ]);
+        while !stop.load(Ordering::Relaxed) && !node.has_left() {
+            monoio::time::sleep(STOP_CHECK).await;
+        }
+        if node.has_left() {
+            node.close();
+            monoio::time::sleep(10 * STOP_CHECK).await;
+        }
+    });
+    if let Err(error) = run {
+        eprintln!("runtime: {error}");
+    }
+}
+
+impl Standins {
+    fn open(settings: fixture::Settings) -> Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let (sender, receiver) = mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name("stand-ins".to_owned())
+            .spawn(move || run_standins(&settings, &stopped, &sender))
+            .change_context(Error::Start("a thread"))?;
+        let started = receiver
+            .recv_timeout(START_TIMEOUT)
+            .change_context(Error::Start("the stand-ins"))?;
+        let (control, platform, runners) = started;
+        Ok(Self {
+            control,
+            platform,
+            runners,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    fn close(mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            _ = thread.join();
+        }
+    }
+}
+
+type Started = (SocketAddr, SocketAddr, Vec<(String, SocketAddr)>);
+
+fn run_standins(settings: &fixture::Settings, stop: &AtomicBool, started: &mpsc::Sender<Started>) {
+    let run = hornbeamtiller_http::runtime::block_on(async {
+        let fixture = Rc::new(Fixture::open(settings)?);
+        let any = SocketAddr::new(settings.listen.ip(), 0);
+        let control = control::bind(any, fixture.clone())?;
+        let runners = fixture
+            .runners()
+            .iter()
+            .map(|(runner, address)| (runner.id.clone(), *address))
+            .collect();
+        _ = started.send((control.address(), fixture.platform_address(), runners));
+        while !stop.load(Ordering::Relaxed) {
+            monoio::time::sleep(STOP_CHECK).await;
+        }
+        Ok::<_, std::io::Error>(())
+    });
+    if let Err(error) = run.and_then(|inner| inner) {
+        eprintln!("stand-ins: {error}");
+    }
+}
--- /dev/null
+++ b/crates/hornbeamctl/src/main.rs
@@ -0,0 +1,47 @@
+//! The tool of operators and developers.
+//!
+//! Exit codes: 0 for success, 1 where a check or a bound failed, 2 for wrong flags, 3 where a
+//! process can't be reached or started.
+
+mod caller;
+mod cli;
+mod commands;
+mod demo;
+mod error;
+mod fleet;
+
+use std::process::ExitCode;
+
+use clap::Parser as _;
+
+use cli::{Cli, Command};
+use error::Error;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    match run(cli.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("hornbeamctl: {report:?}");
+            ExitCode::from(report.current_context().exit_code())
+        }
+    }
+}
+
+fn run(command: Command) -> error::Result<()> {
+    match command {
+        Command::Demo(flags) => demo::run(&flags),
+        Command::Standin(flags) => commands::standin::run(&flags),
+        Command::Entries(flags) => commands::operator::entries(&flags),
+        Command::Status(flags) => commands::operator::status(&flags),
+        Command::Timeline(flags) => commands::timeline::run(&flags),
+        Command::Ticket(flags) => commands::ticket::run(&flags),
+        Command::Drain(flags) => commands::operator::drain(&flags),
+    }
+}
+
+/// Runs a future on this thread's runtime.
+fn block_on<T>(future: impl std::future::Future<Output = error::Result<T>>) -> error::Result<T> {
+    use error_stack::ResultExt as _;
+    hornbeamtiller_http::runtime::block_on(future).change_context(Error::Runtime)?
+}
--- /dev/null
+++ b/crates/hornbeamtiller/src/main.rs
@@ -0,0 +1,109 @@
+//! The process of one entry VM.
+//!
+//! Exit codes: 0 after a graceful leave, 2 for wrong flags, 3 for settings that fail their check,
+//! 4 where the process can't start.
+
+mod logging;
+
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Parser;
+use error_stack::{Report, ResultExt as _};
+use hornbeamtiller_node::{Flags, Node, Settings};
+
+/// Exit code for settings that fail their check.
+const EXIT_SETTINGS: u8 = 3;
+/// Exit code where the process can't start.
+const EXIT_START: u8 = 4;
+/// Interval at which signals are looked at.
+const SIGNAL_CHECK: Duration = Duration::from_millis(50);
+/// Time for the last bytes of replies to go out after all work has ended.
+const LAST_WRITES: Duration = Duration::from_millis(300);
+
+/// Routes model requests between prefill and decode pools, and calls to plain services.
+///
+/// SIGTERM and SIGINT begin a graceful leave; a second one ends the process at once.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 left gracefully, 2 wrong flags, 3 settings fail their check, \
+                                 4 can't start."
+)]
+struct Cli {
+    #[command(flatten)]
+    flags: Flags,
+}
+
+/// Why the process ended in failure.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// Logs can't be written.
+    #[error("can't set up logs")]
+    Logging,
+    /// Signals can't be received.
+    #[error("can't receive signals")]
+    Signals,
+    /// The runtime can't be made.
+    #[error("can't make the runtime")]
+    Runtime,
+    /// The listeners can't be opened.
+    #[error("can't start")]
+    Start,
+}
+
+fn main() -> ExitCode {
+    let settings = match Cli::parse().flags.check() {
+        Ok(settings) => settings,
+        Err(faults) => {
+            faults
+                .iter()
+                .for_each(|fault| eprintln!("hornbeamtiller: {fault}"));
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("hornbeamtiller: {report:?}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn run(settings: Settings) -> Result<(), Report<Error>> {
+    logging::open().change_context(Error::Logging)?;
+    let stop = receive_signals().change_context(Error::Signals)?;
+    hornbeamtiller_http::runtime::block_on(serve(settings, stop)).change_context(Error::Runtime)?
+}
+
+/// Sets a flag at the first signal and ends the process at the second.
+fn receive_signals() -> std::io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register_conditional_shutdown(signal, 1, stop.clone())?;
+        signal_hook::flag::register(signal, stop.clone())?;
+    }
+    Ok(stop)
+}
+
+async fn serve(settings: Settings, stop: Arc<AtomicBool>) -> Result<(), Report<Error>> {
+    let node = Node::open(settings).change_context(Error::Start)?;
+    log::info!(
+        "serving callers at {}, peers at {}, operators at {}",
+        node.caller_address(),
+        node.peer_address(),
+        node.operator_address()
+    );
+    while !stop.load(Ordering::Relaxed) && !node.has_left() {
+        monoio::time::sleep(SIGNAL_CHECK).await;
+    }
+    node.leave();
+    node.left().await;
+    node.close();
+    monoio::time::sleep(LAST_WRITES).await;
+    log::info!("left");
+    Ok(())
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP on monoio for callers, runners, the platform and operators: a bounded server, a client
+//! with kept-open connections, and server-sent events.
+//!
+//! The codec is `hyper` over `monoio-compat`. `monoio-http` is not used: its chunked encoder holds
+//! back small chunks, which would stall a stream of tokens, and its decoder does not bound the
+//! bytes of a head.
+
+pub mod body;
+pub mod client;
+mod parse_refusal;
+pub mod runtime;
+pub mod server;
+mod socket;
+pub mod sse;
--- /dev/null
+++ b/crates/http/src/parse_refusal.rs
@@ -0,0 +1,113 @@
+//! Typed refusals for heads that the codec itself refuses.
+//!
+//! `hyper` answers a head that it can't parse, or that is over its bound, with a status line and an
+//! empty body. This wrapper over the connection puts the project's JSON refusal in its place.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+
+/// Header that every reply of this project's servers carries; the codec's own have none.
+pub const MARK: &str = "x-hornbeamtiller";
+
+/// A connection whose bare refusals get a typed body.
+pub struct Typed<T> {
+    inner: T,
+    /// What is still to be written of a replaced reply.
+    pending: Vec<u8>,
+}
+
+impl<T> Typed<T> {
+    /// Wraps a connection.
+    pub fn new(inner: T) -> Self {
+        Self {
+            inner,
+            pending: Vec::new(),
+        }
+    }
+}
+
+/// Gives the reply to send in place of the codec's own, if `bytes` is one.
+fn replacement(bytes: &[u8]) -> Option<Vec<u8>> {
+    let head = std::str::from_utf8(bytes).ok()?;
+    if !head.starts_with("HTTP/1.") || !head.ends_with("\r\n\r\n") || head.contains(MARK) {
+        return None;
+    }
+    let (status, reason, name) = match head.get(9..12)? {
+        "400" => (
+            "400 Bad Request",
+            "malformed",
+            "request head or framing can't be parsed",
+        ),
+        "414" => (
+            "414 URI Too Long",
+            "head_too_large",
+            "request target is over the bound",
+        ),
+        "431" => (
+            "431 Request Header Fields Too Large",
+            "head_too_large",
+            "request head is over the bound",
+        ),
+        _ => return None,
+    };
+    let body = format!(
+        "{{\"error\":{{\"code\":\"not_run\",\"reason\":\"{reason}\",\"message\":\"{name}\"}}}}"
+    );
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{MARK}: refused\r\ncontent-type: application/json\r\n\
+         content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    );
+    Some(text.into_bytes())
+}
+
+impl<T: Read + Unpin> Read for Typed<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<T: Write + Unpin> Typed<T> {
+    fn poll_pending(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.pending.is_empty() {
+            let written =
+                std::task::ready!(Pin::new(&mut self.inner).poll_write(cx, &self.pending))?;
+            self.pending.drain(..written);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<T: Write + Unpin> Write for Typed<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.poll_pending(cx))?;
+        match replacement(buf) {
+            Some(reply) => {
+                self.pending = reply;
+                Poll::Ready(Ok(buf.len()))
+            }
+            None => Pin::new(&mut self.inner).poll_write(cx, buf),
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.poll_pending(cx))?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.poll_pending(cx))?;
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,214 @@
+//! A server with bounds on connections, heads and idle time.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use futures::future::{select, Either, Shared};
+use futures::FutureExt as _;
+use http::header::HeaderValue;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use monoio::io::IntoPollIo as _;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+
+use crate::body::{Reply, Source};
+use crate::parse_refusal::{Typed, MARK};
+use crate::socket;
+
+/// Pause after an error of `accept`, such as having no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer that the codec allows for a head, in bytes.
+const HEAD_BYTES_MIN: usize = 8192;
+
+/// Bounds of a server.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Connections at a time; more wait in the system's backlog.
+    pub connections: usize,
+    /// Bytes of a head.
+    pub head_bytes: usize,
+    /// Headers of a head.
+    pub headers: usize,
+    /// Time for a head to come, which also bounds idle time between requests.
+    pub head_timeout: Duration,
+    /// Bytes of a body.
+    pub body_bytes: usize,
+    /// Time for a body to come.
+    pub body_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            head_bytes: 16 << 10,
+            headers: 64,
+            head_timeout: Duration::from_secs(30),
+            body_bytes: 1 << 20,
+            body_timeout: Duration::from_secs(20),
+        }
+    }
+}
+
+/// What answers requests.
+pub trait Handler: Clone + 'static {
+    /// Source of streamed replies.
+    type Source: Source;
+
+    /// Answers one request. Dropping the future, or the reply's source, means that the caller is
+    /// gone.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Reply<Self::Source>>>;
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    connections: Rc<Cell<usize>>,
+    stop: oneshot::Sender<Stop>,
+}
+
+/// How a server ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    /// Exchanges under way go to their end.
+    Graceful,
+    /// All connections are cut.
+    Abort,
+}
+
+impl Server {
+    /// Listens at an address and answers until closed.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the address can't be listened at.
+    pub fn bind<H: Handler>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self> {
+        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+        let listener = TcpListener::bind_with_config(address, &options)?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let connections = Rc::new(Cell::new(0));
+        let count = connections.clone();
+        monoio::spawn(accept(listener, limits, handler, stopped.shared(), count));
+        Ok(Self {
+            address,
+            connections,
+            stop,
+        })
+    }
+
+    /// The address listened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Stops listening, and closes connections where no exchange is under way.
+    pub fn close(self) {
+        _ = self.stop.send(Stop::Graceful);
+    }
+
+    /// Stops listening and cuts all connections, as the end of the process would.
+    pub fn abort(self) {
+        _ = self.stop.send(Stop::Abort);
+    }
+}
+
+type Stopped = Shared<oneshot::Receiver<Stop>>;
+
+/// Counts a connection as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn accept<H: Handler>(
+    listener: TcpListener,
+    limits: Limits,
+    handler: H,
+    stopped: Stopped,
+    count: Rc<Cell<usize>>,
+) {
+    loop {
+        while count.get() >= limits.connections {
+            monoio::time::sleep(ACCEPT_PAUSE).await;
+        }
+        let next = std::pin::pin!(listener.accept());
+        match select(next, stopped.clone()).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                let counted = Counted::new(count.clone());
+                monoio::spawn(serve(
+                    stream,
+                    limits.clone(),
+                    handler.clone(),
+                    stopped.clone(),
+                    counted,
+                ));
+            }
+            Either::Left((Err(_), _)) => monoio::time::sleep(ACCEPT_PAUSE).await,
+            Either::Right(_) => return,
+        }
+    }
+}
+
+async fn serve<H: Handler>(
+    stream: TcpStream,
+    limits: Limits,
+    handler: H,
+    stopped: Stopped,
+    _counted: Counted,
+) {
+    if socket::prepare(&stream).is_err() {
+        return;
+    }
+    let Ok(stream) = stream.into_poll_io() else {
+        return;
+    };
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, std::convert::Infallible>(marked(handler.handle(request).await)) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(MonoioTimer)
+        .header_read_timeout(limits.head_timeout)
+        .max_headers(limits.headers)
+        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
+        .serve_connection(Typed::new(MonoioIo::new(stream)), service);
+    let mut connection = std::pin::pin!(connection);
+    if let Either::Right((Ok(Stop::Graceful), _)) = select(connection.as_mut(), stopped).await {
+        connection.as_mut().graceful_shutdown();
+        _ = connection.await;
+    }
+}
+
+fn marked<S>(mut response: Response<Reply<S>>) -> Response<Reply<S>> {
+    response
+        .headers_mut()
+        .insert(MARK, HeaderValue::from_static("1"));
+    response
+}
--- /dev/null
+++ b/crates/http/src/socket.rs
@@ -0,0 +1,35 @@
+//! Options of sockets: no delay, and an end to connections that are silent for good.
+
+use std::io;
+use std::os::fd::{AsRawFd, BorrowedFd};
+use std::time::Duration;
+
+use monoio::net::TcpStream;
+use socket2::{SockRef, TcpKeepalive};
+
+/// Silence after which the system begins to probe a connection.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(5);
+/// Interval of those probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Unanswered probes after which the connection is lost.
+const KEEPALIVE_PROBES: u32 = 3;
+/// How long sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Sets the options on a connection.
+///
+/// # Errors
+///
+/// The system's error; the connection is of no use then.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    // SAFETY: The descriptor is open as long as `stream` is borrowed, which is longer than `fd`.
+    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let socket = SockRef::from(&fd);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_AFTER)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/http/src/sse.rs
@@ -0,0 +1,82 @@
+//! Server-sent events: a reader of streams, and the writing of single events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest size of one event, in bytes.
+const EVENT_MAX: usize = 256 << 10;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The `id` field.
+    pub id: Option<u64>,
+    /// The `data` field.
+    pub data: Bytes,
+}
+
+/// A stream that breaks the format's bounds.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+#[error("an event is over {EVENT_MAX} bytes")]
+pub struct Oversized;
+
+/// Splits chunks into events.
+#[derive(Debug, Default)]
+pub struct Reader {
+    buffer: BytesMut,
+}
+
+impl Reader {
+    /// Adds a chunk.
+    ///
+    /// # Errors
+    ///
+    /// [`Oversized`] where an event does not end within its bound.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<(), Oversized> {
+        if self.buffer.len() + chunk.len() > EVENT_MAX {
+            return Err(Oversized);
+        }
+        self.buffer.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    /// Takes the next whole event; comments are passed over.
+    pub fn next_event(&mut self) -> Option<Event> {
+        loop {
+            let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+            let block = self.buffer.split_to(end + 2).freeze();
+            if let Some(event) = parse(&block) {
+                return Some(event);
+            }
+        }
+    }
+}
+
+fn parse(block: &Bytes) -> Option<Event> {
+    let mut id = None;
+    let mut data = None;
+    for line in block.split(|byte| *byte == b'\n') {
+        if let Some(value) = line.strip_prefix(b"data: ") {
+            data = Some(block.slice_ref(value));
+        } else if let Some(value) = line.strip_prefix(b"id: ") {
+            id = std::str::from_utf8(value)
+                .ok()
+                .and_then(|text| text.parse().ok());
+        }
+    }
+    data.map(|data| Event { id, data })
+}
+
+/// Writes one event with an id.
+pub fn event(id: u64, data: &str) -> Bytes {
+    Bytes::from(format!("id: {id}\ndata: {data}\n\n"))
+}
+
+/// Writes one event without an id.
+pub fn bare(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
+
+/// Writes a comment, which probes a silent connection.
+pub fn comment(text: &str) -> Bytes {
+    Bytes::from(format!(": {text}\n\n"))
+}
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,37 @@
+//! The clocks of a process.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use hornbeamtiller_core::event::Now;
+
+/// Time since the start, and the wall clock carried on from the start.
+///
+/// The wall clock is read once, so that a correction of it can't make time go back and bring
+/// expired ids to life.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// Starts the clock now.
+    pub fn open() -> Self {
+        let unix = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            start: Instant::now(),
+            unix,
+        }
+    }
+
+    /// Reads both clocks.
+    pub fn now(&self) -> Now {
+        let up = self.start.elapsed();
+        Now {
+            up,
+            unix: self.unix + up,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,214 @@
+//! The operator listener: metrics, health, status, time line, and the order to leave.
+
+use hornbeamtiller_core::event::Event;
+use hornbeamtiller_core::message::Standing;
+use hornbeamtiller_core::refusal::{Reason, Refusal};
+use hornbeamtiller_core::state::{Lifecycle, State};
+use hornbeamtiller_core::timeline::Entry;
+use hornbeamtiller_http::body::{Never, Reply};
+use hornbeamtiller_http::server::Handler;
+use http::header::{HeaderValue, AUTHORIZATION, CONTENT_TYPE};
+use http::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+
+use crate::caller::render;
+use crate::shell::Shell;
+
+type Answer = Response<Reply<Never>>;
+
+/// Answers operators.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    shell: Shell,
+}
+
+#[derive(Serialize)]
+struct Status {
+    vm: u32,
+    incarnation: String,
+    zone: String,
+    lifecycle: &'static str,
+    not_ready: Option<String>,
+    ticket: u64,
+    items: Vec<Item>,
+    members: Vec<Member>,
+    requests_active: usize,
+    requests_kept: usize,
+    witness_records: usize,
+    cancels_pending: usize,
+    timeline_dropped: u64,
+}
+
+#[derive(Serialize)]
+struct Item {
+    name: String,
+    ticket: u64,
+}
+
+#[derive(Serialize)]
+struct Member {
+    vm: u32,
+    incarnation: String,
+    zone: String,
+    standing: String,
+    caller: String,
+}
+
+#[derive(Serialize)]
+struct Health {
+    alive: bool,
+}
+
+#[derive(Serialize)]
+struct Readiness {
+    ready: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Timeline {
+    vm: u32,
+    dropped: u64,
+    entries: Vec<Entry>,
+}
+
+#[derive(Serialize)]
+struct Draining {
+    leaving: bool,
+}
+
+impl Handler for Operator {
+    type Source = Never;
+
+    async fn handle(&self, request: Request<hyper::body::Incoming>) -> Answer {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::GET, "/healthz") => render::json(StatusCode::OK, &Health { alive: true }),
+            (&Method::GET, "/readyz") => self.readiness(),
+            (&Method::GET, "/admin/v1/status") => self.status(),
+            (&Method::GET, "/admin/v1/timeline") => self.timeline(),
+            (&Method::POST, "/admin/v1/drain") => self.drain(&request),
+            _ => render::refusal(&Refusal::not_run(Reason::NotFound), &[]),
+        }
+    }
+}
+
+impl Operator {
+    /// Makes the handler.
+    pub fn new(shell: Shell) -> Self {
+        Self { shell }
+    }
+
+    fn metrics(&self) -> Answer {
+        let up = self.shell.now().up;
+        let text = self
+            .shell
+            .read(|state| self.shell.metrics().render(state, self.shell.links(), up));
+        let mut response = Response::new(Reply::whole(text));
+        response.headers_mut().insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("text/plain; version=0.0.4"),
+        );
+        response
+    }
+
+    fn readiness(&self) -> Answer {
+        let up = self.shell.now().up;
+        let reason = self
+            .shell
+            .read(|state| state.not_ready(up))
+            .map(|reason| reason.to_string());
+        let status = if reason.is_none() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        render::json(
+            status,
+            &Readiness {
+                ready: reason.is_none(),
+                reason,
+            },
+        )
+    }
+
+    fn status(&self) -> Answer {
+        let dropped = self.shell.read_timeline(|ring| ring.dropped());
+        let up = self.shell.now().up;
+        let status = self.shell.read(|state| status(state, up, dropped));
+        render::json(StatusCode::OK, &status)
+    }
+
+    fn timeline(&self) -> Answer {
+        let vm = self.shell.settings().flags.vm;
+        let out = self.shell.read_timeline(|ring| Timeline {
+            vm,
+            dropped: ring.dropped(),
+            entries: ring.entries().cloned().collect(),
+        });
+        render::json(StatusCode::OK, &out)
+    }
+
+    fn drain(&self, request: &Request<hyper::body::Incoming>) -> Answer {
+        if !self.is_operator(request) {
+            return render::refusal(&Refusal::not_run(Reason::Forbidden), &[]);
+        }
+        self.shell.apply(Event::Leave);
+        render::json(StatusCode::ACCEPTED, &Draining { leaving: true })
+    }
+
+    /// Compares digests, so that the time taken says nothing about the token.
+    fn is_operator(&self, request: &Request<hyper::body::Incoming>) -> bool {
+        let header = request.headers().get(AUTHORIZATION);
+        let given = header.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+        let token = self.shell.settings().flags.operator_token.as_bytes();
+        given.is_some_and(|given| blake3::hash(given) == blake3::hash(token))
+    }
+}
+
+fn status(state: &State, up: std::time::Duration, timeline_dropped: u64) -> Status {
+    let members = state
+        .roster
+        .iter()
+        .map(|member| Member {
+            vm: member.card.vm,
+            incarnation: format!("{:016x}", member.card.incarnation),
+            zone: member.card.zone.to_string(),
+            standing: if member.listed_leaving {
+                Standing::Leaving
+            } else {
+                member.card.standing
+            }
+            .to_string(),
+            caller: member.card.caller_address.to_string(),
+        })
+        .collect();
+    let items = state
+        .table
+        .versions()
+        .map(|(name, ticket)| Item {
+            name: name.to_owned(),
+            ticket,
+        })
+        .collect();
+    Status {
+        vm: state.seat.vm,
+        incarnation: format!("{:016x}", state.seat.incarnation),
+        zone: state.settings.zone.to_string(),
+        lifecycle: match state.lifecycle {
+            Lifecycle::Running => "running",
+            Lifecycle::Leaving { .. } => "leaving",
+            Lifecycle::Ended => "ended",
+        },
+        not_ready: state.not_ready(up).map(|reason| reason.to_string()),
+        ticket: state.table.newest(),
+        items,
+        members,
+        requests_active: state.active(),
+        requests_kept: state.requests.len(),
+        witness_records: state.witnessed.len(),
+        cancels_pending: state.cancels.len(),
+        timeline_dropped,
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/io.rs
@@ -0,0 +1,53 @@
+//! A monoio connection as the byte streams that `capnp-rpc` reads and writes.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use futures::io::{AsyncRead, AsyncWrite};
+use monoio::io::poll_io::{AsyncRead as _, AsyncWrite as _, ReadBuf};
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
+
+/// One direction of a connection; clones share the connection.
+#[derive(Clone)]
+pub struct Half(Rc<RefCell<TcpStreamPoll>>);
+
+impl Half {
+    /// Shares a connection between its two directions.
+    pub fn new(stream: TcpStreamPoll) -> Self {
+        Self(Rc::new(RefCell::new(stream)))
+    }
+}
+
+impl AsyncRead for Half {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut buf = ReadBuf::new(buf);
+        let mut stream = self.0.borrow_mut();
+        std::task::ready!(Pin::new(&mut *stream).poll_read(cx, &mut buf))?;
+        Poll::Ready(Ok(buf.filled().len()))
+    }
+}
+
+impl AsyncWrite for Half {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/link.rs
@@ -0,0 +1,244 @@
+//! Outgoing links: one connection per peer, on which all messages due go in one call.
+//!
+//! A call that is not answered in time ends the connection, so that one that has gone silent is
+//! replaced and not waited for. Messages of a failed call are dropped: the reducer repeats what
+//! matters.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::RpcSystem;
+use futures::channel::oneshot;
+use futures::future::select;
+use hornbeamtiller_core::id::Vm;
+use hornbeamtiller_core::message::Message;
+use hornbeamtiller_core::token::{Ring, Seat};
+use hornbeamtiller_wire::convert;
+use hornbeamtiller_wire::handshake::{self, Nonce, Part};
+use hornbeamtiller_wire::peer_capnp::{gate, inbox};
+use monoio::io::IntoPollIo as _;
+use monoio::net::TcpStream;
+
+use super::io::Half;
+use crate::shell::Shell;
+
+/// Messages that may wait for a link; the oldest go first.
+const QUEUE_MAX: usize = 4_096;
+/// Messages in one call.
+const BATCH_MAX: usize = 256;
+/// Time for a connection and its handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a call to be answered.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause after a failed connection.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+
+/// Why a link's connection ended.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("call: {0}")]
+    Call(#[from] capnp::Error),
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("the peer did not prove the shared key")]
+    Forged,
+}
+
+/// What the links have carried.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Carried {
+    /// Calls made.
+    pub calls: u64,
+    /// Messages sent in them.
+    pub messages: u64,
+    /// Messages dropped.
+    pub dropped: u64,
+    /// Connections made.
+    pub connections: u64,
+}
+
+/// All outgoing links of a process.
+pub struct Links {
+    ring: Ring,
+    seat: Seat,
+    links: RefCell<HashMap<Vm, Rc<Link>>>,
+    carried: Rc<RefCell<Carried>>,
+}
+
+struct Link {
+    address: RefCell<SocketAddr>,
+    queue: RefCell<VecDeque<Message>>,
+    wake: RefCell<Option<oneshot::Sender<()>>>,
+    carried: Rc<RefCell<Carried>>,
+}
+
+impl Links {
+    /// Makes the links of a process; each connects when it has something to send.
+    pub fn open(ring: Ring, seat: Seat) -> Self {
+        Self {
+            ring,
+            seat,
+            links: RefCell::default(),
+            carried: Rc::default(),
+        }
+    }
+
+    /// What the links have carried.
+    pub fn carried(&self) -> Carried {
+        *self.carried.borrow()
+    }
+
+    /// Queues a message to a peer.
+    pub fn send(&self, shell: &Shell, to: Vm, address: SocketAddr, message: Message) {
+        let link = self.link(shell, to, address);
+        *link.address.borrow_mut() = address;
+        let mut queue = link.queue.borrow_mut();
+        if queue.len() >= QUEUE_MAX {
+            queue.pop_front();
+            link.carried.borrow_mut().dropped += 1;
+        }
+        queue.push_back(message);
+        let wake = link.wake.borrow_mut().take();
+        if let Some(wake) = wake {
+            _ = wake.send(());
+        }
+    }
+
+    fn link(&self, shell: &Shell, to: Vm, address: SocketAddr) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(to).or_insert_with(|| {
+            let link = Rc::new(Link {
+                address: RefCell::new(address),
+                queue: RefCell::default(),
+                wake: RefCell::default(),
+                carried: self.carried.clone(),
+            });
+            monoio::spawn(run(
+                shell.clone(),
+                link.clone(),
+                self.ring.clone(),
+                self.seat,
+            ));
+            link
+        });
+        link.clone()
+    }
+}
+
+impl Link {
+    /// Waits until there is something to send.
+    async fn wait(&self) {
+        if !self.queue.borrow().is_empty() {
+            return;
+        }
+        let (wake, woken) = oneshot::channel();
+        self.wake.borrow_mut().replace(wake);
+        _ = woken.await;
+    }
+
+    fn take_batch(&self) -> Vec<Message> {
+        let mut queue = self.queue.borrow_mut();
+        let count = queue.len().min(BATCH_MAX);
+        queue.drain(..count).collect()
+    }
+}
+
+/// Keeps one link going as long as the process lives.
+async fn run(shell: Shell, link: Rc<Link>, ring: Ring, seat: Seat) {
+    loop {
+        link.wait().await;
+        let address = *link.address.borrow();
+        let opened =
+            monoio::time::timeout(CONNECT_TIMEOUT, Session::open(address, &ring, seat)).await;
+        let session = match opened {
+            Ok(Ok(session)) => session,
+            _ => {
+                let dropped = link.take_batch().len() as u64;
+                link.carried.borrow_mut().dropped += dropped;
+                monoio::time::sleep(RECONNECT_PAUSE).await;
+                continue;
+            }
+        };
+        link.carried.borrow_mut().connections += 1;
+        while *link.address.borrow() == address {
+            link.wait().await;
+            if session.deliver(&shell, &link).await.is_err() {
+                break;
+            }
+        }
+    }
+}
+
+/// A connection that has passed its handshake.
+struct Session {
+    inbox: inbox::Client,
+    /// Dropping this closes the connection.
+    _open: oneshot::Sender<()>,
+}
+
+impl Session {
+    async fn open(address: SocketAddr, ring: &Ring, seat: Seat) -> Result<Self, Error> {
+        let stream = TcpStream::connect_addr(address).await?;
+        stream.set_nodelay(true)?;
+        let half = Half::new(stream.into_poll_io()?);
+        let network = VatNetwork::new(half.clone(), half, Side::Client, Default::default());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let gate: gate::Client = system.bootstrap(Side::Server);
+        let (open, closed) = oneshot::channel::<()>();
+        monoio::spawn(async move {
+            select(system, closed).await;
+        });
+        let inbox = enter(&gate, ring, seat).await?;
+        Ok(Self { inbox, _open: open })
+    }
+
+    async fn deliver(&self, shell: &Shell, link: &Link) -> Result<(), Error> {
+        let batch = link.take_batch();
+        if batch.is_empty() {
+            return Ok(());
+        }
+        let mut request = self.inbox.deliver_request();
+        convert::write_batch(request.get().init_batch(), shell.stamp(), &batch);
+        {
+            let mut carried = link.carried.borrow_mut();
+            carried.calls += 1;
+            carried.messages += batch.len() as u64;
+        }
+        let answer = monoio::time::timeout(CALL_TIMEOUT, request.send().promise).await;
+        let answer = answer.map_err(|_| Error::TimedOut)??;
+        shell.merge_stamp(convert::read_stamp(answer.get()?.get_stamp()?));
+        Ok(())
+    }
+}
+
+/// Proves the shared key to a listener, and has it prove the key.
+async fn enter(gate: &gate::Client, ring: &Ring, seat: Seat) -> Result<inbox::Client, Error> {
+    let own: Nonce = rand::random();
+    let mut hello = gate.hello_request();
+    hello.get().set_nonce(&own);
+    let answer = hello.send().promise.await?;
+    let answer = answer.get()?;
+    let theirs = Nonce::try_from(answer.get_nonce()?).map_err(|_| Error::Forged)?;
+    let peer = Seat {
+        vm: answer.get_vm(),
+        incarnation: answer.get_incarnation(),
+    };
+    if !handshake::verify(ring, Part::Listener, &theirs, &own, peer, answer.get_mac()?) {
+        return Err(Error::Forged);
+    }
+    let mut enter = gate.enter_request();
+    enter.get().set_vm(seat.vm);
+    enter.get().set_incarnation(seat.incarnation);
+    enter
+        .get()
+        .set_mac(&handshake::sign(ring, Part::Initiator, &own, &theirs, seat));
+    let answer = enter.send().promise.await?;
+    Ok(answer.get()?.get_inbox()?)
+}
--- /dev/null
+++ b/crates/node/src/peer/listener.rs
@@ -0,0 +1,247 @@
+//! The peer listener: gives an inbox to whoever proves the shared key.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use capnp::capability::Rc as CapRc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use capnp_rpc::RpcSystem;
+use futures::channel::oneshot;
+use futures::future::{select, Either, Shared};
+use futures::FutureExt as _;
+use hornbeamtiller_core::event::Event;
+use hornbeamtiller_core::token::Seat;
+use hornbeamtiller_wire::convert;
+use hornbeamtiller_wire::handshake::{self, Nonce, Part};
+use hornbeamtiller_wire::peer_capnp::{gate, inbox};
+use monoio::io::IntoPollIo as _;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+
+use super::io::Half;
+use crate::shell::Shell;
+
+/// Largest message, in words of 8 bytes.
+const MESSAGE_WORDS_MAX: usize = 128 << 10;
+/// Pause after an error of `accept`.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time within which a connection must prove the shared key.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Silence after which a connection is closed. Links that have something to say reconnect.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+/// Connections at a time.
+const CONNECTIONS_MAX: usize = 4_096;
+
+/// A running peer listener.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    stop: oneshot::Sender<()>,
+}
+
+impl Listener {
+    /// Listens for peers.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the address can't be listened at.
+    pub fn bind(address: SocketAddr) -> io::Result<Bound> {
+        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+        let listener = TcpListener::bind_with_config(address, &options)?;
+        let address = listener.local_addr()?;
+        Ok(Bound { address, listener })
+    }
+
+    /// The address listened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening and closes all connections.
+    pub fn close(self) {
+        _ = self.stop.send(());
+    }
+}
+
+/// A listener whose address is known but that does not answer yet.
+pub struct Bound {
+    address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Bound {
+    /// The address listened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Begins to answer.
+    pub fn spawn(self, shell: Shell) -> Listener {
+        let (stop, stopped) = oneshot::channel();
+        monoio::spawn(accept(self.listener, shell, stopped.shared()));
+        Listener {
+            address: self.address,
+            stop,
+        }
+    }
+}
+
+type Stopped = Shared<oneshot::Receiver<()>>;
+
+async fn accept(listener: TcpListener, shell: Shell, stopped: Stopped) {
+    let open = Rc::new(());
+    loop {
+        let next = std::pin::pin!(listener.accept());
+        match select(next, stopped.clone()).await {
+            Either::Left((Ok((stream, _)), _)) if Rc::strong_count(&open) <= CONNECTIONS_MAX => {
+                monoio::spawn(serve(stream, shell.clone(), stopped.clone(), open.clone()));
+            }
+            Either::Left((Ok(_), _)) => {}
+            Either::Left((Err(_), _)) => monoio::time::sleep(ACCEPT_PAUSE).await,
+            Either::Right(_) => return,
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, shell: Shell, stopped: Stopped, _open: Rc<()>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let Ok(stream) = stream.into_poll_io() else {
+        return;
+    };
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MESSAGE_WORDS_MAX));
+    let half = Half::new(stream);
+    let network = VatNetwork::new(half.clone(), half, Side::Server, options);
+    let activity = Rc::new(Activity::default());
+    let gate = Gate {
+        shell: shell.clone(),
+        nonces: RefCell::default(),
+        activity: activity.clone(),
+    };
+    let client: gate::Client = capnp_rpc::new_client(gate);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let watch = std::pin::pin!(activity.watch());
+    select(select(system, watch), stopped).await;
+}
+
+/// Says when a connection has been of no use for too long.
+#[derive(Default)]
+struct Activity {
+    entered: RefCell<bool>,
+    calls: RefCell<u64>,
+}
+
+impl Activity {
+    async fn watch(&self) {
+        monoio::time::sleep(HANDSHAKE_TIMEOUT).await;
+        if !*self.entered.borrow() {
+            return;
+        }
+        loop {
+            let before = *self.calls.borrow();
+            monoio::time::sleep(IDLE_TIMEOUT).await;
+            if *self.calls.borrow() == before {
+                return;
+            }
+        }
+    }
+}
+
+/// What a connection sees before its handshake.
+struct Gate {
+    shell: Shell,
+    /// The caller's nonce and this side's, once exchanged.
+    nonces: RefCell<Option<(Nonce, Nonce)>>,
+    activity: Rc<Activity>,
+}
+
+impl gate::Server for Gate {
+    async fn hello(
+        self: CapRc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let theirs = Nonce::try_from(params.get()?.get_nonce()?)
+            .map_err(|_| refused("nonce of a wrong length"))?;
+        let own: Nonce = rand::random();
+        let seat = self.shell.read(|state| state.seat);
+        let ring = &self.shell.settings().ring;
+        *self.nonces.borrow_mut() = Some((theirs, own));
+        let mut out = results.get();
+        out.set_nonce(&own);
+        out.set_vm(seat.vm);
+        out.set_incarnation(seat.incarnation);
+        out.set_mac(&handshake::sign(ring, Part::Listener, &own, &theirs, seat));
+        Ok(())
+    }
+
+    async fn enter(
+        self: CapRc<Self>,
+        params: gate::EnterParams,
+        mut results: gate::EnterResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let seat = Seat {
+            vm: params.get_vm(),
+            incarnation: params.get_incarnation(),
+        };
+        let nonces = self.nonces.borrow_mut().take();
+        let (theirs, own) = nonces.ok_or_else(|| refused("no nonce was exchanged"))?;
+        let ring = &self.shell.settings().ring;
+        if !handshake::verify(
+            ring,
+            Part::Initiator,
+            &theirs,
+            &own,
+            seat,
+            params.get_mac()?,
+        ) {
+            return Err(refused("the shared key was not proved"));
+        }
+        *self.activity.entered.borrow_mut() = true;
+        let inbox = Inbox {
+            shell: self.shell.clone(),
+            from: seat,
+            activity: self.activity.clone(),
+        };
+        results.get().set_inbox(capnp_rpc::new_client(inbox));
+        Ok(())
+    }
+}
+
+/// What a connection sees after its handshake.
+struct Inbox {
+    shell: Shell,
+    from: Seat,
+    activity: Rc<Activity>,
+}
+
+impl inbox::Server for Inbox {
+    async fn deliver(
+        self: CapRc<Self>,
+        params: inbox::DeliverParams,
+        mut results: inbox::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        *self.activity.calls.borrow_mut() += 1;
+        let read = convert::read_batch(params.get()?.get_batch()?);
+        let (stamp, messages) = read.map_err(|error| refused(&error.to_string()))?;
+        self.shell.merge_stamp(stamp);
+        for message in messages {
+            self.shell.apply(Event::Received {
+                from: self.from,
+                message,
+            });
+        }
+        convert::write_stamp(results.get().init_stamp(), self.shell.stamp());
+        Ok(())
+    }
+}
+
+fn refused(why: &str) -> capnp::Error {
+    capnp::Error::failed(why.to_owned())
+}
--- /dev/null
+++ b/crates/node/src/peer/mod.rs
@@ -0,0 +1,8 @@
+//! Connections between entry VMs: `capnp-rpc` with a handshake under the shared key.
+
+mod io;
+mod link;
+mod listener;
+
+pub use link::Links;
+pub use listener::Listener;
--- /dev/null
+++ b/crates/standin/src/engine/decode.rs
@@ -0,0 +1,121 @@
+//! The decode batch: every stream gets its next token in each step.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use hornbeamtiller_http::body::{Broken, Source};
+use hornbeamtiller_http::sse;
+
+use super::model::{interval, Model, Stream};
+use super::Cell;
+use crate::fault::{Fault, Switch};
+
+/// Generates as long as the engine lives.
+pub async fn run_batches(model: Model) {
+    loop {
+        let size = model.batch().await.len();
+        monoio::time::sleep(interval(model.settings(), size)).await;
+        model.switch().wait_out(Fault::Stall).await;
+        for (name, stream) in model.batch().await {
+            step(&model, &name, &stream);
+        }
+    }
+}
+
+fn step(model: &Model, name: &str, stream: &Cell<Stream>) {
+    let mut stream = stream.borrow_mut();
+    let position = stream.from + stream.frames.len() as u64 + 1;
+    let frame = token(&stream, position);
+    stream.frames.push(frame);
+    model.count(|counts| counts.tokens += 1);
+    stream.wakers.drain(..).for_each(Waker::wake);
+    let done = stream.is_done();
+    drop(stream);
+    if done {
+        model.end(name);
+    }
+}
+
+/// The data of one token; its text names the prompt and the position.
+fn token(stream: &Stream, position: u64) -> Bytes {
+    let text = format!("{:08x}:{position} ", stream.digest);
+    let reason = if position >= stream.last {
+        "\"length\""
+    } else {
+        "null"
+    };
+    let data = if stream.chat {
+        format!(
+            r#"{{"object":"chat.completion.chunk","choices":[{{"index":0,"delta":{{"content":"{text}"}},"finish_reason":{reason}}}]}}"#
+        )
+    } else {
+        format!(
+            r#"{{"object":"text_completion","choices":[{{"index":0,"text":"{text}","finish_reason":{reason}}}]}}"#
+        )
+    };
+    sse::event(position, &data)
+}
+
+/// The body of a streamed answer.
+pub struct Follower {
+    stream: Cell<Stream>,
+    faults: Switch,
+    next: usize,
+    ended: bool,
+}
+
+impl Follower {
+    /// Follows a stream from its first token.
+    pub fn new(stream: Cell<Stream>, faults: Switch) -> Self {
+        Self {
+            stream,
+            faults,
+            next: 0,
+            ended: false,
+        }
+    }
+}
+
+impl Source for Follower {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let mut stream = self.stream.borrow_mut();
+        if self.faults.get() == Fault::Silent {
+            stream.wakers.push(cx.waker().clone());
+            return Poll::Pending;
+        }
+        if stream.broken || self.faults.get() == Fault::DropAnswer {
+            return Poll::Ready(Some(Err(Broken)));
+        }
+        if let Some(frame) = stream.frames.get(self.next) {
+            self.next += 1;
+            return Poll::Ready(Some(Ok(frame.clone())));
+        }
+        if stream.is_done() {
+            self.ended = true;
+            return Poll::Ready(Some(Ok(sse::bare("[DONE]"))));
+        }
+        stream.wakers.push(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// A reply's chunks: from a stream, or from a channel.
+pub enum Chunks {
+    /// From a stream.
+    Follow(Follower),
+    /// From a channel.
+    Channel(hornbeamtiller_http::body::Channel),
+}
+
+impl Source for Chunks {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        match self {
+            Self::Follow(follower) => Pin::new(follower).get_mut().poll_chunk(cx),
+            Self::Channel(channel) => channel.poll_chunk(cx),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,183 @@
+//! A plain service that counts every execution by request id.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hornbeamtiller_http::body::{self, Channel, Reply};
+use hornbeamtiller_http::server::{Handler, Limits, Server};
+use http::{Request, Response, StatusCode};
+use serde::Serialize;
+
+use crate::fault::{Fault, Switch};
+use crate::json;
+
+/// Largest request body, in bytes.
+const BODY_MAX: usize = 4 << 20;
+/// Time for a request body to come.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Header with the request id.
+const ID: &str = "idempotency-key";
+
+/// Executions by request id, shared by all runners of all services.
+pub type Executions = Rc<RefCell<BTreeMap<String, u64>>>;
+
+/// One runner of a plain service.
+pub struct Service {
+    name: String,
+    address: SocketAddr,
+    switch: Switch,
+    handler: Plain,
+    server: RefCell<Option<Server>>,
+}
+
+#[derive(Clone)]
+struct Plain {
+    name: Rc<str>,
+    switch: Switch,
+    work_time: Duration,
+    executions: Executions,
+    requests: Rc<Cell<u64>>,
+}
+
+#[derive(Serialize)]
+struct Done<'a> {
+    done: bool,
+    id: &'a str,
+    runner: &'a str,
+    method: &'a str,
+    path: &'a str,
+    body_bytes: usize,
+    execution: u64,
+}
+
+impl Service {
+    /// Starts a runner.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the address can't be listened at.
+    pub fn bind(
+        name: &str,
+        address: SocketAddr,
+        work_time: Duration,
+        executions: Executions,
+    ) -> io::Result<Self> {
+        let switch = Switch::default();
+        let handler = Plain {
+            name: name.into(),
+            switch: switch.clone(),
+            work_time,
+            executions,
+            requests: Rc::default(),
+        };
+        let server = Server::bind(address, Limits::default(), handler.clone())?;
+        let address = server.address();
+        Ok(Self {
+            name: name.to_owned(),
+            address,
+            switch,
+            handler,
+            server: RefCell::new(Some(server)),
+        })
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests that came in.
+    pub fn requests(&self) -> u64 {
+        self.handler.requests.get()
+    }
+
+    /// Puts a fault in force.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where it can't listen again after a crash.
+    pub fn set_fault(&self, fault: Fault) -> io::Result<()> {
+        self.switch.set(fault);
+        let mut server = self.server.borrow_mut();
+        if fault == Fault::Crash {
+            if let Some(server) = server.take() {
+                server.abort();
+            }
+        } else if server.is_none() {
+            *server = Some(Server::bind(
+                self.address,
+                Limits::default(),
+                self.handler.clone(),
+            )?);
+        }
+        Ok(())
+    }
+}
+
+impl Handler for Plain {
+    type Source = Channel;
+
+    async fn handle(&self, request: Request<hyper::body::Incoming>) -> Response<Reply<Channel>> {
+        let (head, body) = request.into_parts();
+        let Ok(body) = body::read(body, BODY_MAX, BODY_TIMEOUT).await else {
+            return json::error(StatusCode::BAD_REQUEST, "body");
+        };
+        self.requests.set(self.requests.get() + 1);
+        if self.switch.get() == Fault::Refuse {
+            return json::error(StatusCode::SERVICE_UNAVAILABLE, "refused");
+        }
+        self.switch.wait_out(Fault::Stall).await;
+        let answer = self.execute(&head, &body);
+        if !self.work_time.is_zero() {
+            monoio::time::sleep(self.work_time).await;
+        }
+        match self.switch.get() {
+            Fault::DropAnswer => cut(),
+            Fault::Silent => {
+                self.switch.wait_out(Fault::Silent).await;
+                cut()
+            }
+            _ => answer,
+        }
+    }
+}
+
+impl Plain {
+    fn execute(&self, head: &http::request::Parts, body: &Bytes) -> Response<Reply<Channel>> {
+        let id = head
+            .headers
+            .get(ID)
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or("none");
+        let mut executions = self.executions.borrow_mut();
+        let count = executions.entry(id.to_owned()).or_default();
+        *count += 1;
+        let done = Done {
+            done: true,
+            id,
+            runner: &self.name,
+            method: head.method.as_str(),
+            path: head.uri.path(),
+            body_bytes: body.len(),
+            execution: *count,
+        };
+        json::reply(StatusCode::OK, &done)
+    }
+}
+
+/// A reply whose body breaks off, which closes the connection.
+pub(crate) fn cut() -> Response<Reply<Channel>> {
+    let (feed, channel) = Channel::open();
+    _ = feed.unbounded_send(Err(body::Broken));
+    Response::new(Reply::Chunks(channel))
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,298 @@
+//! Conversion between the reducer's messages and the schema's.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use hornbeamtiller_core::id::Key;
+use hornbeamtiller_core::message::{Card, Message, Record, Standing};
+use hornbeamtiller_core::timeline::Stamp;
+use hornbeamtiller_core::token::Seat;
+
+use crate::peer_capnp as schema;
+
+/// Why a message was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The bytes break the schema's encoding.
+    #[error("broken encoding: {0}")]
+    Encoding(#[from] capnp::Error),
+    /// A variant or enumerant that this version does not know.
+    #[error("unknown variant {0}")]
+    Unknown(u16),
+    /// Text that is not UTF-8.
+    #[error("text is not UTF-8")]
+    Text(#[from] std::str::Utf8Error),
+    /// An IP address that is neither 4 nor 16 bytes.
+    #[error("an IP address of {0} bytes")]
+    Address(usize),
+}
+
+impl From<capnp::NotInSchema> for Error {
+    fn from(unknown: capnp::NotInSchema) -> Self {
+        Self::Unknown(unknown.0)
+    }
+}
+
+type Result<T> = std::result::Result<T, Error>;
+
+/// Writes a stamp.
+pub fn write_stamp(mut out: schema::stamp::Builder<'_>, stamp: Stamp) {
+    out.set_micros(stamp.micros);
+    out.set_counter(stamp.counter);
+}
+
+/// Reads a stamp.
+pub fn read_stamp(stamp: schema::stamp::Reader<'_>) -> Stamp {
+    Stamp {
+        micros: stamp.get_micros(),
+        counter: stamp.get_counter(),
+    }
+}
+
+/// Writes a batch.
+pub fn write_batch(mut out: schema::batch::Builder<'_>, stamp: Stamp, messages: &[Message]) {
+    write_stamp(out.reborrow().init_stamp(), stamp);
+    let mut list = out.init_messages(messages.len() as u32);
+    for (at, message) in messages.iter().enumerate() {
+        write_message(list.reborrow().get(at as u32), message);
+    }
+}
+
+/// Reads a batch.
+///
+/// # Errors
+///
+/// [`Error`] for the first message that can't be read; none of the batch is taken then.
+pub fn read_batch(batch: schema::batch::Reader<'_>) -> Result<(Stamp, Vec<Message>)> {
+    let stamp = read_stamp(batch.get_stamp()?);
+    let messages = batch
+        .get_messages()?
+        .iter()
+        .map(read_message)
+        .collect::<Result<_>>()?;
+    Ok((stamp, messages))
+}
+
+fn write_message(out: schema::message::Builder<'_>, message: &Message) {
+    match message {
+        Message::Probe { number, ticket } => write_probe(out.init_probe(), *number, *ticket),
+        Message::ProbeAck { number, ticket } => write_probe(out.init_probe_ack(), *number, *ticket),
+        Message::ProbeFor { number, target } => {
+            let mut out = out.init_probe_for();
+            out.set_number(*number);
+            out.set_target(*target);
+        }
+        Message::Cards { cards } => {
+            let mut list = out.init_cards(cards.len() as u32);
+            for (at, card) in cards.iter().enumerate() {
+                write_card(list.reborrow().get(at as u32), card);
+            }
+        }
+        Message::Intent {
+            key,
+            witness,
+            expiry,
+        } => {
+            let mut out = out.init_intent();
+            write_key(out.reborrow().init_key(), *key);
+            out.set_witness(*witness);
+            out.set_expiry_seconds(expiry.as_secs());
+        }
+        Message::IntentAck { key, granted } => {
+            let mut out = out.init_intent_ack();
+            write_key(out.reborrow().init_key(), *key);
+            out.set_granted(*granted);
+        }
+        Message::Outcome { key, record } => write_outcome(out.init_outcome(), *key, Some(*record)),
+        Message::OutcomeAck { key } => write_key(out.init_outcome_ack(), *key),
+        Message::Seal {
+            key,
+            owner,
+            witness,
+            expiry,
+        } => {
+            let mut out = out.init_seal();
+            write_key(out.reborrow().init_key(), *key);
+            write_seat(out.reborrow().init_owner(), *owner);
+            out.set_witness(*witness);
+            out.set_expiry_seconds(expiry.as_secs());
+        }
+        Message::SealAck { key, record } => write_outcome(out.init_seal_ack(), *key, *record),
+    }
+}
+
+fn read_message(message: schema::message::Reader<'_>) -> Result<Message> {
+    use schema::message::Which;
+    Ok(match message.which()? {
+        Which::Probe(probe) => {
+            let probe = probe?;
+            Message::Probe {
+                number: probe.get_number(),
+                ticket: probe.get_ticket(),
+            }
+        }
+        Which::ProbeAck(probe) => {
+            let probe = probe?;
+            Message::ProbeAck {
+                number: probe.get_number(),
+                ticket: probe.get_ticket(),
+            }
+        }
+        Which::ProbeFor(probe) => {
+            let probe = probe?;
+            Message::ProbeFor {
+                number: probe.get_number(),
+                target: probe.get_target(),
+            }
+        }
+        Which::Cards(cards) => Message::Cards {
+            cards: cards?.iter().map(read_card).collect::<Result<_>>()?,
+        },
+        Which::Intent(intent) => {
+            let intent = intent?;
+            Message::Intent {
+                key: read_key(intent.get_key()?),
+                witness: intent.get_witness(),
+                expiry: Duration::from_secs(intent.get_expiry_seconds()),
+            }
+        }
+        Which::IntentAck(ack) => {
+            let ack = ack?;
+            Message::IntentAck {
+                key: read_key(ack.get_key()?),
+                granted: ack.get_granted(),
+            }
+        }
+        Which::Outcome(outcome) => {
+            let (key, record) = read_outcome(outcome?)?;
+            Message::Outcome {
+                key,
+                record: record.unwrap_or(Record::Uncertain),
+            }
+        }
+        Which::OutcomeAck(key) => Message::OutcomeAck {
+            key: read_key(key?),
+        },
+        Which::Seal(seal) => {
+            let seal = seal?;
+            Message::Seal {
+                key: read_key(seal.get_key()?),
+                owner: read_seat(seal.get_owner()?),
+                witness: seal.get_witness(),
+                expiry: Duration::from_secs(seal.get_expiry_seconds()),
+            }
+        }
+        Which::SealAck(ack) => {
+            let (key, record) = read_outcome(ack?)?;
+            Message::SealAck { key, record }
+        }
+    })
+}
+
+fn write_probe(mut out: schema::probe::Builder<'_>, number: u64, ticket: u64) {
+    out.set_number(number);
+    out.set_ticket(ticket);
+}
+
+fn write_key(mut out: schema::key::Builder<'_>, key: Key) {
+    let whole = u128::from_be_bytes(key.0);
+    out.set_high((whole >> 64) as u64);
+    out.set_low(whole as u64);
+}
+
+fn read_key(key: schema::key::Reader<'_>) -> Key {
+    let whole = (u128::from(key.get_high()) << 64) | u128::from(key.get_low());
+    Key(whole.to_be_bytes())
+}
+
+fn write_seat(mut out: schema::seat::Builder<'_>, seat: Seat) {
+    out.set_vm(seat.vm);
+    out.set_incarnation(seat.incarnation);
+}
+
+fn read_seat(seat: schema::seat::Reader<'_>) -> Seat {
+    Seat {
+        vm: seat.get_vm(),
+        incarnation: seat.get_incarnation(),
+    }
+}
+
+fn write_outcome(mut out: schema::outcome::Builder<'_>, key: Key, record: Option<Record>) {
+    write_key(out.reborrow().init_key(), key);
+    let mut out = out.init_record();
+    match record {
+        None => out.set_none(()),
+        Some(Record::Sealed) => out.set_sealed(()),
+        Some(Record::Intent) => out.set_intent(()),
+        Some(Record::Answered { status }) => out.set_answered(status),
+        Some(Record::NeverRan) => out.set_never_ran(()),
+        Some(Record::Uncertain) => out.set_uncertain(()),
+    }
+}
+
+fn read_outcome(outcome: schema::outcome::Reader<'_>) -> Result<(Key, Option<Record>)> {
+    use schema::record::Which;
+    let record = match outcome.get_record()?.which()? {
+        Which::None(()) => None,
+        Which::Sealed(()) => Some(Record::Sealed),
+        Which::Intent(()) => Some(Record::Intent),
+        Which::Answered(status) => Some(Record::Answered { status }),
+        Which::NeverRan(()) => Some(Record::NeverRan),
+        Which::Uncertain(()) => Some(Record::Uncertain),
+    };
+    Ok((read_key(outcome.get_key()?), record))
+}
+
+fn write_address(mut out: schema::address::Builder<'_>, address: SocketAddr) {
+    match address.ip() {
+        IpAddr::V4(ip) => out.set_ip(&ip.octets()),
+        IpAddr::V6(ip) => out.set_ip(&ip.octets()),
+    }
+    out.set_port(address.port());
+}
+
+fn read_address(address: schema::address::Reader<'_>) -> Result<SocketAddr> {
+    let bytes = address.get_ip()?;
+    let ip = if let Ok(ip) = <[u8; 4]>::try_from(bytes) {
+        IpAddr::from(ip)
+    } else if let Ok(ip) = <[u8; 16]>::try_from(bytes) {
+        IpAddr::from(ip)
+    } else {
+        return Err(Error::Address(bytes.len()));
+    };
+    Ok(SocketAddr::new(ip, address.get_port()))
+}
+
+fn write_card(mut out: schema::card::Builder<'_>, card: &Card) {
+    out.set_vm(card.vm);
+    out.set_incarnation(card.incarnation);
+    out.set_version(card.version);
+    out.set_zone(&*card.zone);
+    write_address(out.reborrow().init_caller_address(), card.caller_address);
+    write_address(out.reborrow().init_peer_address(), card.peer_address);
+    out.set_standing(match card.standing {
+        Standing::Joining => schema::Standing::Joining,
+        Standing::Up => schema::Standing::Up,
+        Standing::Suspect => schema::Standing::Suspect,
+        Standing::Leaving => schema::Standing::Leaving,
+        Standing::Down => schema::Standing::Down,
+    });
+}
+
+fn read_card(card: schema::card::Reader<'_>) -> Result<Card> {
+    Ok(Card {
+        vm: card.get_vm(),
+        incarnation: card.get_incarnation(),
+        version: card.get_version(),
+        zone: card.get_zone()?.to_str()?.into(),
+        caller_address: read_address(card.get_caller_address()?)?,
+        peer_address: read_address(card.get_peer_address()?)?,
+        standing: match card.get_standing()? {
+            schema::Standing::Joining => Standing::Joining,
+            schema::Standing::Up => Standing::Up,
+            schema::Standing::Suspect => Standing::Suspect,
+            schema::Standing::Leaving => Standing::Leaving,
+            schema::Standing::Down => Standing::Down,
+        },
+    })
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,14 @@
+//! What entry VMs say to each other: the schema's code, and its conversion to the reducer's
+//! messages.
+
+pub mod convert;
+pub mod handshake;
+
+/// Code made from `schema/peer.capnp` by `cargo run -p hornbeamtiller-wire --example generate`.
+pub mod generated {
+    #[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms, unused, elided_lifetimes_in_paths)]
+    #[rustfmt::skip]
+    pub mod peer_capnp;
+}
+
+pub use generated::peer_capnp;
