Bench what a node adds to a call and a token

Cause: nothing measured the cost of a node.

Change: `hornbeamctl bench overhead` pairs calls through a node with the same straight to the stand-in. Stop channels that were polled with every token became flags, timers are set once per exchange, outcomes wait for other messages, and ticks go over active requests only.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -136,3 +136,11 @@
         record: Option<Record>,
     },
 }
+
+impl Message {
+    /// Tells whether somebody waits for it; other messages go with the next one that is urgent, or
+    /// after a short while.
+    pub fn is_urgent(&self) -> bool {
+        !matches!(self, Self::Outcome { .. } | Self::OutcomeAck { .. })
+    }
+}
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -318,11 +318,7 @@
             ..Note::new(Kind::Accepted)
         });
         self.state.counters.accepted += 1;
-        *self
-            .state
-            .organisations
-            .entry(arrival.organisation.clone())
-            .or_default() += 1;
+        self.activate(call, arrival.organisation.clone());
         self.state.by_key.insert(key, call);
         self.state.by_exchange.insert(arrival.exchange, call);
         let request = Request {
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::event::{Effect, Failure, Kv};
-use crate::id::{Attempt, Call, Endpoint, Runner};
+use crate::id::{Attempt, Call, Endpoint, Organisation, Runner};
 use crate::message::Record;
 use crate::refusal::{Code, Reason, Refusal};
 use crate::state::{End, Phase, Request};
@@ -286,7 +286,7 @@
         let (organisation, is_model) = (request.organisation.clone(), request.is_model());
         let needs_witness = !request.repeatable;
         let witness = request.witness.filter(|_| needs_witness);
-        self.leave_organisation(&organisation);
+        self.deactivate(call, &organisation);
         if let Some(exchange) = exchange {
             self.state.by_exchange.remove(&exchange);
         }
@@ -319,7 +319,17 @@
         self.drain_queue(&endpoint);
     }
 
-    pub(super) fn leave_organisation(&mut self, organisation: &crate::id::Organisation) {
+    /// Counts a call against limits.
+    pub(super) fn activate(&mut self, call: Call, organisation: Organisation) {
+        self.state.active.insert(call);
+        *self.state.organisations.entry(organisation).or_default() += 1;
+    }
+
+    /// Counts a call against limits no longer.
+    pub(super) fn deactivate(&mut self, call: Call, organisation: &Organisation) {
+        if !self.state.active.remove(&call) {
+            return;
+        }
         if let Some(running) = self.state.organisations.get_mut(organisation) {
             *running -= 1;
             if *running == 0 {
--- a/crates/core/src/reduce/cancel.rs
+++ b/crates/core/src/reduce/cancel.rs
@@ -70,7 +70,7 @@
                 .iter()
                 .for_each(|runner| self.release(&endpoint, runner));
         }
-        self.leave_organisation(&organisation);
+        self.deactivate(call, &organisation);
         if !presented {
             self.drop_record(call);
         }
@@ -88,7 +88,7 @@
         request.attempts = 0;
         request.tried.clear();
         let organisation = request.organisation.clone();
-        *self.state.organisations.entry(organisation).or_default() += 1;
+        self.activate(call, organisation);
         self.try_dispatch(call);
     }
 
@@ -97,15 +97,14 @@
         let up = self.now.up;
         let gone: Vec<Call> = self
             .state
-            .requests
-            .iter()
-            .filter(|(_, request)| request.is_model() && request.is_active())
+            .active_requests()
+            .filter(|(_, request)| request.is_model())
             .filter(|(_, request)| {
                 request
                     .caller_gone
                     .is_some_and(|since| up >= since + RETURN_GRACE)
             })
-            .map(|(call, _)| *call)
+            .map(|(call, _)| call)
             .collect();
         for call in gone {
             self.abandon_for_gone_caller(call);
--- a/crates/core/src/reduce/witness.rs
+++ b/crates/core/src/reduce/witness.rs
@@ -227,10 +227,9 @@
         let up = self.now.up;
         let waiting: Vec<(Call, Duration)> = self
             .state
-            .requests
-            .iter()
+            .active_requests()
             .filter_map(|(call, request)| match request.phase {
-                Phase::AwaitingIntent { since } => Some((*call, since)),
+                Phase::AwaitingIntent { since } => Some((call, since)),
                 _ => None,
             })
             .collect();
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,6 @@
 //! The state of one entry VM's decisions.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -353,6 +353,8 @@
     pub gossip: VecDeque<(id::Vm, u32)>,
     /// Requests that this VM owns.
     pub requests: BTreeMap<Call, Request>,
+    /// Those of them that count against limits; scans go over these only.
+    pub active: BTreeSet<Call>,
     /// Requests by id.
     pub by_key: HashMap<Key, Call>,
     /// Requests by exchange.
@@ -409,6 +411,7 @@
             probe_at: Duration::ZERO,
             gossip: VecDeque::new(),
             requests: BTreeMap::new(),
+            active: BTreeSet::new(),
             by_key: HashMap::new(),
             by_exchange: HashMap::new(),
             by_attempt: HashMap::new(),
@@ -453,11 +456,10 @@
         }
     }
 
-    /// Number of requests that have not ended.
-    pub fn active(&self) -> usize {
-        self.requests
-            .values()
-            .filter(|request| request.is_active())
-            .count()
+    /// Lists the requests that have not ended.
+    pub fn active_requests(&self) -> impl Iterator<Item = (Call, &Request)> {
+        self.active
+            .iter()
+            .filter_map(|call| Some((*call, self.requests.get(call)?)))
     }
 }
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -24,6 +24,8 @@
 pub enum Command {
     /// Runs a small fleet with stand-ins in this process and sends requests of each kind.
     Demo(DemoFlags),
+    /// Measures; each kind prints its figures and fails where a stated bound is broken.
+    Bench(BenchFlags),
     /// Runs a deployment's stand-ins alone.
     Standin(StandinFlags),
     /// Shows which addresses callers are told to use.
@@ -181,3 +183,56 @@
         after: PathBuf,
     },
 }
+
+/// Flags of `bench`.
+#[derive(Debug, Args)]
+pub struct BenchFlags {
+    /// What to measure.
+    #[command(subcommand)]
+    pub command: BenchCommand,
+}
+
+/// What to measure.
+#[derive(Debug, Subcommand)]
+pub enum BenchCommand {
+    /// What one node adds to a call and to a token, against the same straight to the stand-in.
+    Overhead(OverheadFlags),
+}
+
+/// Flags that all kinds of measurement have.
+#[derive(Debug, Clone, Args)]
+pub struct SeedFlags {
+    /// First seed.
+    #[arg(long, env = "HORNBEAMCTL_SEED", default_value_t = 1)]
+    pub seed: u64,
+    /// Number of seeds, from the first one on.
+    #[arg(long, env = "HORNBEAMCTL_SEEDS", default_value_t = 1)]
+    pub seeds: u64,
+    /// Writes one JSON object a line on standard output.
+    #[arg(long)]
+    pub json: bool,
+}
+
+impl SeedFlags {
+    /// The seeds.
+    pub fn range(&self) -> std::ops::Range<u64> {
+        self.seed..self.seed + self.seeds
+    }
+}
+
+/// Flags of `bench overhead`.
+#[derive(Debug, Args)]
+pub struct OverheadFlags {
+    /// Seeds and form of output.
+    #[command(flatten)]
+    pub seeds: SeedFlags,
+    /// Pairs of plain calls.
+    #[arg(long, default_value_t = 2_000)]
+    pub calls: u32,
+    /// Streams at a time.
+    #[arg(long, default_value_t = 40)]
+    pub streams: u32,
+    /// Tokens of each stream.
+    #[arg(long, default_value_t = 400)]
+    pub tokens: u32,
+}
--- a/crates/hornbeamctl/src/fleet.rs
+++ b/crates/hornbeamctl/src/fleet.rs
@@ -42,10 +42,37 @@
     pub peer: SocketAddr,
     /// Where operators reach it.
     pub operator: SocketAddr,
+    /// Processor time of its thread.
+    pub processor: ThreadClock,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
+/// The processor time of one thread, readable from others.
+#[derive(Debug, Clone, Copy)]
+pub struct ThreadClock(libc::clockid_t);
+
+impl ThreadClock {
+    /// The clock of the calling thread.
+    pub fn current() -> Self {
+        let mut clock = 0;
+        // SAFETY: The handle is of the running thread, and `clock` is valid for writes.
+        unsafe { libc::pthread_getcpuclockid(libc::pthread_self(), &mut clock) };
+        Self(clock)
+    }
+
+    /// Processor time so far; zero once the thread has ended.
+    pub fn read(self) -> Duration {
+        let mut time = libc::timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
+        // SAFETY: `time` is valid for writes; an ended thread's clock gives an error and no write.
+        unsafe { libc::clock_gettime(self.0, &mut time) };
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    }
+}
+
 /// The stand-ins of the fleet.
 pub struct Standins {
     /// Where their control listener is.
@@ -177,13 +204,14 @@
         let addresses = receiver
             .recv_timeout(START_TIMEOUT)
             .change_context(Error::Start("an entry VM"))?;
-        let [caller, peer, operator] = addresses;
+        let ([caller, peer, operator], processor) = addresses;
         Ok(Self {
             vm,
             zone,
             caller,
             peer,
             operator,
+            processor,
             stop,
             thread: Some(thread),
         })
@@ -230,7 +258,11 @@
     }
 }
 
-fn run_node(flags: Flags, stop: &AtomicBool, started: &mpsc::Sender<[SocketAddr; 3]>) {
+fn run_node(
+    flags: Flags,
+    stop: &AtomicBool,
+    started: &mpsc::Sender<([SocketAddr; 3], ThreadClock)>,
+) {
     let Ok(settings) = flags.check() else {
         return;
     };
@@ -242,11 +274,12 @@
                 return;
             }
         };
-        _ = started.send([
+        let addresses = [
             node.caller_address(),
             node.peer_address(),
             node.operator_address(),
-        ]);
+        ];
+        _ = started.send((addresses, ThreadClock::current()));
         while !stop.load(Ordering::Relaxed) && !node.has_left() {
             monoio::time::sleep(STOP_CHECK).await;
         }
--- a/crates/hornbeamctl/src/main.rs
+++ b/crates/hornbeamctl/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 for success, 1 where a check or a bound failed, 2 for wrong flags, 3 where a
 //! process can't be reached or started.
 
+mod bench;
 mod caller;
 mod cli;
 mod commands;
@@ -22,7 +23,7 @@
     match run(cli.command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("hornbeamctl: {report:?}");
+            eprintln!("hornbeamctl: {report:#}");
             ExitCode::from(report.current_context().exit_code())
         }
     }
@@ -31,6 +32,7 @@
 fn run(command: Command) -> error::Result<()> {
     match command {
         Command::Demo(flags) => demo::run(&flags),
+        Command::Bench(flags) => bench::run(&flags),
         Command::Standin(flags) => commands::standin::run(&flags),
         Command::Entries(flags) => commands::operator::entries(&flags),
         Command::Status(flags) => commands::operator::status(&flags),
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -67,7 +67,7 @@
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("hornbeamtiller: {report:?}");
+            eprintln!("hornbeamtiller: {report:#}");
             ExitCode::from(EXIT_START)
         }
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,8 +10,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use futures::channel::oneshot;
-use futures::future::select;
 use http::{Request, Response};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
@@ -22,6 +20,8 @@
 use monoio_compat::hyper::MonoioIo;
 
 use crate::body::{Broken, Source};
+use crate::lifeline::Lifeline;
+use crate::silence::Silence;
 use crate::socket;
 
 /// Bounds of a client.
@@ -86,7 +86,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Dropping this closes the socket at once, whatever is under way on it.
-    _open: oneshot::Sender<()>,
+    _open: Lifeline,
 }
 
 struct Idle {
@@ -114,6 +114,7 @@
     /// The head.
     pub head: http::response::Parts,
     body: Incoming,
+    silence: Silence,
     connection: Option<Connection>,
     address: SocketAddr,
     client: Client,
@@ -180,10 +181,9 @@
         let (sender, connection) = http1::handshake(io)
             .await
             .map_err(|error| fail(io::Error::other(error)))?;
-        let (open, closed) = oneshot::channel::<()>();
+        let (open, watch) = Lifeline::open();
         monoio::spawn(async move {
-            let connection = std::pin::pin!(connection);
-            select(connection, closed).await;
+            _ = watch.run(connection).await;
         });
         Ok(Connection {
             sender,
@@ -198,15 +198,14 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Answer, Error> {
-        let response: Response<Incoming> =
-            match monoio::time::timeout(timeout, connection.sender.send_request(request)).await {
-                Ok(result) => result?,
-                Err(_) => return Err(Error::TimedOut(timeout)),
-            };
+        let mut silence = Silence::open(timeout);
+        let sent = silence.bound(connection.sender.send_request(request)).await;
+        let response: Response<Incoming> = sent.map_err(|_| Error::TimedOut(timeout))??;
         let (head, body) = response.into_parts();
         Ok(Answer {
             head,
             body,
+            silence,
             connection: Some(connection),
             address,
             client: self.clone(),
@@ -251,10 +250,9 @@
     /// [`Error::Lost`] where the body was cut, [`Error::TimedOut`] after `timeout` of silence.
     pub async fn chunk(&mut self, timeout: Duration) -> Result<Option<Bytes>, Error> {
         loop {
-            let frame = match monoio::time::timeout(timeout, self.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => return Err(Error::TimedOut(timeout)),
-            };
+            self.silence.set_max(timeout);
+            let frame = self.silence.bound(self.body.frame()).await;
+            let frame = frame.map_err(|_| Error::TimedOut(timeout))?;
             let Some(frame) = frame else {
                 self.finish();
                 return Ok(None);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod body;
 pub mod client;
+pub mod lifeline;
 mod parse_refusal;
 pub mod runtime;
 pub mod server;
+pub mod silence;
 mod socket;
 pub mod sse;
--- a/crates/http/src/parse_refusal.rs
+++ b/crates/http/src/parse_refusal.rs
@@ -31,8 +31,11 @@
 
 /// Gives the reply to send in place of the codec's own, if `bytes` is one.
 fn replacement(bytes: &[u8]) -> Option<Vec<u8>> {
+    if !bytes.starts_with(b"HTTP/1.1 4") {
+        return None;
+    }
     let head = std::str::from_utf8(bytes).ok()?;
-    if !head.starts_with("HTTP/1.") || !head.ends_with("\r\n\r\n") || head.contains(MARK) {
+    if !head.ends_with("\r\n\r\n") || head.contains(MARK) {
         return None;
     }
     let (status, reason, name) = match head.get(9..12)? {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,15 +1,18 @@
 //! A server with bounds on connections, heads and idle time.
 
-use std::cell::Cell;
-use std::future::Future;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 use std::time::Duration;
 
 use futures::channel::oneshot;
-use futures::future::{select, Either, Shared};
-use futures::FutureExt as _;
+use futures::future::{select, Either};
 use http::header::HeaderValue;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -74,8 +77,8 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
-    connections: Rc<Cell<usize>>,
-    stop: oneshot::Sender<Stop>,
+    closing: Rc<Closing>,
+    _listening: oneshot::Sender<()>,
 }
 
 /// How a server ends.
@@ -97,14 +100,13 @@
         let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
         let listener = TcpListener::bind_with_config(address, &options)?;
         let address = listener.local_addr()?;
-        let (stop, stopped) = oneshot::channel();
-        let connections = Rc::new(Cell::new(0));
-        let count = connections.clone();
-        monoio::spawn(accept(listener, limits, handler, stopped.shared(), count));
+        let (listening, stopped) = oneshot::channel();
+        let closing = Rc::new(Closing::default());
+        monoio::spawn(accept(listener, limits, handler, stopped, closing.clone()));
         Ok(Self {
             address,
-            connections,
-            stop,
+            closing,
+            _listening: listening,
         })
     }
 
@@ -115,35 +117,61 @@
 
     /// Number of open connections.
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.closing.connections.borrow().len()
     }
 
     /// Stops listening, and closes connections where no exchange is under way.
     pub fn close(self) {
-        _ = self.stop.send(Stop::Graceful);
+        self.closing.stop(Stop::Graceful);
     }
 
     /// Stops listening and cuts all connections, as the end of the process would.
     pub fn abort(self) {
-        _ = self.stop.send(Stop::Abort);
+        self.closing.stop(Stop::Abort);
     }
 }
 
-type Stopped = Shared<oneshot::Receiver<Stop>>;
+/// What connections look at to learn that the server ends.
+#[derive(Debug, Default)]
+struct Closing {
+    stop: Cell<Option<Stop>>,
+    connections: RefCell<HashMap<u64, Waker>>,
+    last: Cell<u64>,
+}
 
-/// Counts a connection as long as it lives.
-struct Counted(Rc<Cell<usize>>);
+impl Closing {
+    fn stop(&self, stop: Stop) {
+        self.stop.set(Some(stop));
+        let wakers: Vec<Waker> = self.connections.borrow().values().cloned().collect();
+        wakers.into_iter().for_each(Waker::wake);
+    }
+}
+
+/// One connection's place in the count, as long as it lives.
+struct Counted {
+    closing: Rc<Closing>,
+    number: u64,
+}
 
 impl Counted {
-    fn new(count: Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
+    fn new(closing: Rc<Closing>) -> Self {
+        let number = closing.last.get() + 1;
+        closing.last.set(number);
+        Self { closing, number }
+    }
+
+    /// Has the task of this connection woken when the server ends.
+    fn register(&self, waker: &Waker) {
+        self.closing
+            .connections
+            .borrow_mut()
+            .insert(self.number, waker.clone());
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.closing.connections.borrow_mut().remove(&self.number);
     }
 }
 
@@ -151,24 +179,18 @@
     listener: TcpListener,
     limits: Limits,
     handler: H,
-    stopped: Stopped,
-    count: Rc<Cell<usize>>,
+    mut stopped: oneshot::Receiver<()>,
+    closing: Rc<Closing>,
 ) {
     loop {
-        while count.get() >= limits.connections {
+        while closing.connections.borrow().len() >= limits.connections {
             monoio::time::sleep(ACCEPT_PAUSE).await;
         }
-        let next = std::pin::pin!(listener.accept());
-        match select(next, stopped.clone()).await {
+        let next = pin!(listener.accept());
+        match select(next, &mut stopped).await {
             Either::Left((Ok((stream, _)), _)) => {
-                let counted = Counted::new(count.clone());
-                monoio::spawn(serve(
-                    stream,
-                    limits.clone(),
-                    handler.clone(),
-                    stopped.clone(),
-                    counted,
-                ));
+                let counted = Counted::new(closing.clone());
+                monoio::spawn(serve(stream, limits.clone(), handler.clone(), counted));
             }
             Either::Left((Err(_), _)) => monoio::time::sleep(ACCEPT_PAUSE).await,
             Either::Right(_) => return,
@@ -176,13 +198,7 @@
     }
 }
 
-async fn serve<H: Handler>(
-    stream: TcpStream,
-    limits: Limits,
-    handler: H,
-    stopped: Stopped,
-    _counted: Counted,
-) {
+async fn serve<H: Handler>(stream: TcpStream, limits: Limits, handler: H, counted: Counted) {
     if socket::prepare(&stream).is_err() {
         return;
     }
@@ -191,7 +207,7 @@
     };
     let service = service_fn(move |request| {
         let handler = handler.clone();
-        async move { Ok::<_, std::convert::Infallible>(marked(handler.handle(request).await)) }
+        async move { Ok::<_, Infallible>(marked(handler.handle(request).await)) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(MonoioTimer)
@@ -199,11 +215,25 @@
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(Typed::new(MonoioIo::new(stream)), service);
-    let mut connection = std::pin::pin!(connection);
-    if let Either::Right((Ok(Stop::Graceful), _)) = select(connection.as_mut(), stopped).await {
-        connection.as_mut().graceful_shutdown();
-        _ = connection.await;
-    }
+    let mut connection = pin!(connection);
+    let mut registered = false;
+    let mut asked = false;
+    poll_fn(|cx| {
+        // A spawned task keeps one waker, so that one registration will do.
+        if !std::mem::replace(&mut registered, true) {
+            counted.register(cx.waker());
+        }
+        match counted.closing.stop.get() {
+            Some(Stop::Abort) => return Poll::Ready(()),
+            Some(Stop::Graceful) if !asked => {
+                asked = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            _ => {}
+        }
+        connection.as_mut().poll(cx).map(|_| ())
+    })
+    .await;
 }
 
 fn marked<S>(mut response: Response<Reply<S>>) -> Response<Reply<S>> {
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -42,7 +42,7 @@
     /// Takes the next whole event; comments are passed over.
     pub fn next_event(&mut self) -> Option<Event> {
         loop {
-            let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+            let end = memchr::memmem::find(&self.buffer, b"\n\n")?;
             let block = self.buffer.split_to(end + 2).freeze();
             if let Some(event) = parse(&block) {
                 return Some(event);
--- a/crates/node/src/attempt/mod.rs
+++ b/crates/node/src/attempt/mod.rs
@@ -8,11 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::channel::oneshot;
-use futures::future::{select, Either};
 use hornbeamtiller_core::event::{Effect, Event, Failure, Stage};
 use hornbeamtiller_core::id::Attempt;
 use hornbeamtiller_http::client::{self, Reuse};
+use hornbeamtiller_http::lifeline::Watch;
 use http::Request;
 use http_body_util::Full;
 
@@ -66,13 +65,10 @@
 }
 
 /// Runs an attempt unless it is abandoned, which closes its connection at once.
-pub async fn run(shell: Shell, job: Job, abandoned: oneshot::Receiver<()>) {
+pub async fn run(shell: Shell, job: Job, abandoned: Watch) {
     let attempt = job.attempt;
-    let work = std::pin::pin!(perform(&shell, &job));
-    match select(work, abandoned).await {
-        Either::Left((Ok(()), _)) => {}
-        Either::Left((Err(failure), _)) => shell.apply(Event::Failed { attempt, failure }),
-        Either::Right(_) => {}
+    if let Some(Err(failure)) = abandoned.run(perform(&shell, &job)).await {
+        shell.apply(Event::Failed { attempt, failure });
     }
     shell.attempt_ended(attempt);
 }
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -42,14 +42,21 @@
     /// From this VM's record.
     Follow(Follower),
     /// From the VM that owns the id.
-    Relay(Relay, #[allow(dead_code)] Guard),
+    Relay(Box<Relayed>),
+}
+
+/// A stream from the VM that owns the id, and the exchange here that it goes to.
+#[derive(Debug)]
+pub struct Relayed {
+    relay: Relay,
+    _guard: Guard,
 }
 
 impl Source for Stream {
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
         match self {
             Self::Follow(follower) => follower.poll_chunk(cx),
-            Self::Relay(relay, _) => relay.poll_chunk(cx),
+            Self::Relay(relayed) => relayed.relay.poll_chunk(cx),
         }
     }
 }
@@ -178,8 +185,12 @@
                 let mut response = Response::new(());
                 *response.status_mut() = answer.head.status;
                 copy_headers(&answer.head.headers, response.headers_mut());
-                return response
-                    .map(|()| Reply::Chunks(Stream::Relay(answer.into_source(), guard)));
+                return response.map(|()| {
+                    Reply::Chunks(Stream::Relay(Box::new(Relayed {
+                        relay: answer.into_source(),
+                        _guard: guard,
+                    })))
+                });
             }
             Ok(answer) => {
                 let max = self.shell.settings().flags.answer_bytes.saturating_mul(2);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -201,7 +201,7 @@
             .filter(|member| member.answers())
             .count();
         self.ready.set(i64::from(state.not_ready(up).is_none()));
-        self.active.set(state.active() as i64);
+        self.active.set(state.active.len() as i64);
         self.members.set(answering as i64);
         self.ticket.set(state.table.newest() as i64);
         self.answer_bytes.set(state.answer_bytes as i64);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -205,7 +205,7 @@
         ticket: state.table.newest(),
         items,
         members,
-        requests_active: state.active(),
+        requests_active: state.active.len(),
         requests_kept: state.requests.len(),
         witness_records: state.witnessed.len(),
         cancels_pending: state.cancels.len(),
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -4,7 +4,7 @@
 //! replaced and not waited for. Messages of a failed call are dropped: the reducer repeats what
 //! matters.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,6 +35,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for a call to be answered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long messages that nobody waits for may wait for others.
+const LAZY_DELAY: Duration = Duration::from_millis(50);
 /// Pause after a failed connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -76,6 +78,8 @@
     address: RefCell<SocketAddr>,
     queue: RefCell<VecDeque<Message>>,
     wake: RefCell<Option<oneshot::Sender<()>>>,
+    /// Whether a later wake is under way.
+    due: Cell<bool>,
     carried: Rc<RefCell<Carried>>,
 }
 
@@ -104,10 +108,13 @@
             queue.pop_front();
             link.carried.borrow_mut().dropped += 1;
         }
+        let urgent = message.is_urgent();
         queue.push_back(message);
-        let wake = link.wake.borrow_mut().take();
-        if let Some(wake) = wake {
-            _ = wake.send(());
+        drop(queue);
+        if urgent {
+            link.wake();
+        } else {
+            link.wake_later();
         }
     }
 
@@ -118,6 +125,7 @@
                 address: RefCell::new(address),
                 queue: RefCell::default(),
                 wake: RefCell::default(),
+                due: Cell::new(false),
                 carried: self.carried.clone(),
             });
             monoio::spawn(run(
@@ -133,9 +141,34 @@
 }
 
 impl Link {
+    fn wake(&self) {
+        let wake = self.wake.borrow_mut().take();
+        if let Some(wake) = wake {
+            _ = wake.send(());
+        }
+    }
+
+    /// Wakes after a short while, so that what nobody waits for goes in few calls.
+    fn wake_later(self: &Rc<Self>) {
+        if self.due.replace(true) {
+            return;
+        }
+        let link = self.clone();
+        monoio::spawn(async move {
+            monoio::time::sleep(LAZY_DELAY).await;
+            link.due.set(false);
+            link.wake();
+        });
+    }
+
+    /// Tells whether a message is due.
+    fn has_urgent(&self) -> bool {
+        self.queue.borrow().iter().any(Message::is_urgent)
+    }
+
     /// Waits until there is something to send.
     async fn wait(&self) {
-        if !self.queue.borrow().is_empty() {
+        if self.has_urgent() {
             return;
         }
         let (wake, woken) = oneshot::channel();
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::channel::oneshot;
 use hornbeamtiller_core::event::{Effect, Event, Now};
 use hornbeamtiller_core::id::{Attempt, Call, Exchange};
 use hornbeamtiller_core::reduce::reduce;
 use hornbeamtiller_core::state::State;
 use hornbeamtiller_core::timeline::{self, Stamp};
 use hornbeamtiller_http::client::Client;
+use hornbeamtiller_http::lifeline::Lifeline;
 
 pub use exchange::{Guard, Incoming, Verdict};
 
@@ -71,7 +71,7 @@
     next_exchange: Cell<Exchange>,
     slots: RefCell<HashMap<Exchange, exchange::Slot>>,
     kept: RefCell<HashMap<Call, Kept>>,
-    attempts: RefCell<HashMap<Attempt, oneshot::Sender<()>>>,
+    attempts: RefCell<HashMap<Attempt, Lifeline>>,
     /// Data of the token whose event is being reduced.
     frame: RefCell<Option<Bytes>>,
     /// Answer of the plain service whose event is being reduced.
--- a/crates/node/src/shell/perform.rs
+++ b/crates/node/src/shell/perform.rs
@@ -1,9 +1,9 @@
 //! What each effect means in sockets and memory.
 
-use futures::channel::oneshot;
 use hornbeamtiller_core::event::{Effect, Event, Now};
 use hornbeamtiller_core::id::{Call, Exchange};
 use hornbeamtiller_core::timeline::Kind;
+use hornbeamtiller_http::lifeline::Lifeline;
 
 use super::{Kept, Shell, Verdict};
 use crate::{attempt, platform};
@@ -133,7 +133,7 @@
         else {
             return;
         };
-        let (abandon, abandoned) = oneshot::channel();
+        let (abandon, abandoned) = Lifeline::open();
         self.0.attempts.borrow_mut().insert(attempt, abandon);
         monoio::spawn(attempt::run(self.clone(), job, abandoned));
     }
