Prove at most once and whole streams over reducers

Cause: nothing showed that the promises hold under faults together.

Change: proptest over four reducers with messages lost, doubled, reordered and delayed, crashes, restarts, pauses, partitions, a platform that is down, and leaves; and over one reducer with engines that fail, refuse, skip and repeat. Focused tests beside them.

--- a/crates/core/src/reduce/dispatch.rs
+++ b/crates/core/src/reduce/dispatch.rs
@@ -310,18 +310,26 @@
             .filter(overdue)
             .collect();
         for call in late {
-            let dispatched = self.state.requests[&call].attempts > 0;
-            let refusal = if !self.has_open_runner(endpoint) {
-                Refusal::not_run(Reason::NoRunner)
-            } else {
-                Refusal::not_run(Reason::WaitedTooLong)
-            };
-            self.fail(
-                call,
-                claim(refusal, dispatched && self.state.requests[&call].is_model())
-                    .retry_after(WAITED_RETRY),
-            );
+            self.drop_waiting(call, endpoint);
+        }
+    }
+
+    /// Refuses a call for its long wait, unless the end of another one has just dispatched it.
+    fn drop_waiting(&mut self, call: Call, endpoint: &Endpoint) {
+        let Some(request) = self.state.requests.get(&call) else {
+            return;
+        };
+        if request.phase != Phase::Queued {
+            return;
         }
+        let begun = request.attempts > 0 && request.is_model();
+        let reason = if self.has_open_runner(endpoint) {
+            Reason::WaitedTooLong
+        } else {
+            Reason::NoRunner
+        };
+        let refusal = claim(Refusal::not_run(reason), begun);
+        self.fail(call, refusal.retry_after(WAITED_RETRY));
     }
 
     fn has_open_runner(&self, endpoint: &Endpoint) -> bool {
--- /dev/null
+++ b/crates/core/tests/once.rs
@@ -0,0 +1,428 @@
+//! At most once, answered once, and refusals that are true, under any interleaving of lost,
+//! doubled, reordered and late messages, crashes, restarts, pauses and partitions.
+
+mod world;
+
+use std::time::Duration;
+
+use hornbeamtiller_core::event::{Event, Failure};
+use hornbeamtiller_core::id::Key;
+use hornbeamtiller_core::message::Message;
+use hornbeamtiller_core::refusal::{Code, Reason, Refusal};
+use hornbeamtiller_core::token::{Ring, Secret, Token};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use world::{once, read, Told, World, TICK};
+
+/// Number of cases where the environment does not say.
+const CASES: u32 = 1_500;
+/// Seed of all cases.
+const SEED: u64 = 20_261_203;
+/// Number of processes.
+const NODES: u32 = 4;
+
+/// One step.
+#[derive(Debug, Clone)]
+enum Step {
+    /// A new request with an id under a token of the process.
+    New {
+        vm: u32,
+        read: bool,
+    },
+    /// An id used before, at any process.
+    Again {
+        id: usize,
+        vm: u32,
+    },
+    Deliver(usize),
+    Double(usize),
+    Drop(usize),
+    Pass {
+        at: usize,
+        lost: bool,
+    },
+    Execute(usize),
+    Respond(usize),
+    Fail {
+        at: usize,
+        failure: Failure,
+    },
+    CallerGone(usize),
+    Advance(u64),
+    Crash(u32),
+    Start(u32),
+    Pause(u32),
+    Wake(u32),
+    Cut {
+        a: u32,
+        b: u32,
+    },
+    Heal,
+    Platform(bool),
+    Leave(u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let vm = 1..=NODES;
+    let place = 0usize..64;
+    let failure = prop_oneof![
+        Just(Failure::NotWritten),
+        Just(Failure::Lost),
+        Just(Failure::TimedOut),
+        Just(Failure::TooLarge)
+    ];
+    prop_oneof![
+        6 => (vm.clone(), prop::bool::weighted(0.2)).prop_map(|(vm, read)| Step::New { vm, read }),
+        6 => (place.clone(), vm.clone()).prop_map(|(id, vm)| Step::Again { id, vm }),
+        20 => place.clone().prop_map(Step::Deliver),
+        3 => place.clone().prop_map(Step::Double),
+        2 => place.clone().prop_map(Step::Drop),
+        6 => (place.clone(), prop::bool::weighted(0.2)).prop_map(|(at, lost)| Step::Pass { at, lost }),
+        4 => place.clone().prop_map(Step::Execute),
+        5 => place.clone().prop_map(Step::Respond),
+        3 => (place.clone(), failure).prop_map(|(at, failure)| Step::Fail { at, failure }),
+        2 => place.prop_map(Step::CallerGone),
+        8 => (1u64..60).prop_map(Step::Advance),
+        2 => vm.clone().prop_map(Step::Crash),
+        3 => vm.clone().prop_map(Step::Start),
+        1 => vm.clone().prop_map(Step::Pause),
+        2 => vm.clone().prop_map(Step::Wake),
+        1 => (vm.clone(), vm.clone()).prop_map(|(a, b)| Step::Cut { a: a.min(b), b: a.max(b) }),
+        1 => Just(Step::Heal),
+        1 => any::<bool>().prop_map(Step::Platform),
+        1 => vm.prop_map(Step::Leave),
+    ]
+}
+
+/// Performs a step; numbers out of range are taken modulo what there is.
+fn perform(world: &mut World, ids: &mut Vec<(String, bool)>, step: &Step) {
+    let at = |number: usize, len: usize| (len > 0).then(|| number % len);
+    match *step {
+        Step::New { vm, read: is_read } => {
+            if let Some(token) = world.token_of(vm) {
+                let id = format!("{token}.n{}", ids.len());
+                ids.push((id.clone(), is_read));
+                world.call(vm, Some(id), if is_read { read() } else { once() }, 0);
+            }
+        }
+        Step::Again { id, vm } => {
+            if let Some(place) = at(id, ids.len()) {
+                let (id, is_read) = ids[place].clone();
+                world.call(vm, Some(id), if is_read { read() } else { once() }, 0);
+            }
+        }
+        Step::Deliver(number) => at(number, world.parcels.len())
+            .into_iter()
+            .for_each(|at| world.deliver(at, false)),
+        Step::Double(number) => at(number, world.parcels.len())
+            .into_iter()
+            .for_each(|at| world.deliver(at, true)),
+        Step::Drop(number) => at(number, world.parcels.len())
+            .into_iter()
+            .for_each(|at| _ = world.parcels.remove(at)),
+        Step::Pass { at: number, lost } => {
+            at(number, world.passed.len())
+                .into_iter()
+                .for_each(|at| world.deliver_passed(at, lost));
+        }
+        Step::Execute(number) => at(number, world.sent.len())
+            .into_iter()
+            .for_each(|at| world.execute(at)),
+        Step::Respond(number) => at(number, world.sent.len())
+            .into_iter()
+            .for_each(|at| world.respond(at)),
+        Step::Fail {
+            at: number,
+            failure,
+        } => {
+            at(number, world.sent.len())
+                .into_iter()
+                .for_each(|at| world.fail(at, failure));
+        }
+        Step::CallerGone(number) => {
+            if let Some(place) = at(number, world.opens.len()) {
+                let (vm, exchange) = (world.opens[place].node, world.opens[place].exchange);
+                world.feed(vm, Event::CallerGone { exchange });
+            }
+        }
+        Step::Advance(ticks) => world.advance(TICK * ticks as u32),
+        Step::Crash(vm) => world.crash(vm),
+        Step::Start(vm) => world.start(vm),
+        Step::Pause(vm) => set_paused(world, vm, true),
+        Step::Wake(vm) => set_paused(world, vm, false),
+        Step::Cut { a, b } => _ = world.cut.insert((a, b)),
+        Step::Heal => world.cut.clear(),
+        Step::Platform(up) => world.platform_up = up,
+        Step::Leave(vm) => _ = world.feed(vm, Event::Leave),
+    }
+}
+
+fn set_paused(world: &mut World, vm: u32, paused: bool) {
+    if let Some(Some(node)) = world.nodes.get_mut(&vm) {
+        node.paused = paused;
+    }
+}
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("HORNBEAMTILLER_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok())
+        .unwrap_or(CASES);
+    let seed = std::env::var("HORNBEAMTILLER_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok())
+        .unwrap_or(SEED);
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn calls_any_interleaving(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = World::settled(NODES, seed);
+        let mut ids = Vec::new();
+        for step in &steps {
+            perform(&mut world, &mut ids, step);
+            world.check().map_err(TestCaseError::fail)?;
+        }
+        world.drain();
+        world.check().map_err(TestCaseError::fail)?;
+        for open in world.opens.iter().filter(|open| world.seat(open.node).is_some()) {
+            let gone = steps.iter().any(|step| matches!(step, Step::CallerGone(_) | Step::Crash(_)));
+            prop_assert!(gone || !open.told.is_empty(), "exchange {} never got any word", open.exchange);
+        }
+    }
+
+    #[test]
+    fn calls_without_faults(seed in any::<u64>(), calls in prop::collection::vec((1..=NODES, 1..=NODES, any::<bool>()), 1..20)) {
+        let mut world = World::settled(NODES, seed);
+        for (number, (owner, asked, is_read)) in calls.iter().enumerate() {
+            let token = world.token_of(*owner).expect("a settled process gives out its token");
+            let work = if *is_read { read() } else { once() };
+            world.call(*asked, Some(format!("{token}.n{number}")), work, 0);
+            world.run_calm(TICK);
+            while !world.sent.is_empty() {
+                world.respond(0);
+            }
+        }
+        world.drain();
+        for open in &world.opens {
+            prop_assert!(matches!(&open.told[..], [Told::Answered { .. }]), "{:?}", open.told);
+        }
+    }
+}
+
+fn only_refusal(world: &World, place: usize) -> Refusal {
+    match &world.opens[place].told[..] {
+        [Told::Refused(refusal)] => *refusal,
+        other => panic!("expected one refusal, got {other:?}"),
+    }
+}
+
+#[test]
+fn intent_witness_silent() {
+    let mut world = World::settled(3, 1);
+    let token = world.token_of(1).expect("token");
+    let place = world
+        .call(1, Some(format!("{token}.a")), once(), 0)
+        .expect("open");
+    world.parcels.clear();
+    for _ in 0..50 {
+        world.advance(TICK);
+        world.parcels.clear();
+    }
+    let refusal = only_refusal(&world, place);
+    assert_eq!(
+        (refusal.code, refusal.reason),
+        (Code::NotRun, Reason::WitnessUnreachable)
+    );
+    assert!(world.sent.is_empty());
+}
+
+#[test]
+fn seal_owner_crashed_before_intent() {
+    let mut world = World::settled(3, 2);
+    let token = world.token_of(1).expect("token");
+    world.crash(1);
+    let place = world
+        .call(2, Some(format!("{token}.a")), once(), 0)
+        .expect("open");
+    world.drain();
+    let refusal = only_refusal(&world, place);
+    assert_eq!(
+        (refusal.code, refusal.reason),
+        (Code::NotRun, Reason::Sealed)
+    );
+}
+
+#[test]
+fn seal_owner_crashed_after_intent() {
+    let mut world = World::settled(3, 3);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), once(), 0);
+    world.run_calm(TICK);
+    assert_eq!(world.sent.len(), 1);
+    world.crash(1);
+    let place = world.call(2, Some(id), once(), 0).expect("open");
+    world.drain();
+    assert_eq!(only_refusal(&world, place).code, Code::Unknown);
+}
+
+#[test]
+fn seal_witness_restarted() {
+    let mut world = World::settled(3, 10);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), once(), 0);
+    world.run_calm(TICK);
+    let ring = Ring::new(Secret::derive("the key of the test world"), None);
+    let parsed = Token::parse_id(&id, &ring).expect("a good id");
+    let witness = parsed.witness.expect("a settled fleet has a witness");
+    world.crash(1);
+    world.crash(witness.vm);
+    world.start(witness.vm);
+    world.run_calm(Duration::from_secs(3));
+    // A node that has not heard of the new boot yet asks it about the old one's record.
+    let asker = world.seat(5 - witness.vm).expect("the third process runs");
+    let (key, expiry) = (Key::of(&id), parsed.expiry);
+    let message = Message::Seal {
+        key,
+        owner: parsed.owner,
+        witness: witness.incarnation,
+        expiry,
+    };
+    world.feed(
+        witness.vm,
+        Event::Received {
+            from: asker,
+            message,
+        },
+    );
+    let unknown = Message::SealAck { key, record: None };
+    assert!(world.parcels.iter().any(|parcel| parcel.message == unknown));
+}
+
+#[test]
+fn seal_owner_wakes_late() {
+    let mut world = World::settled(3, 4);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    let first = world.call(1, Some(id.clone()), once(), 0).expect("open");
+    // The intent is still under way when the owner is paused.
+    set_paused(&mut world, 1, true);
+    world.passed.clear();
+    let intents: Vec<_> = std::mem::take(&mut world.parcels);
+    world.run_calm(Duration::from_secs(5));
+    let place = world.call(2, Some(id), once(), 0).expect("open");
+    world.run_calm(Duration::from_secs(2));
+    assert_eq!(only_refusal(&world, place).code, Code::NotRun);
+    world.parcels = intents;
+    world.drain();
+    assert!(world.executions.is_empty());
+    assert_eq!(only_refusal(&world, first).code, Code::NotRun);
+}
+
+#[test]
+fn owner_restarted_old_id() {
+    let mut world = World::settled(3, 5);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), once(), 0);
+    world.run_calm(TICK);
+    world.respond(0);
+    world.crash(1);
+    world.start(1);
+    world.run_calm(Duration::from_secs(3));
+    let place = world.call(1, Some(id), once(), 0).expect("open");
+    world.drain();
+    assert_eq!(only_refusal(&world, place).code, Code::Unknown);
+    assert_eq!(world.executions.values().copied().collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn repeat_while_running_takes_over() {
+    let mut world = World::settled(3, 6);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    let first = world.call(1, Some(id.clone()), once(), 0).expect("open");
+    world.run_calm(TICK);
+    let second = world.call(2, Some(id), once(), 0).expect("open");
+    world.run_calm(TICK);
+    assert_eq!(only_refusal(&world, first).reason, Reason::TakenOver);
+    world.respond(0);
+    assert!(matches!(
+        world.opens[second].told[..],
+        [Told::Answered { .. }]
+    ));
+}
+
+#[test]
+fn repeat_other_body_refused() {
+    let mut world = World::settled(3, 7);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), once(), 0);
+    world.run_calm(TICK);
+    let place = world.call(1, Some(id), read(), 0).expect("open");
+    let refusal = only_refusal(&world, place);
+    assert_eq!(
+        (refusal.code, refusal.reason),
+        (Code::InProgress, Reason::IdReused)
+    );
+}
+
+#[test]
+fn isolated_node_still_serves() {
+    let mut world = World::settled(2, 8);
+    world.crash(2);
+    world.run_calm(Duration::from_secs(6));
+    let token = world.token_of(1).expect("token");
+    let place = world
+        .call(1, Some(format!("{token}.a")), once(), 0)
+        .expect("open");
+    world.run_calm(TICK);
+    world.respond(0);
+    assert!(matches!(
+        world.opens[place].told[..],
+        [Told::Answered { .. }]
+    ));
+}
+
+#[test]
+fn records_bound_refuses_truthfully() {
+    let mut world = World::tuned(2, 9, |settings| {
+        settings.calls_max = 3;
+        settings.tombstones_max = 2;
+    });
+    let token = world.token_of(1).expect("token");
+    let mut refusals = Vec::new();
+    for number in 0..8 {
+        let place = world
+            .call(1, Some(format!("{token}.n{number}")), once(), 0)
+            .expect("open");
+        if number >= 3 {
+            refusals.push(only_refusal(&world, place).code);
+        }
+    }
+    assert_eq!(
+        refusals,
+        [
+            Code::NotRun,
+            Code::NotRun,
+            Code::Unknown,
+            Code::Unknown,
+            Code::Unknown
+        ]
+    );
+    world.drain();
+    world.check().expect("what was told holds");
+}
--- /dev/null
+++ b/crates/core/tests/stream.rs
@@ -0,0 +1,373 @@
+//! Model answers without gap or repeat, and no engine memory held for callers that are gone.
+
+mod world;
+
+use std::time::Duration;
+
+use hornbeamtiller_core::event::{Event, Failure, Stage};
+use hornbeamtiller_core::refusal::Code;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use world::{model, Told, World, TICK};
+
+/// Number of cases where the environment does not say.
+const CASES: u32 = 1_500;
+/// Seed of all cases.
+const SEED: u64 = 20_261_203;
+/// Longest time from a caller's going until its engine memory is free.
+const FREE_WITHIN: Duration = Duration::from_secs(5);
+
+/// One step; numbers are taken modulo what there is.
+#[derive(Debug, Clone)]
+enum Step {
+    New,
+    Return {
+        id: usize,
+        after: u64,
+    },
+    Gone(usize),
+    /// A token at this distance from the next one expected.
+    Token {
+        at: usize,
+        offset: i64,
+    },
+    Respond(usize),
+    Fail {
+        at: usize,
+        failure: Failure,
+    },
+    Execute(usize),
+    Cancel {
+        at: usize,
+        lost: bool,
+    },
+    Advance(u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = 0usize..64;
+    let failure = prop_oneof![
+        Just(Failure::NotWritten),
+        Just(Failure::Lost),
+        Just(Failure::TimedOut),
+        Just(Failure::Full),
+        Just(Failure::KvGone),
+    ];
+    prop_oneof![
+        3 => Just(Step::New),
+        3 => (at.clone(), 0u64..6).prop_map(|(id, after)| Step::Return { id, after }),
+        2 => at.clone().prop_map(Step::Gone),
+        8 => (at.clone(), prop_oneof![8 => Just(0i64), 1 => Just(-1), 1 => Just(1)])
+            .prop_map(|(at, offset)| Step::Token { at, offset }),
+        6 => at.clone().prop_map(Step::Respond),
+        3 => (at.clone(), failure).prop_map(|(at, failure)| Step::Fail { at, failure }),
+        3 => at.clone().prop_map(Step::Execute),
+        3 => (at, prop::bool::weighted(0.3)).prop_map(|(at, lost)| Step::Cancel { at, lost }),
+        6 => (1u32..100).prop_map(Step::Advance),
+    ]
+}
+
+fn perform(world: &mut World, ids: &mut Vec<String>, step: &Step) -> Result<(), TestCaseError> {
+    let pick = |number: usize, len: usize| (len > 0).then(|| number % len);
+    match *step {
+        Step::New => {
+            let token = world.token_of(1).expect("the only process runs");
+            let id = format!("{token}.n{}", ids.len());
+            ids.push(id.clone());
+            world.call(1, Some(id), model(), 0);
+        }
+        Step::Return { id, after } => {
+            if let Some(place) = pick(id, ids.len()) {
+                world.call(1, Some(ids[place].clone()), model(), after);
+            }
+        }
+        Step::Gone(number) => {
+            if let Some(place) = pick(number, world.opens.len()) {
+                let exchange = world.opens[place].exchange;
+                world.feed(1, Event::CallerGone { exchange });
+            }
+        }
+        Step::Token { at, offset } => {
+            if let Some(at) = pick(at, world.sent.len()) {
+                send_token(world, at, offset)?;
+            }
+        }
+        Step::Respond(number) => pick(number, world.sent.len())
+            .into_iter()
+            .for_each(|at| world.respond(at)),
+        Step::Fail { at, failure } => {
+            pick(at, world.sent.len())
+                .into_iter()
+                .for_each(|at| world.fail(at, failure));
+        }
+        Step::Execute(number) => pick(number, world.sent.len())
+            .into_iter()
+            .for_each(|at| world.execute(at)),
+        Step::Cancel { at, lost } => {
+            pick(at, world.cancels.len())
+                .into_iter()
+                .for_each(|at| world.deliver_cancel(at, lost));
+        }
+        Step::Advance(ticks) => world.advance(TICK * ticks),
+    }
+    Ok(())
+}
+
+/// Sends a token and checks that only the next one is taken.
+fn send_token(world: &mut World, at: usize, offset: i64) -> Result<(), TestCaseError> {
+    let sent = world.sent[at].clone();
+    let Stage::Decode { .. } = sent.stage else {
+        return Ok(());
+    };
+    world.execute(at);
+    let total = |world: &World| world.appended.values().sum::<u64>();
+    let state = &world.nodes[&1].as_ref().expect("runs").state;
+    let call = state
+        .by_attempt
+        .get(&sent.attempt)
+        .copied()
+        .filter(|_| world.seat(1) == Some(sent.node));
+    let emitted = call.map_or(0, |call| state.requests[&call].emitted);
+    let position = (emitted as i64 + 1 + offset).max(0) as u64;
+    let before = total(world);
+    if world.seat(1) == Some(sent.node) {
+        world.feed(
+            1,
+            Event::Token {
+                attempt: sent.attempt,
+                position,
+            },
+        );
+    }
+    let taken = total(world) - before;
+    prop_assert_eq!(
+        taken,
+        u64::from(call.is_some() && offset == 0),
+        "position {} after {}",
+        position,
+        emitted
+    );
+    Ok(())
+}
+
+/// Has all callers go and time pass, with engines that take cancels.
+fn all_gone(world: &mut World) {
+    let exchanges: Vec<u64> = world.opens.iter().map(|open| open.exchange).collect();
+    for exchange in exchanges {
+        world.feed(1, Event::CallerGone { exchange });
+    }
+    let end = world.now + FREE_WITHIN;
+    while world.now < end {
+        world.advance(TICK);
+        while !world.cancels.is_empty() {
+            world.deliver_cancel(0, false);
+        }
+        // What is still on its way arrives, unless its engine was told to drop it.
+        (0..world.sent.len()).for_each(|at| world.execute(at));
+    }
+}
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("HORNBEAMTILLER_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok())
+        .unwrap_or(CASES);
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn streams_any_interleaving(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..100)) {
+        let mut world = World::settled(1, seed);
+        let mut ids = Vec::new();
+        for step in &steps {
+            perform(&mut world, &mut ids, step)?;
+            world.check().map_err(TestCaseError::fail)?;
+        }
+        all_gone(&mut world);
+        prop_assert!(world.engine_holds.is_empty(), "held: {:?}", world.engine_holds);
+        let state = &world.nodes[&1].as_ref().expect("runs").state;
+        prop_assert!(state.cancels.is_empty());
+        prop_assert!(state.active.is_empty());
+        prop_assert!(state.organisations.is_empty());
+        for (runner, load) in &state.loads {
+            prop_assert_eq!(load.running, 0, "slots held at {:?}", runner);
+        }
+    }
+}
+
+fn started(world: &mut World) -> (String, usize) {
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    let place = world.call(1, Some(id.clone()), model(), 0).expect("open");
+    world.respond(0);
+    (id, place)
+}
+
+fn tokens(world: &mut World, positions: std::ops::RangeInclusive<u64>) {
+    let attempt = world.sent[0].attempt;
+    world.execute(0);
+    for position in positions {
+        world.feed(1, Event::Token { attempt, position });
+    }
+}
+
+#[test]
+fn decode_lost_resumes_after_last_token() {
+    let mut world = World::settled(1, 1);
+    started(&mut world);
+    tokens(&mut world, 1..=5);
+    world.fail(0, Failure::Lost);
+    assert_eq!(
+        world.cancels.len(),
+        1,
+        "the lost engine is told to drop the request"
+    );
+    assert_eq!(world.sent[0].stage, Stage::Prefill);
+    world.respond(0);
+    assert!(matches!(world.sent[0].stage, Stage::Decode { from: 5, .. }));
+}
+
+#[test]
+fn decode_full_keeps_prefill() {
+    let mut world = World::settled(1, 2);
+    started(&mut world);
+    world.fail(0, Failure::Full);
+    assert!(
+        matches!(world.sent[0].stage, Stage::Decode { .. }),
+        "the cache goes to another decode runner"
+    );
+    assert_eq!(
+        world.nodes[&1]
+            .as_ref()
+            .expect("runs")
+            .state
+            .counters
+            .prefills,
+        1
+    );
+}
+
+#[test]
+fn caller_returns_within_grace() {
+    let mut world = World::settled(1, 3);
+    let (id, place) = started(&mut world);
+    tokens(&mut world, 1..=3);
+    let exchange = world.opens[place].exchange;
+    world.feed(1, Event::CallerGone { exchange });
+    world.run_calm(Duration::from_millis(500));
+    let back = world.call(1, Some(id), model(), 3).expect("open");
+    assert!(world.cancels.is_empty());
+    assert!(matches!(
+        world.opens[back].told[..],
+        [Told::Following { after: 3, .. }]
+    ));
+}
+
+#[test]
+fn caller_returns_after_cancel() {
+    let mut world = World::settled(1, 4);
+    let (id, place) = started(&mut world);
+    tokens(&mut world, 1..=3);
+    let exchange = world.opens[place].exchange;
+    world.feed(1, Event::CallerGone { exchange });
+    world.run_calm(Duration::from_secs(3));
+    assert_eq!(world.cancels.len(), 1);
+    world.deliver_cancel(0, false);
+    world.call(1, Some(id), model(), 3);
+    assert_eq!(
+        world.sent.last().map(|sent| sent.stage.clone()),
+        Some(Stage::Prefill)
+    );
+}
+
+#[test]
+fn cancel_lost_is_repeated() {
+    let mut world = World::settled(1, 5);
+    let (_, place) = started(&mut world);
+    tokens(&mut world, 1..=1);
+    let exchange = world.opens[place].exchange;
+    world.feed(1, Event::CallerGone { exchange });
+    world.run_calm(Duration::from_secs(2));
+    for _ in 0..5 {
+        world.deliver_cancel(0, true);
+        world.run_calm(Duration::from_secs(1));
+    }
+    assert_eq!(world.cancels.len(), 1);
+    world.deliver_cancel(0, false);
+    assert!(world.engine_holds.is_empty());
+}
+
+#[test]
+fn prefill_waits_for_decode_slot() {
+    let mut world = World::settled(1, 6);
+    for number in 0..6 {
+        let token = world.token_of(1).expect("token");
+        world.call(1, Some(format!("{token}.{number}")), model(), 0);
+    }
+    assert_eq!(world.sent.len(), 4, "two decode runners of two slots");
+    for _ in 0..4 {
+        world.respond(0);
+    }
+    assert!(world
+        .sent
+        .iter()
+        .all(|sent| matches!(sent.stage, Stage::Decode { .. })));
+    world.respond(0);
+    assert_eq!(
+        world
+            .sent
+            .iter()
+            .filter(|sent| sent.stage == Stage::Prefill)
+            .count(),
+        1
+    );
+}
+
+#[test]
+fn queue_waited_too_long() {
+    let mut world = World::settled(1, 7);
+    let mut places = Vec::new();
+    for number in 0..5 {
+        let token = world.token_of(1).expect("token");
+        places.push(
+            world
+                .call(1, Some(format!("{token}.{number}")), model(), 0)
+                .expect("open"),
+        );
+    }
+    world.run_calm(Duration::from_secs(11));
+    let Some([Told::Refused(refusal)]) = places.last().map(|place| &world.opens[*place].told[..])
+    else {
+        panic!("the last call was not refused");
+    };
+    assert_eq!(refusal.code, Code::NotRun);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn queue_overdue_together_with_dispatched() {
+    let mut world = World::settled(1, 8);
+    for number in 0..6 {
+        let token = world.token_of(1).expect("token");
+        world.call(1, Some(format!("{token}.{number}")), model(), 0);
+    }
+    // Both queued calls are overdue in one tick; the end of one must not strand the other.
+    world.advance(Duration::from_millis(9_990));
+    world.respond(0);
+    world.fail(3, Failure::NotWritten);
+    world.advance(Duration::from_millis(20));
+    all_gone(&mut world);
+    assert!(world.engine_holds.is_empty());
+    let state = &world.nodes[&1].as_ref().expect("runs").state;
+    assert!(state.loads.values().all(|load| load.running == 0));
+}
