Bench executions against answers under faults

Cause: the promises were proved over reducers only.

Change: `hornbeamctl bench once` runs entry VMs against the stand-ins over real sockets, ends, pauses and silences them by seed, and holds what callers were told against what ran.

--- a/crates/core/src/reduce/cancel.rs
+++ b/crates/core/src/reduce/cancel.rs
@@ -131,7 +131,7 @@
             again: None,
         };
         self.state.cancels.insert(cancel, pending);
-        self.note(Note::new(Kind::CancelSent).request(key).runner(&runner));
+        self.note(Note::new(Kind::CancelSent).request(key).runner(runner));
         self.send_cancel(cancel);
     }
 
--- a/crates/core/src/reduce/leave.rs
+++ b/crates/core/src/reduce/leave.rs
@@ -22,7 +22,7 @@
         let Lifecycle::Leaving { serve_until } = self.state.lifecycle else {
             return;
         };
-        let idle = self.state.active.len() == 0
+        let idle = self.state.active.is_empty()
             && self.state.seals.is_empty()
             && self.state.forwarded.is_empty()
             && self.state.owed.is_empty()
--- a/crates/core/tests/stream.rs
+++ b/crates/core/tests/stream.rs
@@ -356,16 +356,23 @@
 
 #[test]
 fn queue_overdue_together_with_dispatched() {
-    let mut world = World::settled(1, 8);
-    for number in 0..6 {
-        let token = world.token_of(1).expect("token");
-        world.call(1, Some(format!("{token}.{number}")), model(), 0);
+    let mut world = World::settled(1, 0);
+    let mut ids = Vec::new();
+    let mut steps = vec![Step::New; 5];
+    steps.extend([91, 51, 59, 35, 42, 38, 50, 59].map(Step::Advance));
+    // The freed slot can be used only after its runner's rest, when both queued calls are overdue;
+    // the end of one must not strand the other.
+    steps.extend([
+        Step::Respond(0),
+        Step::Fail {
+            at: 59,
+            failure: Failure::NotWritten,
+        },
+        Step::Advance(76),
+    ]);
+    for step in &steps {
+        perform(&mut world, &mut ids, step).expect("no token is sent");
     }
-    // Both queued calls are overdue in one tick; the end of one must not strand the other.
-    world.advance(Duration::from_millis(9_990));
-    world.respond(0);
-    world.fail(3, Failure::NotWritten);
-    world.advance(Duration::from_millis(20));
     all_gone(&mut world);
     assert!(world.engine_holds.is_empty());
     let state = &world.nodes[&1].as_ref().expect("runs").state;
--- a/crates/hornbeamctl/src/bench/mod.rs
+++ b/crates/hornbeamctl/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements: each prints its figures and fails where a stated bound is broken.
 
+mod once;
 mod overhead;
 mod report;
 
@@ -14,5 +15,6 @@
 pub fn run(flags: &BenchFlags) -> Result<()> {
     match &flags.command {
         BenchCommand::Overhead(flags) => overhead::run(flags),
+        BenchCommand::Once(flags) => once::run(flags),
     }
 }
--- /dev/null
+++ b/crates/hornbeamctl/src/bench/once/mod.rs
@@ -0,0 +1,133 @@
+//! Executions against answers, on real sockets and under faults by seed.
+
+mod customer;
+mod faults;
+mod tally;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hornbeamtiller_http::client::{self, Client};
+use hornbeamtiller_standin::deployment::{Deployment, SERVICE_TIME};
+use hornbeamtiller_standin::fixture;
+use hornbeamtiller_standin::observed::Observed;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use super::report::{self, Bounds};
+use crate::cli::OnceFlags;
+use crate::error::Result;
+use crate::fleet::{order, Fleet};
+
+use customer::Customer;
+use tally::{Figures, Tally};
+
+/// Longest time from the end of an entry VM until the engine memory of its callers is free.
+const FREE_WITHIN: Duration = Duration::from_secs(15);
+/// Longest time for the last callers to get their word.
+const LAST_WORDS: Duration = Duration::from_secs(60);
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// [`crate::error::Error::Bound`] where a promise is broken, and failures to start.
+pub fn run(flags: &OnceFlags) -> Result<()> {
+    let mut bounds = Bounds::default();
+    for seed in flags.seeds.range() {
+        let figures = run_seed(flags, seed)?;
+        report::print(flags.seeds.json, &figures);
+        for (name, value) in figures.zeroes() {
+            bounds.at_most(&format!("seed {seed}: {name}"), value as f64, 0.0);
+        }
+    }
+    bounds.close()
+}
+
+fn run_seed(flags: &OnceFlags, seed: u64) -> Result<Figures> {
+    let settings = fixture::Settings {
+        deployment: Deployment::Myto,
+        listen: SocketAddr::from(([127, 0, 1, 1], 0)),
+        service_time: SERVICE_TIME,
+        relays: flags.nodes,
+        tune: |_| {},
+    };
+    let fleet = Rc::new(RefCell::new(Fleet::open(flags.nodes, settings)?));
+    let measured = crate::block_on(measure(fleet.clone(), flags, seed));
+    if let Ok(fleet) = Rc::try_unwrap(fleet) {
+        fleet.into_inner().close();
+    }
+    measured
+}
+
+// The fleet is borrowed for the settling only, before any other task runs.
+#[allow(clippy::await_holding_refcell_ref)]
+async fn settle(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<()> {
+    fleet.borrow().settle(client).await
+}
+
+async fn measure(fleet: Rc<RefCell<Fleet>>, flags: &OnceFlags, seed: u64) -> Result<Figures> {
+    let client = Client::open(client::Settings::default());
+    settle(&fleet, &client).await?;
+    let tally = Rc::new(RefCell::new(Tally::default()));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let faults = monoio::spawn(faults::run(
+        fleet.clone(),
+        client.clone(),
+        flags.faults,
+        flags.seconds,
+        rng.random(),
+    ));
+    let end = Instant::now() + Duration::from_secs(flags.seconds);
+    let mut number = 0;
+    while Instant::now() < end {
+        let customer = Customer::new(
+            fleet.clone(),
+            client.clone(),
+            tally.clone(),
+            number,
+            rng.random(),
+        );
+        tally.borrow_mut().begun();
+        monoio::spawn(customer.run());
+        number += 1;
+        if number % u64::from(flags.rate) == 0 {
+            report::progress(&format!("seed {seed}: {number} requests"));
+        }
+        let gap = -f64::ln(1.0 - rng.random::<f64>()) / f64::from(flags.rate);
+        monoio::time::sleep(Duration::from_secs_f64(gap)).await;
+    }
+    faults.await?;
+    let patience = Instant::now() + LAST_WORDS;
+    while tally.borrow().open() > 0 && Instant::now() < patience {
+        monoio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let observed = wait_until_free(&fleet, &client).await?;
+    let figures = tally.borrow().figures(seed, flags.faults, &observed);
+    Ok(figures)
+}
+
+/// Waits for engine memory to be free, for as long as the bound allows.
+async fn wait_until_free(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<Observed> {
+    let control = fleet.borrow().standins.control;
+    let end = Instant::now() + FREE_WITHIN;
+    loop {
+        let observed: Observed =
+            crate::caller::json(client, control, crate::caller::Ask::get("/observed")).await?;
+        if observed.pieces_held == 0 || Instant::now() > end {
+            return Ok(observed);
+        }
+        monoio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Sends the stand-ins where all VMs are.
+async fn place(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<()> {
+    let (control, asks) = {
+        let fleet = fleet.borrow();
+        (fleet.standins.control, fleet.placement())
+    };
+    order(client, control, asks).await
+}
--- a/crates/hornbeamctl/src/bench/overhead.rs
+++ b/crates/hornbeamctl/src/bench/overhead.rs
@@ -75,7 +75,8 @@
         deployment: Deployment::Myto,
         listen: SocketAddr::from(([127, 0, 1, 1], 0)),
         service_time: Duration::ZERO,
-        tune: tune,
+        relays: 0,
+        tune,
     };
     let fleet = Fleet::open(2, standins)?;
     let measured = crate::block_on(measure(&fleet, flags, seed, bounds));
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -197,6 +197,8 @@
 pub enum BenchCommand {
     /// What one node adds to a call and to a token, against the same straight to the stand-in.
     Overhead(OverheadFlags),
+    /// Executions against answers, with entry VMs and runners that fail by seed.
+    Once(OnceFlags),
 }
 
 /// Flags that all kinds of measurement have.
@@ -236,3 +238,41 @@
     #[arg(long, default_value_t = 400)]
     pub tokens: u32,
 }
+
+/// Flags of `bench once`.
+#[derive(Debug, Args)]
+pub struct OnceFlags {
+    /// Seeds and form of output.
+    #[command(flatten)]
+    pub seeds: SeedFlags,
+    /// Time for which requests are sent, in seconds.
+    #[arg(long, default_value_t = 20)]
+    pub seconds: u64,
+    /// Requests a second.
+    #[arg(long, default_value_t = 60)]
+    pub rate: u32,
+    /// Number of entry VMs.
+    #[arg(long, default_value_t = 6)]
+    pub nodes: u32,
+    /// Kind of faults.
+    #[arg(long, value_enum, default_value = "all")]
+    pub faults: FaultKind,
+}
+
+/// A kind of faults to bring about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// None.
+    None,
+    /// Entry VMs end without notice and are replaced.
+    Crash,
+    /// Entry VMs are paused for longer than every timeout.
+    Pause,
+    /// Peer connections are silent, old ones or all.
+    Silence,
+    /// Runners refuse, stall, crash, drop answers and go silent.
+    Runner,
+    /// All of these.
+    All,
+}
--- a/crates/hornbeamctl/src/commands/standin.rs
+++ b/crates/hornbeamctl/src/commands/standin.rs
@@ -33,6 +33,7 @@
         deployment,
         listen: first,
         service_time: SERVICE_TIME,
+        relays: 0,
         tune: |_| {},
     };
     let vms: Vec<Vm> = (1..=flags.vms)
--- a/crates/hornbeamctl/src/demo/mod.rs
+++ b/crates/hornbeamctl/src/demo/mod.rs
@@ -32,6 +32,7 @@
         deployment,
         listen: SocketAddr::from(([127, 0, 1, 1], 0)),
         service_time: SERVICE_TIME,
+        relays: 0,
         tune: |_| {},
     };
     let fleet = Fleet::open(flags.nodes, standins)?;
--- a/crates/hornbeamctl/src/fleet.rs
+++ b/crates/hornbeamctl/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -44,10 +44,18 @@
     pub operator: SocketAddr,
     /// Processor time of its thread.
     pub processor: ThreadClock,
-    stop: Arc<AtomicBool>,
+    orders: Arc<Orders>,
     thread: Option<JoinHandle<()>>,
 }
 
+/// What a member's thread is to do besides its work.
+#[derive(Debug, Default)]
+struct Orders {
+    stop: AtomicBool,
+    /// Milliseconds for which the thread is to do nothing at all, as a paused process.
+    pause_ms: AtomicU64,
+}
+
 /// The processor time of one thread, readable from others.
 #[derive(Debug, Clone, Copy)]
 pub struct ThreadClock(libc::clockid_t);
@@ -81,6 +89,8 @@
     pub platform: SocketAddr,
     /// Where each runner is.
     pub runners: Vec<(String, SocketAddr)>,
+    /// Stretches of network before the peer listeners, VM 1 first.
+    pub relays: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -106,7 +116,7 @@
         let standins = Standins::open(settings)?;
         let mut members = Vec::new();
         for vm in 1..=nodes {
-            members.push(Member::open(vm, deployment, standins.platform)?);
+            members.push(Member::open(vm, deployment, &standins)?);
         }
         Ok(Self {
             deployment,
@@ -121,7 +131,7 @@
     ///
     /// [`Error::Start`] where that takes too long.
     pub async fn settle(&self, client: &Client) -> Result<()> {
-        self.list(client).await?;
+        order(client, self.standins.control, self.placement()).await?;
         let deadline = std::time::Instant::now() + START_TIMEOUT;
         for member in &self.members {
             loop {
@@ -140,27 +150,48 @@
         Ok(())
     }
 
-    /// Puts the VMs on the platform's list.
+    /// Puts another process in the place of one that has ended; [`Fleet::placement`] is to be sent
+    /// after it.
     ///
     /// # Errors
     ///
-    /// As [`caller::json`].
-    pub async fn list(&self, client: &Client) -> Result<()> {
+    /// [`Error::Start`] where it does not start.
+    pub fn reopen(&mut self, at: usize) -> Result<()> {
+        let vm = self.members[at].vm;
+        self.members[at] = Member::open(vm, self.deployment, &self.standins)?;
+        Ok(())
+    }
+
+    /// Orders to the stand-ins that say where all VMs are.
+    pub fn placement(&self) -> Vec<Ask> {
+        let mut asks = Vec::new();
+        for member in self
+            .members
+            .iter()
+            .filter(|_| !self.standins.relays.is_empty())
+        {
+            let order = serde_json::json!({ "vm": member.vm, "target": member.peer.to_string() });
+            asks.push(Ask::post("/control/relay", &order));
+        }
         let vms: Vec<Vm> = self
             .members
             .iter()
-            .map(|member| Vm {
-                id: member.vm,
-                zone: member.zone.clone(),
-                caller: member.caller,
-                peer: member.peer,
-                leaving: false,
-            })
+            .map(|member| self.listed(member))
             .collect();
         let body = serde_json::to_string(&vms).unwrap_or_default();
-        let ask = Ask::new(Method::PUT, "/control/vms").body(body);
-        caller::json::<serde_json::Value>(client, self.standins.control, ask).await?;
-        Ok(())
+        asks.push(Ask::new(Method::PUT, "/control/vms").body(body));
+        asks
+    }
+
+    fn listed(&self, member: &Member) -> Vm {
+        let relay = self.standins.relays.get(member.vm as usize - 1).copied();
+        Vm {
+            id: member.vm,
+            zone: member.zone.clone(),
+            caller: member.caller,
+            peer: relay.unwrap_or(member.peer),
+            leaving: false,
+        }
     }
 
     /// What the stand-ins saw.
@@ -184,22 +215,35 @@
     }
 }
 
+/// Gives the stand-ins orders.
+///
+/// # Errors
+///
+/// As [`caller::json`].
+pub async fn order(client: &Client, control: SocketAddr, asks: Vec<Ask>) -> Result<()> {
+    for ask in asks {
+        caller::json::<serde_json::Value>(client, control, ask).await?;
+    }
+    Ok(())
+}
+
 impl Member {
     /// Starts one entry VM on a thread of its own.
     ///
     /// # Errors
     ///
     /// [`Error::Start`] where it does not start.
-    pub fn open(vm: u32, deployment: Deployment, platform: SocketAddr) -> Result<Self> {
+    pub fn open(vm: u32, deployment: Deployment, standins: &Standins) -> Result<Self> {
         let zones = deployment.zones();
         let zone = zones[(vm as usize - 1) % zones.len()].to_owned();
-        let flags = flags(vm, &zone, platform);
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = stop.clone();
+        let mut flags = flags(vm, &zone, standins.platform);
+        flags.peer_address = standins.relays.get(vm as usize - 1).copied();
+        let orders = Arc::new(Orders::default());
+        let given = orders.clone();
         let (sender, receiver) = mpsc::channel();
         let thread = std::thread::Builder::new()
             .name(format!("vm-{vm}"))
-            .spawn(move || run_node(flags, &stopped, &sender))
+            .spawn(move || run_node(flags, &given, &sender))
             .change_context(Error::Start("a thread"))?;
         let addresses = receiver
             .recv_timeout(START_TIMEOUT)
@@ -212,19 +256,31 @@
             peer,
             operator,
             processor,
-            stop,
+            orders,
             thread: Some(thread),
         })
     }
 
-    /// Ends the thread at once, as the end of the process would.
+    /// Ends the thread.
     pub fn close(mut self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.crash();
+    }
+
+    /// Ends the thread at once, as the end of the process would.
+    pub fn crash(&mut self) {
+        self.orders.stop.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
             _ = thread.join();
         }
     }
 
+    /// Stops the thread for a while, as a paused process.
+    pub fn pause(&self, time: Duration) {
+        self.orders
+            .pause_ms
+            .store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Tells whether the thread has ended by itself, as it does after a graceful leave.
     pub fn has_ended(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
@@ -241,6 +297,8 @@
         caller_listen: any,
         peer_listen: any,
         operator_listen: any,
+        caller_address: None,
+        peer_address: None,
         platform,
         key: LOOPBACK_KEY.to_owned(),
         previous_key: None,
@@ -258,11 +316,7 @@
     }
 }
 
-fn run_node(
-    flags: Flags,
-    stop: &AtomicBool,
-    started: &mpsc::Sender<([SocketAddr; 3], ThreadClock)>,
-) {
+fn run_node(flags: Flags, orders: &Orders, started: &mpsc::Sender<([SocketAddr; 3], ThreadClock)>) {
     let Ok(settings) = flags.check() else {
         return;
     };
@@ -280,7 +334,10 @@
             node.operator_address(),
         ];
         _ = started.send((addresses, ThreadClock::current()));
-        while !stop.load(Ordering::Relaxed) && !node.has_left() {
+        while !orders.stop.load(Ordering::Relaxed) && !node.has_left() {
+            let pause = orders.pause_ms.swap(0, Ordering::Relaxed);
+            // Blocks the whole thread, so that nothing of the process goes on.
+            std::thread::sleep(Duration::from_millis(pause));
             monoio::time::sleep(STOP_CHECK).await;
         }
         if node.has_left() {
@@ -305,11 +362,17 @@
         let started = receiver
             .recv_timeout(START_TIMEOUT)
             .change_context(Error::Start("the stand-ins"))?;
-        let (control, platform, runners) = started;
+        let Started {
+            control,
+            platform,
+            runners,
+            relays,
+        } = started;
         Ok(Self {
             control,
             platform,
             runners,
+            relays,
             stop,
             thread: Some(thread),
         })
@@ -323,7 +386,12 @@
     }
 }
 
-type Started = (SocketAddr, SocketAddr, Vec<(String, SocketAddr)>);
+struct Started {
+    control: SocketAddr,
+    platform: SocketAddr,
+    runners: Vec<(String, SocketAddr)>,
+    relays: Vec<SocketAddr>,
+}
 
 fn run_standins(settings: &fixture::Settings, stop: &AtomicBool, started: &mpsc::Sender<Started>) {
     let run = hornbeamtiller_http::runtime::block_on(async {
@@ -335,7 +403,12 @@
             .iter()
             .map(|(runner, address)| (runner.id.clone(), *address))
             .collect();
-        _ = started.send((control.address(), fixture.platform_address(), runners));
+        _ = started.send(Started {
+            control: control.address(),
+            platform: fixture.platform_address(),
+            runners,
+            relays: fixture.relay_addresses(),
+        });
         while !stop.load(Ordering::Relaxed) {
             monoio::time::sleep(STOP_CHECK).await;
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -109,6 +109,11 @@
         self.operators.address()
     }
 
+    /// Number of open connections of callers.
+    pub fn connections(&self) -> usize {
+        self.callers.connections()
+    }
+
     /// Begins a graceful leave.
     pub fn leave(&self) {
         self.shell.apply(Event::Leave);
@@ -151,8 +156,8 @@
     let mut core = core_settings::Settings::new(
         flags.vm,
         flags.zone.as_str().into(),
-        flags.caller_listen,
-        flags.peer_listen,
+        flags.caller_address.unwrap_or(flags.caller_listen),
+        flags.peer_address.unwrap_or(flags.peer_listen),
     );
     core.keep_entries = Duration::from_millis(flags.keep_entries_ms);
     core.token_life = Duration::from_secs(flags.token_life_s);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -27,6 +27,12 @@
     /// Address for operators, IP:PORT.
     #[arg(long, env = "HORNBEAMTILLER_OPERATOR_LISTEN")]
     pub operator_listen: SocketAddr,
+    /// Address that callers are told, IP:PORT, where it is not the one listened at.
+    #[arg(long, env = "HORNBEAMTILLER_CALLER_ADDRESS")]
+    pub caller_address: Option<SocketAddr>,
+    /// Address that other entry VMs are told, IP:PORT, where it is not the one listened at.
+    #[arg(long, env = "HORNBEAMTILLER_PEER_ADDRESS")]
+    pub peer_address: Option<SocketAddr>,
     /// Address of the platform's configuration service, IP:PORT.
     #[arg(long, env = "HORNBEAMTILLER_PLATFORM")]
     pub platform: SocketAddr,
--- /dev/null
+++ b/crates/node/tests/path.rs
@@ -0,0 +1,361 @@
+//! The whole path over real sockets, with failing runners, silent connections and gone callers.
+
+mod support;
+
+use bytes::Bytes;
+use hornbeamtiller_http::client::{Answer, Reuse};
+use hornbeamtiller_http::sse;
+use hornbeamtiller_standin::fault::Fault;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::{json, Value};
+
+use support::{with_fleet, Fleet, OPERATOR};
+
+const APPS: [&str; 3] = ["app-1", "app-2", "app-3"];
+const DECODES: [&str; 6] = [
+    "decode-1", "decode-2", "decode-3", "decode-4", "decode-5", "decode-6",
+];
+
+fn set_all(fleet: &Fleet, runners: &[&str], fault: Fault) {
+    for runner in runners {
+        assert!(fleet
+            .fixture
+            .set_fault(runner, fault)
+            .expect("the runner listens again"));
+    }
+}
+
+async fn open_stream(fleet: &Fleet, node: usize, tokens: u64, headers: &[(&str, &str)]) -> Answer {
+    let body =
+        json!({ "model": "summarizer", "prompt": "a log", "max_tokens": tokens, "stream": true });
+    let address = fleet.caller(node);
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/completions")
+        .header("host", "x");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a good request");
+    let patience = std::time::Duration::from_secs(20);
+    fleet
+        .client
+        .send(address, request, Reuse::Fresh, patience)
+        .await
+        .expect("an answer")
+}
+
+/// Reads events until so many tokens have come, or the end mark.
+async fn read_tokens(
+    answer: &mut Answer,
+    reader: &mut sse::Reader,
+    most: usize,
+) -> (Vec<u64>, bool) {
+    let mut positions = Vec::new();
+    let patience = std::time::Duration::from_secs(20);
+    loop {
+        while let Some(event) = reader.next_event() {
+            if &*event.data == b"[DONE]" {
+                return (positions, true);
+            }
+            positions.push(event.id.expect("a position"));
+            if positions.len() == most {
+                return (positions, false);
+            }
+        }
+        match answer.chunk(patience).await.expect("the stream goes on") {
+            Some(chunk) => reader.push(&chunk).expect("small events"),
+            None => return (positions, false),
+        }
+    }
+}
+
+#[test]
+fn top_up_runs_once() {
+    with_fleet(3, |fleet| async move {
+        let id = format!("{}.a", fleet.token(0).await);
+        let first = fleet.top_up(0, &id).await;
+        assert_eq!(first.status, 200);
+        for node in [0, 1, 2] {
+            let again = fleet.top_up(node, &id).await;
+            assert_eq!(again.body, first.body);
+            assert_eq!(again.headers["idempotent-replayed"], "true");
+        }
+        assert_eq!(fleet.executions(&id), 1);
+    });
+}
+
+#[test]
+fn top_up_without_id_gets_one() {
+    with_fleet(1, |fleet| async move {
+        let path = "/v1/services/payments-app/top-up";
+        let answer = fleet
+            .send(fleet.caller(0), Method::POST, path, &[], "{}")
+            .await;
+        let id = answer.headers["idempotency-key"]
+            .to_str()
+            .expect("text")
+            .to_owned();
+        assert_eq!(fleet.executions(&id), 1);
+        assert_eq!(fleet.top_up(0, &id).await.body, answer.body);
+        assert_eq!(fleet.executions(&id), 1);
+    });
+}
+
+#[test]
+fn top_up_runner_crashed() {
+    with_fleet(2, |fleet| async move {
+        set_all(&fleet, &APPS[..2], Fault::Crash);
+        for number in 0..6 {
+            let id = format!("{}.{number}", fleet.token(0).await);
+            assert_eq!(
+                fleet.top_up(0, &id).await.status,
+                200,
+                "another runner takes what was not written"
+            );
+            assert_eq!(fleet.executions(&id), 1);
+        }
+        set_all(&fleet, &APPS, Fault::Crash);
+        let id = format!("{}.last", fleet.token(0).await);
+        let (_, code, reason) = fleet.top_up(0, &id).await.refusal();
+        assert_eq!((&*code, &*reason), ("not_run", "no_runner"));
+        set_all(&fleet, &APPS, Fault::None);
+        assert_eq!(
+            fleet.top_up(0, &id).await.refusal().1,
+            "not_run",
+            "what was told stays so"
+        );
+        assert_eq!(fleet.executions(&id), 0);
+    });
+}
+
+#[test]
+fn top_up_answer_dropped() {
+    with_fleet(2, |fleet| async move {
+        set_all(&fleet, &APPS, Fault::DropAnswer);
+        let id = format!("{}.a", fleet.token(0).await);
+        let (_, code, reason) = fleet.top_up(0, &id).await.refusal();
+        assert_eq!((&*code, &*reason), ("unknown", "runner_lost"));
+        set_all(&fleet, &APPS, Fault::None);
+        assert_eq!(fleet.top_up(0, &id).await.refusal().1, "unknown");
+        assert_eq!(fleet.executions(&id), 1);
+    });
+}
+
+#[test]
+fn top_up_runner_silent() {
+    with_fleet(2, |fleet| async move {
+        set_all(&fleet, &APPS, Fault::Silent);
+        let id = format!("{}.a", fleet.token(0).await);
+        let (_, code, reason) = fleet.top_up(0, &id).await.refusal();
+        assert_eq!((&*code, &*reason), ("unknown", "runner_timeout"));
+        assert_eq!(fleet.executions(&id), 1);
+    });
+}
+
+#[test]
+fn read_repeated_after_loss() {
+    with_fleet(1, |fleet| async move {
+        set_all(&fleet, &APPS[..1], Fault::DropAnswer);
+        for _ in 0..10 {
+            let answer = fleet
+                .get(fleet.caller(0), "/v1/services/payments-app/balance/fleet-7")
+                .await;
+            assert_eq!(answer.status, 200);
+        }
+    });
+}
+
+#[test]
+fn completion_collected() {
+    with_fleet(1, |fleet| async move {
+        let body = json!({ "model": "summarizer", "prompt": "a log", "max_tokens": 5 }).to_string();
+        let answer = fleet
+            .send(fleet.caller(0), Method::POST, "/v1/completions", &[], &body)
+            .await;
+        let value: Value = answer.json();
+        assert_eq!(value["object"], "text_completion");
+        assert_eq!(value["choices"][0]["finish_reason"], "length");
+        let text = value["choices"][0]["text"].as_str().expect("text");
+        let positions: Vec<&str> = text
+            .split_whitespace()
+            .filter_map(|token| token.split(':').nth(1))
+            .collect();
+        assert_eq!(positions, ["1", "2", "3", "4", "5"]);
+        let messages = json!([{ "role": "user", "content": "a log" }]);
+        let body =
+            json!({ "model": "summarizer", "messages": messages, "max_tokens": 2 }).to_string();
+        let answer = fleet
+            .send(
+                fleet.caller(0),
+                Method::POST,
+                "/v1/chat/completions",
+                &[],
+                &body,
+            )
+            .await;
+        assert_eq!(answer.json()["choices"][0]["message"]["role"], "assistant");
+    });
+}
+
+#[test]
+fn stream_token_waits_for_no_other() {
+    with_fleet(1, |fleet| async move {
+        let mut answer = open_stream(&fleet, 0, 1_000, &[]).await;
+        let mut reader = sse::Reader::default();
+        let (mut positions, _) = read_tokens(&mut answer, &mut reader, 1).await;
+        // Nothing more is generated; what was, has to come through.
+        set_all(&fleet, &DECODES, Fault::Stall);
+        let made = fleet.fixture.observed().tokens;
+        while positions.last() != Some(&made) {
+            positions.extend(read_tokens(&mut answer, &mut reader, 1).await.0);
+        }
+    });
+}
+
+#[test]
+fn stream_resumes_at_another_node() {
+    with_fleet(2, |fleet| async move {
+        let id = format!("{}.s", fleet.token(0).await);
+        let mut answer = open_stream(&fleet, 0, 40, &[("idempotency-key", &id)]).await;
+        let (first, _) = read_tokens(&mut answer, &mut sse::Reader::default(), 10).await;
+        drop(answer);
+        let last = first.last().expect("tokens").to_string();
+        let headers = [("idempotency-key", &*id), ("last-event-id", &*last)];
+        let mut answer = open_stream(&fleet, 1, 40, &headers).await;
+        let (rest, done) = read_tokens(&mut answer, &mut sse::Reader::default(), 1_000).await;
+        assert!(done);
+        assert_eq!(rest, (11..=40).collect::<Vec<_>>());
+        assert_eq!(fleet.fixture.observed().prefill_tokens_wasted, 0);
+    });
+}
+
+#[test]
+fn stream_decode_crashes() {
+    with_fleet(1, |fleet| async move {
+        let mut answer = open_stream(&fleet, 0, 60, &[]).await;
+        let mut reader = sse::Reader::default();
+        let (mut positions, _) = read_tokens(&mut answer, &mut reader, 5).await;
+        let observed = fleet.fixture.observed();
+        let busy = observed
+            .runners
+            .iter()
+            .find(|runner| runner.streams_open > 0)
+            .expect("a decode runs");
+        set_all(&fleet, &[&*busy.id], Fault::Crash);
+        let (rest, done) = read_tokens(&mut answer, &mut reader, 1_000).await;
+        positions.extend(rest);
+        assert!(done);
+        assert_eq!(positions, (1..=60).collect::<Vec<_>>());
+    });
+}
+
+#[test]
+fn gone_caller_frees_memory() {
+    with_fleet(1, |fleet| async move {
+        let mut answer = open_stream(&fleet, 0, 30_000, &[]).await;
+        read_tokens(&mut answer, &mut sse::Reader::default(), 3).await;
+        assert!(fleet.fixture.observed().pieces_held > 0);
+        drop(answer);
+        fleet
+            .eventually("all pieces are free", || async {
+                fleet.fixture.observed().pieces_held == 0
+            })
+            .await;
+        assert_eq!(fleet.fixture.observed().streams_open, 0);
+    });
+}
+
+#[test]
+fn leave_cuts_nothing() {
+    with_fleet(2, |fleet| async move {
+        let mut answer = open_stream(&fleet, 0, 100, &[]).await;
+        let mut reader = sse::Reader::default();
+        let (mut positions, _) = read_tokens(&mut answer, &mut reader, 2).await;
+        fleet.nodes[0].leave();
+        fleet
+            .eventually("the leaving node is out of the entries", || async {
+                fleet.entries(1).await["entries"].as_array().map(Vec::len) == Some(1)
+            })
+            .await;
+        let (rest, done) = read_tokens(&mut answer, &mut reader, 1_000).await;
+        positions.extend(rest);
+        assert!(done);
+        assert_eq!(positions, (1..=100).collect::<Vec<_>>());
+        fleet
+            .eventually("the leave ends", || async { fleet.nodes[0].has_left() })
+            .await;
+    });
+}
+
+#[test]
+fn operator_listener() {
+    with_fleet(1, |fleet| async move {
+        let at = fleet.operator(0);
+        assert_eq!(fleet.get(at, "/healthz").await.status, 200);
+        assert_eq!(fleet.get(at, "/readyz").await.status, 200);
+        let metrics = fleet.get(at, "/metrics").await;
+        assert!(String::from_utf8_lossy(&metrics.body).contains("hornbeamtiller_ready 1"));
+        assert_eq!(fleet.get(at, "/admin/v1/status").await.json()["ticket"], 1);
+        let id = format!("{}.a", fleet.token(0).await);
+        fleet.top_up(0, &id).await;
+        let timeline = fleet.get(at, "/admin/v1/timeline").await.json();
+        let kinds: Vec<&str> = timeline["entries"]
+            .as_array()
+            .expect("entries")
+            .iter()
+            .filter_map(|entry| entry["kind"].as_str())
+            .collect();
+        assert!(
+            kinds.contains(&"accepted") && kinds.contains(&"answered"),
+            "{kinds:?}"
+        );
+        let refused = fleet
+            .send(at, Method::POST, "/admin/v1/drain", &[], "")
+            .await;
+        assert_eq!(refused.status, 403);
+        let wrong = [("authorization", "Bearer wrong")];
+        assert_eq!(
+            fleet
+                .send(at, Method::POST, "/admin/v1/drain", &wrong, "")
+                .await
+                .status,
+            403
+        );
+        assert!(!fleet.nodes[0].has_left());
+        let right = format!("Bearer {OPERATOR}");
+        let drained = fleet
+            .send(
+                at,
+                Method::POST,
+                "/admin/v1/drain",
+                &[("authorization", &right)],
+                "",
+            )
+            .await;
+        assert_eq!(drained.status, 202);
+        assert_eq!(fleet.get(at, "/readyz").await.status, 503);
+    });
+}
+
+#[test]
+fn no_io_uring() {
+    with_fleet(2, |fleet| async move {
+        let id = format!("{}.a", fleet.token(0).await);
+        fleet.top_up(0, &id).await;
+        let files = std::fs::read_dir("/proc/self/fd").expect("the process's files");
+        let links: Vec<_> = files
+            .flatten()
+            .filter_map(|file| std::fs::read_link(file.path()).ok())
+            .collect();
+        assert!(links
+            .iter()
+            .any(|link| link.to_string_lossy().contains("eventpoll")));
+        assert!(!links
+            .iter()
+            .any(|link| link.to_string_lossy().contains("io_uring")));
+    });
+}
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -17,6 +17,7 @@
 use crate::fixture::Fixture;
 use crate::json;
 use crate::platform::{Trouble, Vm};
+use crate::relay::Passage;
 
 /// Largest order, in bytes.
 const BODY_MAX: usize = 4 << 20;
@@ -42,6 +43,16 @@
     fault: Fault,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RelayOrder {
+    vm: u32,
+    #[serde(default)]
+    target: Option<SocketAddr>,
+    #[serde(default)]
+    passage: Option<Passage>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TicketOrder {
@@ -61,6 +72,13 @@
         match (&head.method, head.uri.path()) {
             (&Method::GET, "/observed") => json::reply(StatusCode::OK, &self.0.observed()),
             (&Method::POST, "/control/fault") => with(&body, |order| self.fault(&order)),
+            (&Method::POST, "/control/relay") => with(&body, |order: RelayOrder| {
+                if self.0.set_relay(order.vm, order.target, order.passage) {
+                    done()
+                } else {
+                    json::error(StatusCode::NOT_FOUND, "no such relay")
+                }
+            }),
             (&Method::POST, "/control/platform") => with(&body, |trouble: Trouble| {
                 self.0.store().set_trouble(trouble);
                 done()
--- a/crates/standin/src/fixture.rs
+++ b/crates/standin/src/fixture.rs
@@ -1,8 +1,10 @@
 //! All stand-ins of a deployment, running together on one thread.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -12,6 +14,7 @@
 use crate::fault::Fault;
 use crate::observed::Observed;
 use crate::platform::{Platform, Store};
+use crate::relay::{Passage, Relay};
 use crate::service::{Executions, Service};
 
 /// Where stand-ins listen, one after the other.
@@ -45,6 +48,8 @@
     pub listen: SocketAddr,
     /// Time that a plain service takes for a call.
     pub service_time: Duration,
+    /// Number of stretches of network to put before entry VMs' peer listeners.
+    pub relays: u32,
     /// Changes engines before they start.
     pub tune: fn(&mut engine::Settings),
 }
@@ -57,6 +62,7 @@
     services: BTreeMap<String, Service>,
     runners: Vec<(Runner, SocketAddr)>,
     executions: Executions,
+    relays: Vec<(Relay, Rc<Cell<SocketAddr>>)>,
 }
 
 impl Fixture {
@@ -96,6 +102,7 @@
         platform
             .store()
             .publish(settings.deployment.items(&runners));
+        let relays = open_relays(settings)?;
         Ok(Self {
             deployment: settings.deployment,
             platform,
@@ -103,6 +110,7 @@
             services,
             runners,
             executions,
+            relays,
         })
     }
 
@@ -131,6 +139,31 @@
         self.deployment.items(&self.runners)
     }
 
+    /// Where the stretches of network listen; the first one is for VM 1.
+    pub fn relay_addresses(&self) -> Vec<SocketAddr> {
+        self.relays
+            .iter()
+            .map(|(relay, _)| relay.address())
+            .collect()
+    }
+
+    /// Says where the stretch before a VM leads, or what passes on it; tells whether there is one.
+    pub fn set_relay(&self, vm: u32, target: Option<SocketAddr>, passage: Option<Passage>) -> bool {
+        let Some((relay, leads_to)) = (vm as usize)
+            .checked_sub(1)
+            .and_then(|at| self.relays.get(at))
+        else {
+            return false;
+        };
+        if let Some(target) = target {
+            leads_to.set(target);
+        }
+        if let Some(passage) = passage {
+            relay.set(passage);
+        }
+        true
+    }
+
     /// Puts a fault in force at a runner; tells whether there is such a runner.
     ///
     /// # Errors
@@ -171,3 +204,13 @@
         observed
     }
 }
+
+fn open_relays(settings: &Settings) -> io::Result<Vec<(Relay, Rc<Cell<SocketAddr>>)>> {
+    let any = SocketAddr::new(settings.listen.ip(), 0);
+    (0..settings.relays)
+        .map(|_| {
+            let target = Rc::new(Cell::new(any));
+            Ok((Relay::bind(any, target.clone())?, target))
+        })
+        .collect()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,4 +12,5 @@
 mod json;
 pub mod observed;
 pub mod platform;
+pub mod relay;
 pub mod service;
