Take over reads and streams of dead entry VMs

Change: the owner tells its witness of each stream. A caller that comes back elsewhere waits until its owner answers or counts as dead; then a read is run again and a stream is resumed at its engine. The witness cancels streams of dead owners after a grace. The code generator became a crate of its own, as the wire crate can't be built while its code is behind the schema.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -223,6 +223,13 @@
     },
     /// Computes the KV cache of the prompt and of what was generated before.
     Prefill,
+    /// Takes over a stream that runs at an engine for a process that is gone.
+    Resume {
+        /// Name of the stream until now.
+        previous: String,
+        /// Number of tokens that the caller's answer has already.
+        from: u64,
+    },
     /// Imports a KV cache and generates.
     Decode {
         /// The cache.
@@ -265,6 +272,8 @@
         call: id::Call,
         /// The id to echo.
         id: String,
+        /// Tokens that the caller has from another process already.
+        base: u64,
     },
     /// Frees all that is kept for a call.
     Forget {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -60,6 +60,15 @@
     Uncertain,
 }
 
+/// A stream at a decode engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hold {
+    /// Where the engine listens.
+    pub address: SocketAddr,
+    /// Name of the request there.
+    pub request: String,
+}
+
 /// A message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -128,6 +137,28 @@
         /// End of the id's life, since the Unix epoch.
         expiry: Duration,
     },
+    /// Tells the witness which stream a call has, so that it can be resumed or cancelled if the
+    /// sender dies.
+    Hold {
+        /// The id.
+        key: Key,
+        /// End of the id's life, since the Unix epoch.
+        expiry: Duration,
+        /// The stream; none once it has ended.
+        hold: Option<Hold>,
+    },
+    /// Asks the witness which stream a call of a dead owner has.
+    HoldAsk {
+        /// The id.
+        key: Key,
+    },
+    /// Answers that.
+    HoldTold {
+        /// The id.
+        key: Key,
+        /// The stream, if one is known.
+        hold: Option<Hold>,
+    },
     /// Answers a seal; absent when this boot of the witness can't know.
     SealAck {
         /// The id.
@@ -141,6 +172,9 @@
     /// Tells whether somebody waits for it; other messages go with the next one that is urgent, or
     /// after a short while.
     pub fn is_urgent(&self) -> bool {
-        !matches!(self, Self::Outcome { .. } | Self::OutcomeAck { .. })
+        !matches!(
+            self,
+            Self::Outcome { .. } | Self::OutcomeAck { .. } | Self::Hold { .. }
+        )
     }
 }
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -5,7 +5,7 @@
 use crate::event::{Arrival, Effect, Work};
 use crate::id::{Call, Exchange, Key};
 use crate::refusal::{Reason, Refusal};
-use crate::state::{End, Lifecycle, Phase, Request, Tombstone};
+use crate::state::{End, Foreign, Lifecycle, Phase, Request, Tombstone};
 use crate::ticket::Kind as EndpointKind;
 use crate::timeline::{Detail, Kind, Note};
 use crate::token::{self, Seat, Token};
@@ -15,6 +15,16 @@
 /// Advice on when to come back after a refusal for lack of room.
 const BUSY_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
 
+/// What a new record says besides the request itself.
+pub(super) struct Entering {
+    /// Whether the caller presented the id.
+    pub presented: bool,
+    /// Whether it may run again when its outcome is not known.
+    pub repeatable: bool,
+    /// Tokens that the caller has already.
+    pub base: u64,
+}
+
 impl Step<'_> {
     pub(super) fn arrived(&mut self, arrival: Arrival) {
         match arrival.id.clone() {
@@ -51,14 +61,22 @@
 
     fn arrived_with_token(&mut self, arrival: Arrival, id: String, token: Token) {
         let key = Key::of(&id);
-        if token.owner != self.state.seat {
-            self.route_to_owner(arrival, key, token);
-            return;
-        }
+        // A call taken over from a dead owner is known here too.
         if let Some(&call) = self.state.by_key.get(&key) {
             self.repeat(call, &arrival);
             return;
         }
+        if token.owner != self.state.seat {
+            let since = self.now.up;
+            self.route_to_owner(Foreign {
+                arrival,
+                id,
+                key,
+                token,
+                since,
+            });
+            return;
+        }
         if let Some(stone) = self.state.tombstones.get(&key).copied() {
             let refusal = if stone.fingerprint == arrival.fingerprint {
                 stone.refusal
@@ -69,59 +87,19 @@
             return;
         }
         if self.now.unix >= token.expiry {
-            self.refuse(
-                arrival.exchange,
-                Some(key),
-                Refusal::unknown(Reason::IdExpired),
-            );
+            let refusal = Refusal::unknown(Reason::IdExpired);
+            self.refuse(arrival.exchange, Some(key), refusal);
             return;
         }
         self.admit(arrival, id, token, true);
     }
 
-    /// Passes a request to the process that its id names, or finds out what became of it there.
-    fn route_to_owner(&mut self, arrival: Arrival, key: Key, token: Token) {
-        let conclusive = self.seal_is_conclusive(&arrival, &token);
-        let owner = self.state.roster.get(token.owner.vm);
-        let reachable = owner.filter(|member| member.seat() == token.owner && member.answers());
-        let Some(member) = reachable.filter(|_| !arrival.forwarded) else {
-            self.seal(arrival.exchange, key, token, conclusive);
-            return;
-        };
-        let (vm, address) = (member.card.vm, member.card.caller_address);
-        let forwarded = crate::state::Forwarded {
-            key,
-            token,
-            conclusive,
-        };
-        self.state.forwarded.insert(arrival.exchange, forwarded);
-        self.state.counters.forwarded += 1;
-        self.note(Note::new(Kind::Forwarded).request(key).vm(vm));
-        self.emit(Effect::Forward {
-            exchange: arrival.exchange,
-            vm,
-            address,
-        });
-    }
-
-    pub(super) fn forward_failed(&mut self, exchange: Exchange) {
-        let Some(forwarded) = self.state.forwarded.remove(&exchange) else {
-            return;
-        };
-        self.seal(
-            exchange,
-            forwarded.key,
-            forwarded.token,
-            forwarded.conclusive,
-        );
-    }
-
     /// Tells whether the owner must have asked the witness before it dispatched this call.
     ///
     /// The owner goes without an intent only under an endpoint state that stood already when the
     /// token was made and allows repeats. If this process holds that same state and it forbids
     /// repeats, no dispatch can go past a seal.
-    fn seal_is_conclusive(&self, arrival: &Arrival, token: &Token) -> bool {
+    pub(super) fn seal_is_conclusive(&self, arrival: &Arrival, token: &Token) -> bool {
         let Work::Service { method, path } = &arrival.work else {
             return false;
         };
@@ -133,7 +111,7 @@
     }
 
     /// Attaches a repeat of an id to its call.
-    fn repeat(&mut self, call: Call, arrival: &Arrival) {
+    pub(super) fn repeat(&mut self, call: Call, arrival: &Arrival) {
         let Some(request) = self.state.requests.get(&call) else {
             return;
         };
@@ -152,6 +130,15 @@
             self.refuse(arrival.exchange, Some(key), refusal);
             return;
         }
+        if arrival.after < request.base {
+            // The tokens before were passed on by a process that is gone.
+            self.refuse(
+                arrival.exchange,
+                Some(key),
+                Refusal::unknown(Reason::AnswerDropped),
+            );
+            return;
+        }
         self.state.counters.repeated += 1;
         self.note(Note::new(Kind::Repeated).request(key));
         match request_phase(self.state.requests.get(&call)) {
@@ -197,7 +184,7 @@
         let earlier = request.exchange.replace(arrival.exchange);
         request.after = arrival.after;
         request.caller_gone = None;
-        request.attached = request.emitted > 0;
+        request.attached = request.emitted > request.base;
         let attached = request.attached;
         let key = request.key;
         if let Some(earlier) = earlier {
@@ -253,7 +240,7 @@
         refusal
     }
 
-    fn check_admission(&self, arrival: &Arrival) -> Result<(), Refusal> {
+    pub(super) fn check_admission(&self, arrival: &Arrival) -> Result<(), Refusal> {
         let state = &self.state;
         match state.lifecycle {
             Lifecycle::Running => {}
@@ -297,13 +284,40 @@
     }
 
     fn accept(&mut self, arrival: Arrival, id: String, token: Token, presented: bool) {
+        let repeatable = self.may_go_without_intent(&arrival, &token);
+        let call = self.enter(
+            arrival,
+            id,
+            token,
+            Entering {
+                presented,
+                repeatable,
+                base: 0,
+            },
+        );
+        self.start(call);
+    }
+
+    /// Makes the record of a call.
+    pub(super) fn enter(
+        &mut self,
+        arrival: Arrival,
+        id: String,
+        token: Token,
+        entering: Entering,
+    ) -> Call {
+        let Entering {
+            presented,
+            repeatable,
+            base,
+        } = entering;
         let call = self.state.next_number();
         let key = Key::of(&id);
-        let repeatable = self.may_go_without_intent(&arrival, &token);
         self.emit(Effect::Keep {
             exchange: arrival.exchange,
             call,
             id: id.clone(),
+            base,
         });
         self.note(
             Note::new(Kind::Accepted)
@@ -333,11 +347,13 @@
             tried: Vec::new(),
             accepted: self.now.up,
             caller_gone: None,
-            emitted: 0,
+            emitted: base,
+            base,
+            hold: None,
             answer_bytes: 0,
         };
         self.state.requests.insert(call, request);
-        self.start(call);
+        call
     }
 
     /// Tells whether a call may be dispatched without the witness: model work, and calls that may
@@ -356,6 +372,7 @@
     pub(super) fn caller_gone(&mut self, exchange: Exchange) {
         self.state.seals.remove(&exchange);
         self.state.forwarded.remove(&exchange);
+        self.state.recoveries.remove(&exchange);
         let Some(call) = self.state.by_exchange.remove(&exchange) else {
             return;
         };
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -41,6 +41,7 @@
                 attempt,
                 runner,
                 decode,
+                ..
             } => {
                 self.state.by_attempt.remove(attempt);
                 self.release(&endpoint, runner);
@@ -67,8 +68,12 @@
         let Some(call) = self.call_of(attempt) else {
             return;
         };
-        let Some(Phase::Prefill { runner, decode, .. }) =
-            self.state.requests.get(&call).map(|r| r.phase.clone())
+        let Some(Phase::Prefill {
+            runner,
+            decode,
+            next,
+            ..
+        }) = self.state.requests.get(&call).map(|r| r.phase.clone())
         else {
             return;
         };
@@ -82,7 +87,7 @@
             .and_then(|item| item.runners.iter().find(|r| r.id == decode))
             .cloned();
         match held {
-            Some(held) => self.start_decode(call, &held, kv),
+            Some(held) => self.start_decode(call, &held, kv, next),
             None => {
                 self.release(&endpoint, &decode);
                 self.waste(call);
@@ -191,7 +196,7 @@
         match phase {
             Phase::Plain { .. } => self.plain_failed(call, failure),
             Phase::Prefill { .. } => self.model_failed(call, attempt, &runner, failure, false),
-            Phase::Decode { kv, .. }
+            Phase::Decode { kv: Some(kv), .. }
                 if failure == Failure::Full && self.redirect_decode(call, kv.clone()) => {}
             _ => self.model_failed(call, attempt, &runner, failure, true),
         }
@@ -243,10 +248,14 @@
         if decoding {
             self.waste(call);
         }
+        self.drop_hold(call);
         let request = &self.state.requests[&call];
         let spent =
             request.attempts >= self.state.settings.attempts_max && failure != Failure::Full;
-        if failure == Failure::Rejected {
+        if request.base > 0 {
+            // What the caller has of the answer is not known here, so that it can't be continued.
+            self.fail(call, Refusal::unknown(Reason::RunnerLost));
+        } else if failure == Failure::Rejected {
             self.fail(
                 call,
                 claim(Refusal::not_run(Reason::RunnerRefused), request.emitted > 0),
@@ -267,6 +276,7 @@
     /// Ends a call: tells its caller and its witness, and keeps the record for repeats.
     fn finish(&mut self, call: Call, end: End) {
         self.unqueue(call);
+        self.drop_hold(call);
         let Some(request) = self.state.requests.get_mut(&call) else {
             return;
         };
--- a/crates/core/src/reduce/cancel.rs
+++ b/crates/core/src/reduce/cancel.rs
@@ -44,6 +44,7 @@
     /// Takes a call out of its attempt and keeps what was generated.
     fn park(&mut self, call: Call) {
         self.unqueue(call);
+        self.drop_hold(call);
         let Some(request) = self.state.requests.get_mut(&call) else {
             return;
         };
@@ -61,6 +62,7 @@
                 attempt,
                 runner,
                 decode,
+                ..
             } => vec![(attempt, vec![runner, decode])],
             _ => Vec::new(),
         };
@@ -123,15 +125,20 @@
         };
         let key = request.key;
         let name = self.engine_request(attempt);
+        self.note(Note::new(Kind::CancelSent).request(key).runner(runner));
+        self.order_cancel(address, name);
+    }
+
+    /// Orders an engine to drop a request, until it says that it has.
+    pub(super) fn order_cancel(&mut self, address: std::net::SocketAddr, request: String) {
         let cancel = self.state.next_number();
         let pending = PendingCancel {
             address,
-            request: name,
+            request,
             since: self.now.up,
             again: None,
         };
         self.state.cancels.insert(cancel, pending);
-        self.note(Note::new(Kind::CancelSent).request(key).runner(runner));
         self.send_cancel(cancel);
     }
 
--- a/crates/core/src/reduce/dispatch.rs
+++ b/crates/core/src/reduce/dispatch.rs
@@ -103,21 +103,29 @@
         let endpoint = self.state.requests[&call].endpoint.clone();
         self.hold(&endpoint, &decode.id);
         let attempt = self.begin_attempt(call, &prefill);
+        let next = self.state.next_number();
         if let Some(request) = self.state.requests.get_mut(&call) {
             request.phase = Phase::Prefill {
                 attempt,
                 runner: prefill.id.clone(),
                 decode: decode.id.clone(),
+                next,
             };
         }
         self.state.counters.prefills += 1;
+        self.tell_hold(call, &decode, next);
         self.dispatch(call, attempt, &prefill, Stage::Prefill);
         true
     }
 
     /// Begins a decode at a runner whose slot is held already.
-    pub(super) fn start_decode(&mut self, call: Call, runner: &RunnerItem, kv: Kv) {
-        let attempt = self.state.next_number();
+    pub(super) fn start_decode(
+        &mut self,
+        call: Call,
+        runner: &RunnerItem,
+        kv: Kv,
+        attempt: Attempt,
+    ) {
         self.state.by_attempt.insert(attempt, call);
         let Some(request) = self.state.requests.get_mut(&call) else {
             return;
@@ -125,12 +133,28 @@
         request.phase = Phase::Decode {
             attempt,
             runner: runner.id.clone(),
-            kv: kv.clone(),
+            kv: Some(kv.clone()),
         };
         let from = request.emitted;
         self.dispatch(call, attempt, runner, Stage::Decode { kv, from });
     }
 
+    /// Takes over a stream at a decode runner.
+    pub(super) fn start_resume(&mut self, call: Call, runner: &RunnerItem, previous: String) {
+        let attempt = self.begin_attempt(call, runner);
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        request.phase = Phase::Decode {
+            attempt,
+            runner: runner.id.clone(),
+            kv: None,
+        };
+        let from = request.emitted;
+        self.tell_hold(call, runner, attempt);
+        self.dispatch(call, attempt, runner, Stage::Resume { previous, from });
+    }
+
     fn pick_for(&mut self, call: Call, want: Want) -> Option<RunnerItem> {
         let request = self.state.requests.get(&call)?;
         let (endpoint, tried) = (request.endpoint.clone(), request.tried.clone());
@@ -144,7 +168,9 @@
         };
         let endpoint = self.state.requests[&call].endpoint.clone();
         self.hold(&endpoint, &runner.id);
-        self.start_decode(call, &runner, kv);
+        let attempt = self.state.next_number();
+        self.tell_hold(call, &runner, attempt);
+        self.start_decode(call, &runner, kv, attempt);
         true
     }
 
@@ -179,6 +205,7 @@
             Stage::Plain { .. } => "plain",
             Stage::Prefill => "prefill",
             Stage::Decode { .. } => "decode",
+            Stage::Resume { .. } => "resume",
         };
         self.state.counters.dispatched += 1;
         self.note(
--- a/crates/core/src/reduce/leave.rs
+++ b/crates/core/src/reduce/leave.rs
@@ -25,6 +25,7 @@
         let idle = self.state.active.is_empty()
             && self.state.seals.is_empty()
             && self.state.forwarded.is_empty()
+            && self.state.recoveries.is_empty()
             && self.state.owed.is_empty()
             && self.state.cancels.is_empty();
         if idle && self.now.up >= serve_until {
--- a/crates/core/src/reduce/mod.rs
+++ b/crates/core/src/reduce/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod leave;
 mod record;
+mod recover;
 mod tickets;
 mod witness;
 
@@ -93,6 +94,8 @@
         self.tick_reads();
         self.tick_fleet();
         self.tick_witness();
+        self.tick_recoveries();
+        self.tick_holds();
         self.tick_cancels();
         self.tick_queue();
         self.tick_parked();
@@ -131,6 +134,9 @@
             Message::IntentAck { key, granted } => self.intent_acknowledged(from, key, granted),
             Message::Outcome { key, record } => self.outcome_told(from, key, record),
             Message::OutcomeAck { key } => self.outcome_acknowledged(key),
+            Message::Hold { key, expiry, hold } => self.hold_told(from, key, expiry, hold),
+            Message::HoldAsk { key } => self.hold_asked(from, key),
+            Message::HoldTold { key, hold } => self.hold_answered(key, &hold),
             Message::Seal {
                 key,
                 owner,
--- a/crates/core/src/reduce/record.rs
+++ b/crates/core/src/reduce/record.rs
@@ -71,6 +71,7 @@
             .answers
             .retain(|call| requests.contains_key(call));
         self.state.tombstones.retain(|_, stone| !past(stone.expiry));
+        self.state.holds.retain(|_, held| !past(held.expiry));
         self.state
             .witnessed
             .retain(|_, witnessed| !past(witnessed.expiry));
--- a/crates/core/src/reduce/witness.rs
+++ b/crates/core/src/reduce/witness.rs
@@ -5,9 +5,9 @@
 use crate::id::{Call, Exchange, Incarnation, Key};
 use crate::message::{Message, Record};
 use crate::refusal::{Reason, Refusal};
-use crate::state::{Owed, Phase, SealWait, Witnessed};
+use crate::state::{Foreign, Owed, Phase, SealWait, Witnessed};
 use crate::timeline::{Kind, Note};
-use crate::token::{Seat, Token};
+use crate::token::Seat;
 
 use super::Step;
 
@@ -102,7 +102,9 @@
     }
 
     /// Finds out from the witness what became of an id whose owner can't be asked.
-    pub(super) fn seal(&mut self, exchange: Exchange, key: Key, token: Token, conclusive: bool) {
+    pub(super) fn seal(&mut self, foreign: &Foreign) {
+        let (exchange, key, token) = (foreign.arrival.exchange, foreign.key, foreign.token);
+        let conclusive = self.seal_is_conclusive(&foreign.arrival, &token);
         let Some(witness) = token.witness else {
             self.refuse(
                 exchange,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -24,6 +24,8 @@
     pub intent_timeout: Duration,
     /// Wait for the witness's word on a seal before the caller is told.
     pub seal_timeout: Duration,
+    /// Longest wait for an unreachable owner to return or to count as dead.
+    pub recovery_timeout: Duration,
     /// Grace for the caller's return before a witness cancels a dead owner's stream.
     pub return_grace: Duration,
     /// Largest number of calls in progress or recorded.
@@ -74,6 +76,7 @@
             token_life: Duration::from_secs(600),
             intent_timeout: Duration::from_millis(500),
             seal_timeout: Duration::from_secs(1),
+            recovery_timeout: Duration::from_secs(5),
             return_grace: Duration::from_secs(8),
             calls_max: 100_000,
             witness_max: 100_000,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -6,14 +6,14 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
-use crate::event::{Kv, Read, Work};
+use crate::event::{Arrival, Kv, Read, Work};
 use crate::id::{self, Call, Exchange, Fingerprint, Key};
 use crate::member::Roster;
-use crate::message::Record;
+use crate::message::{Hold, Record};
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::ticket::Table;
-use crate::token::{Ring, Seat};
+use crate::token::{Ring, Seat, Token};
 
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +52,8 @@
         runner: id::Runner,
         /// The decode runner whose slot is held.
         decode: id::Runner,
+        /// Number that the attempt there will have.
+        next: id::Attempt,
     },
     /// At a decode runner.
     Decode {
@@ -59,8 +61,8 @@
         attempt: id::Attempt,
         /// The runner.
         runner: id::Runner,
-        /// The KV cache it imports.
-        kv: Kv,
+        /// The KV cache it imports; none for a stream taken over.
+        kv: Option<Kv>,
     },
     /// Cancelled because its caller is gone; goes on if the caller returns.
     Parked,
@@ -109,6 +111,10 @@
     pub caller_gone: Option<Duration>,
     /// Tokens of the answer so far.
     pub emitted: u64,
+    /// Tokens of the answer that only the caller has, as a process that is gone passed them on.
+    pub base: u64,
+    /// The stream at a decode engine that the witness knows of.
+    pub hold: Option<Hold>,
     /// Size of the kept answer.
     pub answer_bytes: usize,
 }
@@ -229,15 +235,46 @@
     pub helping: Option<(id::Vm, u64)>,
 }
 
-/// A request on its way to its owner.
+/// A request whose id another process owns.
 #[derive(Debug, Clone)]
-pub struct Forwarded {
+pub struct Foreign {
+    /// The request.
+    pub arrival: Arrival,
     /// The id.
+    pub id: String,
+    /// Digest of the id.
     pub key: Key,
-    /// The token.
-    pub token: crate::token::Token,
-    /// Whether a seal proves that the call never ran.
-    pub conclusive: bool,
+    /// What the id's token says.
+    pub token: Token,
+    /// When it arrived, since this process started.
+    pub since: Duration,
+}
+
+/// A request that may be repeated and whose owner did not take it: waits until the owner answers
+/// or counts as dead.
+#[derive(Debug, Clone)]
+pub struct Recovery {
+    /// The request.
+    pub foreign: Foreign,
+    /// When the next step is due.
+    pub due: Duration,
+    /// When the witness was first asked for the stream.
+    pub asked: Option<Duration>,
+    /// What the witness said.
+    pub told: Option<Option<Hold>>,
+}
+
+/// A stream that this process knows of as witness.
+#[derive(Debug, Clone)]
+pub struct WitnessedHold {
+    /// The process whose stream it is.
+    pub owner: Seat,
+    /// The stream.
+    pub hold: Hold,
+    /// End of the id's life, since the Unix epoch.
+    pub expiry: Duration,
+    /// Since when that process counts as dead.
+    pub dead_since: Option<Duration>,
 }
 
 /// Whether this process takes new work.
@@ -279,6 +316,8 @@
     pub forwarded: u64,
     /// Attempts begun.
     pub dispatched: u64,
+    /// Requests taken over from a dead owner.
+    pub recovered: u64,
     /// Attempts after the first.
     pub retried: u64,
     /// Refusals by code and reason.
@@ -378,7 +417,11 @@
     /// Callers that wait for a witness's word.
     pub seals: BTreeMap<Exchange, SealWait>,
     /// Requests on their way to their owner.
-    pub forwarded: HashMap<Exchange, Forwarded>,
+    pub forwarded: HashMap<Exchange, Foreign>,
+    /// Requests that wait for their owner's return or death.
+    pub recoveries: BTreeMap<Exchange, Recovery>,
+    /// Streams known as witness.
+    pub holds: BTreeMap<Key, WitnessedHold>,
     /// Outcomes not yet acknowledged.
     pub owed: BTreeMap<Key, Owed>,
     /// Cancels not yet acknowledged.
@@ -424,6 +467,8 @@
             witnessed: BTreeMap::new(),
             seals: BTreeMap::new(),
             forwarded: HashMap::new(),
+            recoveries: BTreeMap::new(),
+            holds: BTreeMap::new(),
             owed: BTreeMap::new(),
             cancels: BTreeMap::new(),
             last_number: 0,
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -102,6 +102,8 @@
     Refused,
     /// A request was passed to its owner.
     Forwarded,
+    /// A request was taken over from a dead owner.
+    Recovered,
     /// The caller of a request is gone.
     CallerGone,
     /// A cancel was sent to a runner.
--- /dev/null
+++ b/crates/core/tests/recover.rs
@@ -0,0 +1,138 @@
+//! Reads and streams of an entry VM that died: taken over, resumed, or cancelled.
+
+mod world;
+
+use std::time::Duration;
+
+use hornbeamtiller_core::event::{Event, Stage};
+use hornbeamtiller_core::refusal::{Code, Reason};
+
+use world::{model, read, Told, World, TICK};
+
+/// Longest time from the end of an entry VM until the memory of its streams is free.
+const FREE_WITHIN: Duration = Duration::from_secs(15);
+
+/// A fleet in which process 1 has a stream of five tokens; gives its id.
+fn with_stream(seed: u64) -> (World, String) {
+    let mut world = World::settled(3, seed);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), model(), 0);
+    world.respond(0);
+    world.run_calm(TICK);
+    world.execute(0);
+    let attempt = world.sent[0].attempt;
+    for position in 1..=5 {
+        world.feed(1, Event::Token { attempt, position });
+    }
+    (world, id)
+}
+
+#[test]
+fn stream_resumed_after_owner_died() {
+    let (mut world, id) = with_stream(1);
+    let previous = world.sent[0].request.clone();
+    world.crash(1);
+    world.sent.clear();
+    let place = world.call(2, Some(id), model(), 5).expect("open");
+    world.run_calm(Duration::from_secs(4));
+    assert_eq!(world.sent.len(), 1);
+    assert_eq!(world.sent[0].stage, Stage::Resume { previous, from: 5 });
+    world.execute(0);
+    let attempt = world.sent[0].attempt;
+    world.feed(
+        2,
+        Event::Token {
+            attempt,
+            position: 6,
+        },
+    );
+    assert!(matches!(
+        world.opens[place].told[..],
+        [Told::Following { after: 5, .. }]
+    ));
+    // The witness holds the stream for its new owner, and no one cancels it.
+    world.run_calm(FREE_WITHIN);
+    assert!(world.cancels.is_empty());
+}
+
+#[test]
+fn stream_cancelled_after_owner_died() {
+    let (mut world, _) = with_stream(2);
+    assert_eq!(world.engine_holds.len(), 1);
+    world.crash(1);
+    world.run_calm(FREE_WITHIN);
+    while !world.cancels.is_empty() {
+        world.deliver_cancel(0, false);
+    }
+    assert!(world.engine_holds.is_empty());
+}
+
+#[test]
+fn stream_not_cancelled_while_owner_lives() {
+    let (mut world, _) = with_stream(3);
+    world.run_calm(Duration::from_secs(30));
+    assert!(world.cancels.is_empty());
+}
+
+#[test]
+fn stream_of_dead_owner_and_witness() {
+    let (mut world, id) = with_stream(4);
+    world.crash(1);
+    let holder = [2, 3].into_iter().find(|vm| {
+        world.nodes[vm]
+            .as_ref()
+            .is_some_and(|node| !node.state.holds.is_empty())
+    });
+    let holder = holder.expect("a witness has the stream");
+    world.crash(holder);
+    let place = world.call(5 - holder, Some(id), model(), 5).expect("open");
+    world.run_calm(Duration::from_secs(8));
+    // What the caller has can't be continued by anybody, and that is what it is told.
+    let Told::Refused(refusal) = world.opens[place].told[0] else {
+        panic!("expected a refusal, got {:?}", world.opens[place].told);
+    };
+    assert_eq!(refusal.code, Code::Unknown);
+}
+
+#[test]
+fn read_taken_over_after_owner_died() {
+    let mut world = World::settled(3, 5);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), read(), 0);
+    world.crash(1);
+    let place = world.call(2, Some(id), read(), 0).expect("open");
+    world.run_calm(Duration::from_secs(4));
+    world.drain();
+    assert!(matches!(
+        world.opens[place].told[..],
+        [Told::Answered { .. }]
+    ));
+}
+
+#[test]
+fn read_of_silent_owner_waits_and_is_told() {
+    let mut world = World::settled(3, 6);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    // The owner answers probes, but requests passed on to it are lost.
+    let place = world.call(2, Some(id), read(), 0).expect("open");
+    let end = world.now + Duration::from_secs(8);
+    while world.now < end && world.opens[place].told.is_empty() {
+        while !world.passed.is_empty() {
+            world.deliver_passed(0, true);
+        }
+        world.advance(TICK);
+        while !world.parcels.is_empty() {
+            world.deliver(0, false);
+        }
+    }
+    let Told::Refused(refusal) = world.opens[place].told[0] else {
+        panic!("expected a refusal");
+    };
+    assert_eq!(
+        (refusal.code, refusal.reason),
+        (Code::Unknown, Reason::OwnerUnreachable)
+    );
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -503,7 +503,12 @@
         }
         self.sent[at].executed = true;
         let sent = self.sent[at].clone();
-        if sent.stage == Stage::Prefill || matches!(sent.stage, Stage::Decode { .. }) {
+        if let Stage::Resume { previous, .. } = &sent.stage {
+            // The engine gives the stream its new name.
+            if let Some(address) = self.engine_holds.remove(previous) {
+                self.engine_holds.insert(sent.request, address);
+            }
+        } else if !matches!(sent.stage, Stage::Plain { .. }) {
             self.engine_holds.insert(sent.request, sent.address);
         } else {
             *self.executions.entry(sent.key).or_default() += 1;
@@ -535,6 +540,12 @@
                     kv,
                 }
             }
+            Stage::Resume { .. } => {
+                self.engine_holds.remove(&sent.request);
+                Event::Finished {
+                    attempt: sent.attempt,
+                }
+            }
             Stage::Decode { kv, .. } => {
                 self.engine_holds.remove(&sent.request);
                 self.engine_holds.remove(&kv.handle);
--- /dev/null
+++ b/crates/generate/src/lib.rs
@@ -0,0 +1,20 @@
+//! Writes the committed code of the peer schema.
+//!
+//! This stands apart from the `wire` crate, which can't be built while its code does not fit a
+//! changed schema. The build of the product needs neither this crate nor the schema compiler.
+
+use std::path::Path;
+
+/// Compiles `peer.capnp` of the schema folder into the output folder.
+///
+/// # Errors
+///
+/// The schema compiler's error, also where it is not installed.
+pub fn generate(schema: &Path, output: &Path) -> Result<(), capnp::Error> {
+    capnpc::CompilerCommand::new()
+        .src_prefix(schema)
+        .file(schema.join("peer.capnp"))
+        .default_parent_module(vec!["generated".to_owned()])
+        .output_path(output)
+        .run()
+}
--- a/crates/node/src/attempt/mod.rs
+++ b/crates/node/src/attempt/mod.rs
@@ -78,6 +78,7 @@
         Stage::Plain { reuse } => plain::run(shell, job, *reuse).await,
         Stage::Prefill => model::prefill(shell, job).await,
         Stage::Decode { kv, from } => model::decode(shell, job, kv, *from).await,
+        Stage::Resume { previous, from } => model::resume(shell, job, previous, *from).await,
     }
 }
 
--- a/crates/node/src/attempt/model.rs
+++ b/crates/node/src/attempt/model.rs
@@ -71,7 +71,24 @@
         "handle": kv.handle,
     });
     body.insert("kv_transfer_params".into(), transfer);
-    let mut answer = post(shell, job, &body).await?;
+    let answer = post(shell, job, &body).await?;
+    follow(shell, job, answer, from).await
+}
+
+/// Takes over a stream that runs at the engine under another name.
+pub(super) async fn resume(
+    shell: &Shell,
+    job: &Job,
+    previous: &str,
+    from: u64,
+) -> Result<(), Failure> {
+    let path = format!("/v1/requests/{previous}/resume?after={from}");
+    let answer = post_to(shell, job, &path, Bytes::new()).await?;
+    follow(shell, job, answer, from).await
+}
+
+/// Passes on the tokens of a stream.
+async fn follow(shell: &Shell, job: &Job, mut answer: Answer, from: u64) -> Result<(), Failure> {
     let mut reader = sse::Reader::default();
     let mut position = from;
     while let Some(chunk) = answer
@@ -116,7 +133,11 @@
 async fn post(shell: &Shell, job: &Job, body: &Map<String, Value>) -> Result<Answer, Failure> {
     let path = job.incoming.target.split('?').next().unwrap_or("/");
     let bytes = serde_json::to_vec(body).map_err(|_| Failure::Rejected)?;
-    let mut request = Request::new(Full::new(Bytes::from(bytes)));
+    post_to(shell, job, path, bytes.into()).await
+}
+
+async fn post_to(shell: &Shell, job: &Job, path: &str, body: Bytes) -> Result<Answer, Failure> {
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = path.parse().map_err(|_| Failure::Rejected)?;
     let headers = request.headers_mut();
@@ -126,15 +147,15 @@
         HeaderValue::from_str(&job.request).map_err(|_| Failure::Rejected)?,
     );
     render::set_host(headers, job.address);
-    let sent = shell
-        .client()
+    let client = shell.client();
+    let sent = client
         .send(job.address, request, Reuse::Allowed, job.timeout)
         .await;
     let answer = sent.map_err(|error| failure(&error))?;
     match answer.head.status {
         status if status.is_success() => Ok(answer),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Full),
-        StatusCode::CONFLICT => Err(Failure::KvGone),
+        StatusCode::CONFLICT | StatusCode::GONE => Err(Failure::KvGone),
         status if status.is_client_error() => Err(Failure::Rejected),
         _ => Err(Failure::Lost),
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -44,7 +44,12 @@
 type Read = fn(&State, &Links) -> u64;
 
 /// Name, help text and source of each plain count.
-const COUNTERS: [(&str, &str, Read); 15] = [
+const COUNTERS: [(&str, &str, Read); 16] = [
+    (
+        "recovered_total",
+        "Requests taken over from a dead owner.",
+        |state, _| state.counters.recovered,
+    ),
     ("accepted_total", "Requests accepted.", |state, _| {
         state.counters.accepted
     }),
--- a/crates/node/src/shell/perform.rs
+++ b/crates/node/src/shell/perform.rs
@@ -6,7 +6,7 @@
 use hornbeamtiller_http::lifeline::Lifeline;
 
 use super::{Kept, Shell, Verdict};
-use crate::{attempt, platform};
+use crate::{attempt, platform, stream};
 
 impl Shell {
     pub(super) fn perform(&self, effect: Effect, now: Now) {
@@ -16,7 +16,12 @@
                 entries,
                 keep,
             } => self.tell(exchange, Verdict::Entries { entries, keep }),
-            Effect::Keep { exchange, call, id } => self.keep(exchange, call, &id),
+            Effect::Keep {
+                exchange,
+                call,
+                id,
+                base,
+            } => self.keep(exchange, call, &id, base),
             Effect::Forget { call } => _ = self.0.kept.borrow_mut().remove(&call),
             Effect::Store { call } => self.store_answer(call),
             Effect::Answer {
@@ -65,7 +70,7 @@
         }
     }
 
-    fn keep(&self, exchange: Exchange, call: Call, id: &str) {
+    fn keep(&self, exchange: Exchange, call: Call, id: &str, base: u64) {
         let mut slots = self.0.slots.borrow_mut();
         let Some(request) = slots
             .get_mut(&exchange)
@@ -78,7 +83,7 @@
             request,
             id: id.into(),
             answer: None,
-            record: Default::default(),
+            record: stream::Record::after(base),
             accepted,
             latest: accepted,
         };
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -15,6 +15,8 @@
 /// All that was generated for one call.
 #[derive(Debug, Default)]
 pub struct Record {
+    /// Tokens before the first frame, which another process passed on.
+    base: u64,
     /// The engine's data of each token.
     frames: Vec<Bytes>,
     complete: bool,
@@ -25,6 +27,14 @@
 pub type Shared = Rc<RefCell<Record>>;
 
 impl Record {
+    /// An empty record of an answer whose first tokens the caller has already.
+    pub fn after(base: u64) -> Shared {
+        Rc::new(RefCell::new(Self {
+            base,
+            ..Self::default()
+        }))
+    }
+
     /// Adds the next token.
     pub fn append(&mut self, data: Bytes) {
         self.frames.push(data);
@@ -129,7 +139,11 @@
 
     /// Takes all tokens that are there, as one chunk.
     fn take_frames(&mut self, record: &Record) -> Option<Bytes> {
-        let start = self.position.min(record.frames.len());
+        let before = record.base as usize;
+        let start = self
+            .position
+            .saturating_sub(before)
+            .min(record.frames.len());
         let fresh = &record.frames[start..];
         let first = fresh.first()?;
         let mut out = Vec::with_capacity(fresh.len() * (first.len() + 24));
--- a/crates/standin/src/engine/decode.rs
+++ b/crates/standin/src/engine/decode.rs
@@ -33,7 +33,7 @@
     let done = stream.is_done();
     drop(stream);
     if done {
-        model.end(name);
+        model.finish(name);
     }
 }
 
@@ -66,12 +66,12 @@
 }
 
 impl Follower {
-    /// Follows a stream from its first token.
-    pub fn new(stream: Cell<Stream>, faults: Switch) -> Self {
+    /// Follows a stream from after so many of its own tokens.
+    pub fn after(stream: Cell<Stream>, faults: Switch, next: usize) -> Self {
         Self {
             stream,
             faults,
-            next: 0,
+            next,
             ended: false,
         }
     }
--- a/crates/standin/src/engine/http_api.rs
+++ b/crates/standin/src/engine/http_api.rs
@@ -139,6 +139,12 @@
         if let Some(handle) = path.strip_prefix("/v1/kv/") {
             return self.export(handle).await;
         }
+        if let Some(previous) = path
+            .strip_prefix("/v1/requests/")
+            .and_then(|rest| rest.strip_suffix("/resume"))
+        {
+            return self.resume(&head, previous);
+        }
         match path {
             "/v1/load" => json::reply(StatusCode::OK, &self.model.load_report()),
             "/v1/orders" => self.order(&body),
@@ -166,6 +172,34 @@
         }
     }
 
+    /// Gives a stream to whoever asks for it, under the name of that request.
+    fn resume(&self, head: &http::request::Parts, previous: &str) -> Answer {
+        let name = head
+            .headers
+            .get(REQUEST_ID)
+            .and_then(|name| name.to_str().ok());
+        let after = json::number(head.uri.query(), "after").unwrap_or(0);
+        let Some(name) = name.filter(|name| !self.model.is_cancelled(name)) else {
+            return json::error(StatusCode::GONE, "cancelled");
+        };
+        let Some(stream) = self.model.rename(previous, name) else {
+            return json::error(StatusCode::GONE, "no such stream");
+        };
+        let from = stream.borrow().from;
+        if after < from {
+            return json::error(StatusCode::GONE, "begins later");
+        }
+        self.stream_reply(stream, (after - from) as usize)
+    }
+
+    fn stream_reply(&self, stream: super::Cell<Stream>, next: usize) -> Answer {
+        let follower = Follower::after(stream, self.model.switch().clone(), next);
+        let mut response = Response::new(Reply::Chunks(Chunks::Follow(follower)));
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+
     async fn complete(&self, head: &http::request::Parts, body: &Bytes) -> Answer {
         let Ok(completion) = serde_json::from_slice::<Completion>(body) else {
             return json::error(StatusCode::BAD_REQUEST, "completion");
@@ -262,12 +296,7 @@
             wakers: Vec::new(),
         }));
         self.model.start(name, stream.clone());
-        let follower = Follower::new(stream, self.model.switch().clone());
-        let mut response = Response::new(Reply::Chunks(Chunks::Follow(follower)));
-        response
-            .headers_mut()
-            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-        response
+        self.stream_reply(stream, 0)
     }
 
     async fn import(&self, transfer: &Transfer) -> bool {
--- a/crates/standin/src/engine/model.rs
+++ b/crates/standin/src/engine/model.rs
@@ -14,6 +14,8 @@
 use super::{Cell, Faults, Settings, PIECE_TOKENS};
 use crate::observed;
 
+/// How long an ended stream can be resumed.
+const ENDED_LIFE: Duration = Duration::from_secs(30);
 /// Cancels remembered, so that a request that comes after its cancel is refused.
 const CANCELS_REMEMBERED: usize = 10_000;
 
@@ -102,6 +104,8 @@
     held: RefCell<HashMap<String, Held>>,
     streams: RefCell<BTreeMap<String, Cell<Stream>>>,
     batch_wake: RefCell<Option<oneshot::Sender<()>>>,
+    /// Streams that have ended, kept for a while for whoever resumes them.
+    ended: RefCell<HashMap<String, (Instant, Cell<Stream>)>>,
     importing: Plain<u64>,
     pieces_held: Plain<u64>,
     cancelled: RefCell<(HashSet<String>, VecDeque<String>)>,
@@ -136,6 +140,7 @@
             held: RefCell::default(),
             streams: RefCell::default(),
             batch_wake: RefCell::default(),
+            ended: RefCell::default(),
             importing: Plain::new(0),
             pieces_held: Plain::new(0),
             cancelled: RefCell::default(),
@@ -322,6 +327,33 @@
         Some(stream)
     }
 
+    /// Ends a stream that has all its tokens.
+    pub fn finish(&self, request: &str) {
+        if let Some(stream) = self.end(request) {
+            let mut ended = self.0.ended.borrow_mut();
+            ended.retain(|_, (at, _)| at.elapsed() < ENDED_LIFE);
+            ended.insert(request.to_owned(), (Instant::now(), stream));
+        }
+    }
+
+    /// Gives a stream another name; whoever follows it under the old one no longer holds it.
+    pub fn rename(&self, previous: &str, name: &str) -> Option<Cell<Stream>> {
+        let running = self.0.streams.borrow_mut().remove(previous);
+        if let Some(stream) = running {
+            self.0
+                .streams
+                .borrow_mut()
+                .insert(name.to_owned(), stream.clone());
+            return Some(stream);
+        }
+        let (at, stream) = self.0.ended.borrow_mut().remove(previous)?;
+        self.0
+            .ended
+            .borrow_mut()
+            .insert(name.to_owned(), (at, stream.clone()));
+        Some(stream)
+    }
+
     /// Drops all that a request holds, and whatever of it is still to come.
     pub fn cancel(&self, request: &str) {
         self.count(|counts| counts.cancels += 1);
@@ -338,6 +370,7 @@
         drop(cancelled);
         self.drop_queued(request);
         self.waste(request);
+        self.0.ended.borrow_mut().remove(request);
         if let Some(stream) = self.end(request) {
             let mut stream = stream.borrow_mut();
             stream.broken = true;
@@ -414,6 +447,7 @@
             stream.broken = true;
             stream.wakers.drain(..).for_each(Waker::wake);
         }
+        self.0.ended.borrow_mut().clear();
         self.0.importing.set(0);
         self.0.pieces_held.set(0);
         self.0.cache.borrow_mut().clear();
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -106,6 +106,14 @@
   expirySeconds @3 :UInt64;
 }
 
+struct Hold {
+  key @0 :Key;
+  expirySeconds @1 :UInt64;
+  address @2 :Address;
+  request @3 :Text;
+  # Empty where there is no stream.
+}
+
 struct Message {
   union {
     probe @0 :Probe;
@@ -118,5 +126,8 @@
     outcomeAck @7 :Key;
     seal @8 :Seal;
     sealAck @9 :Outcome;
+    hold @10 :Hold;
+    holdAsk @11 :Key;
+    holdTold @12 :Hold;
   }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hornbeamtiller_core::id::Key;
-use hornbeamtiller_core::message::{Card, Message, Record, Standing};
+use hornbeamtiller_core::message::{Card, Hold, Message, Record, Standing};
 use hornbeamtiller_core::timeline::Stamp;
 use hornbeamtiller_core::token::Seat;
 
@@ -117,6 +117,13 @@
             out.set_witness(*witness);
             out.set_expiry_seconds(expiry.as_secs());
         }
+        Message::Hold { key, expiry, hold } => {
+            write_hold(out.init_hold(), *key, *expiry, hold.as_ref());
+        }
+        Message::HoldAsk { key } => write_key(out.init_hold_ask(), *key),
+        Message::HoldTold { key, hold } => {
+            write_hold(out.init_hold_told(), *key, Duration::ZERO, hold.as_ref());
+        }
         Message::SealAck { key, record } => write_outcome(out.init_seal_ack(), *key, *record),
     }
 }
@@ -182,6 +189,17 @@
                 expiry: Duration::from_secs(seal.get_expiry_seconds()),
             }
         }
+        Which::Hold(hold) => {
+            let (key, expiry, hold) = read_hold(hold?)?;
+            Message::Hold { key, expiry, hold }
+        }
+        Which::HoldAsk(key) => Message::HoldAsk {
+            key: read_key(key?),
+        },
+        Which::HoldTold(hold) => {
+            let (key, _, hold) = read_hold(hold?)?;
+            Message::HoldTold { key, hold }
+        }
         Which::SealAck(ack) => {
             let (key, record) = read_outcome(ack?)?;
             Message::SealAck { key, record }
@@ -243,6 +261,33 @@
     Ok((read_key(outcome.get_key()?), record))
 }
 
+fn write_hold(mut out: schema::hold::Builder<'_>, key: Key, expiry: Duration, hold: Option<&Hold>) {
+    write_key(out.reborrow().init_key(), key);
+    out.set_expiry_seconds(expiry.as_secs());
+    if let Some(hold) = hold {
+        write_address(out.reborrow().init_address(), hold.address);
+        out.set_request(&*hold.request);
+    }
+}
+
+fn read_hold(hold: schema::hold::Reader<'_>) -> Result<(Key, Duration, Option<Hold>)> {
+    let key = read_key(hold.get_key()?);
+    let expiry = Duration::from_secs(hold.get_expiry_seconds());
+    let request = hold.get_request()?.to_str()?;
+    if request.is_empty() {
+        return Ok((key, expiry, None));
+    }
+    let address = read_address(hold.get_address()?)?;
+    Ok((
+        key,
+        expiry,
+        Some(Hold {
+            address,
+            request: request.to_owned(),
+        }),
+    ))
+}
+
 fn write_address(mut out: schema::address::Builder<'_>, address: SocketAddr) {
     match address.ip() {
         IpAddr::V4(ip) => out.set_ip(&ip.octets()),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod convert;
 pub mod handshake;
 
-/// Code made from `schema/peer.capnp` by `cargo run -p hornbeamtiller-wire --example generate`.
+/// Code made from `schema/peer.capnp` by `cargo run -p hornbeamtiller-generate --example generate`.
 pub mod generated {
     #[allow(missing_docs, clippy::all, clippy::pedantic, rust_2018_idioms, unused, elided_lifetimes_in_paths)]
     #[rustfmt::skip]
