Let a crash of the bench be one

Cause: the bench ended an entry VM by ending its thread, but the runtime kept the sockets open, so that peers and engines saw a silent process; streams of dead owners were never resumed. A new boot was also believed only after its card, so that its streams counted as a dead owner's.

Change: Node::abort closes all connections without a word and applies no further event; any message from a new boot makes it known; links that woke for messages in no hurry send them.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -78,6 +78,20 @@
         self.members.remove(&vm);
     }
 
+    /// Takes note that a boot has sent something itself.
+    pub fn hear(&mut self, from: Seat, now: Duration) {
+        let Some(member) = self.members.get_mut(&from.vm) else {
+            return;
+        };
+        if member.card.incarnation != from.incarnation {
+            member.card.incarnation = from.incarnation;
+            member.card.version = 0;
+            member.card.standing = Standing::Joining;
+            member.since = now;
+        }
+        member.heard = true;
+    }
+
     /// Takes in a statement where it is newer; tells whether it was.
     ///
     /// A newer boot goes before an older one only if it has been heard, since boots carry no
--- a/crates/core/src/reduce/fleet.rs
+++ b/crates/core/src/reduce/fleet.rs
@@ -43,6 +43,7 @@
     /// Tells others at once that this process's own standing has changed.
     pub(super) fn announce(&mut self) {
         self.state.version += 1;
+        self.state.announced = self.own_card().standing;
         for vm in self.random_members(ANNOUNCE_FANOUT, None) {
             self.send_cards(vm);
         }
@@ -65,6 +66,9 @@
     }
 
     pub(super) fn tick_fleet(&mut self) {
+        if self.own_card().standing != self.state.announced {
+            self.announce();
+        }
         if self.now.up >= self.state.probe_at {
             self.state.probe_at = self.now.up + self.state.settings.probe_interval;
             self.probe_someone();
--- a/crates/core/src/reduce/mod.rs
+++ b/crates/core/src/reduce/mod.rs
@@ -121,6 +121,7 @@
     }
 
     fn received(&mut self, from: crate::token::Seat, message: Message) {
+        self.state.roster.hear(from, self.now.up);
         match message {
             Message::Probe { number, ticket } => self.probed(from, number, ticket),
             Message::ProbeAck { number, ticket } => self.probe_acknowledged(from, number, ticket),
--- a/crates/core/src/reduce/tickets.rs
+++ b/crates/core/src/reduce/tickets.rs
@@ -16,7 +16,11 @@
 
 impl Step<'_> {
     pub(super) fn restart_reads(&mut self) {
-        self.state.reads = Reads::default();
+        let list_read = self.state.reads.list_read;
+        self.state.reads = Reads {
+            list_read,
+            ..Reads::default()
+        };
     }
 
     pub(super) fn tick_reads(&mut self) {
@@ -78,19 +82,12 @@
         // A stale service may lag behind what peers know; then this process keeps asking.
         if self.state.table.newest() >= self.state.ticket_heard {
             self.state.reads.behind_since = None;
-            self.set_tickets_known();
+            self.state.reads.tickets_known = true;
         } else {
             self.state.reads.tickets_at = self.now.up + self.state.settings.read_retry;
         }
     }
 
-    fn set_tickets_known(&mut self) {
-        if !self.state.reads.tickets_known {
-            self.state.reads.tickets_known = true;
-            self.announce();
-        }
-    }
-
     fn apply_ticket(&mut self, ticket: &Ticket) {
         if self.state.table.apply(ticket) == Applied::New {
             self.note(Note::new(Kind::TicketApplied).ticket(ticket.number));
@@ -117,6 +114,7 @@
     /// since the list lags.
     pub(super) fn list_read(&mut self, vms: Vec<Listed>) {
         self.state.reads.under_way.remove(&1);
+        self.state.reads.list_read = true;
         self.state.reads.list_at = self.now.up + self.state.settings.list_interval;
         let listed: std::collections::BTreeSet<id::Vm> = vms.iter().map(|vm| vm.vm).collect();
         for vm in vms {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -50,6 +50,8 @@
     pub retry_for: Duration,
     /// How long a peer may know a newer ticket before this process counts as not ready.
     pub behind_max: Duration,
+    /// How long after its start a process waits to hear from a peer before it takes callers alone.
+    pub peers_wait: Duration,
     /// Longest wait of one watch on the tickets.
     pub watch_wait: Duration,
     /// Interval of reads of the platform's list.
@@ -89,6 +91,7 @@
             retry_interval: Duration::from_millis(250),
             retry_for: Duration::from_secs(30),
             behind_max: Duration::from_secs(3),
+            peers_wait: Duration::from_secs(3),
             watch_wait: Duration::from_secs(10),
             list_interval: Duration::from_secs(2),
             read_retry: Duration::from_millis(500),
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -9,7 +9,7 @@
 use crate::event::{Arrival, Kv, Read, Work};
 use crate::id::{self, Call, Exchange, Fingerprint, Key};
 use crate::member::Roster;
-use crate::message::{Hold, Record};
+use crate::message::{Hold, Record, Standing};
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::ticket::Table;
@@ -301,6 +301,8 @@
     TicketsUnread,
     /// A peer has known a newer ticket for too long.
     Behind,
+    /// The list was not read, or none of the VMs on it has been heard from yet.
+    PeersUnheard,
 }
 
 /// Counts of what happened, for metrics.
@@ -347,6 +349,8 @@
     pub list_at: Duration,
     /// Whether the tickets were read to their end since the start or the last late wake-up.
     pub tickets_known: bool,
+    /// Whether the list was read since the start.
+    pub list_read: bool,
     /// Since when a peer is known to have a newer ticket.
     pub behind_since: Option<Duration>,
 }
@@ -374,6 +378,8 @@
     pub rng: SmallRng,
     /// Whether new work is taken.
     pub lifecycle: Lifecycle,
+    /// What this process last said of itself.
+    pub announced: Standing,
     /// Order of this process's statements about itself.
     pub version: u64,
     /// Configuration in force.
@@ -445,6 +451,7 @@
             ring,
             rng: SmallRng::seed_from_u64(seed),
             lifecycle: Lifecycle::Running,
+            announced: Standing::Joining,
             version: 1,
             table: Table::default(),
             ticket_heard: 0,
@@ -484,6 +491,15 @@
         self.last_number
     }
 
+    /// Tells whether a witness can be named, or there is nobody who could be one.
+    fn knows_peers(&self, up: Duration) -> bool {
+        if up >= self.settings.peers_wait {
+            return true;
+        }
+        let heard = self.roster.iter().any(|member| member.heard);
+        self.reads.list_read && (heard || self.roster.is_empty())
+    }
+
     /// Why this process takes no callers, if it does not.
     pub fn not_ready(&self, up: Duration) -> Option<Unready> {
         let behind_for = self
@@ -496,6 +512,8 @@
             Some(Unready::TicketsUnread)
         } else if behind_for.is_some_and(|behind| behind > self.settings.behind_max) {
             Some(Unready::Behind)
+        } else if !self.knows_peers(up) {
+            Some(Unready::PeersUnheard)
         } else {
             None
         }
--- a/crates/hornbeamctl/src/bench/once/customer.rs
+++ b/crates/hornbeamctl/src/bench/once/customer.rs
@@ -12,7 +12,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use serde_json::{json, Value};
 
-use super::tally::{Tally, Word};
+use super::tally::{Sort, Tally, Word};
 use crate::caller::{self, Ask, Entry};
 use crate::fleet::Fleet;
 
@@ -66,7 +66,7 @@
         let Some(entry) = self.entry().await else {
             self.tally
                 .borrow_mut()
-                .end(String::new(), false, Word::Lost);
+                .end(String::new(), Sort::Read, Word::Lost);
             return;
         };
         let id = format!("{}.c{}", entry.token, self.number);
@@ -125,7 +125,9 @@
             self.ask_again(entry.address, &ask, &word, body.as_ref())
                 .await;
         }
-        self.tally.borrow_mut().end(id, once, word);
+        self.tally
+            .borrow_mut()
+            .end(id, if once { Sort::Once } else { Sort::Read }, word);
     }
 
     /// Asks once more: the word must not change to another answer, nor a proof be taken back.
@@ -180,7 +182,7 @@
     async fn left_stream(self, entry: Entry, id: String) {
         let (_, ask) = self.completion(&id, LEFT_TOKENS, 0);
         _ = caller::stream(&self.client, entry.address, &ask, LEAVE_AFTER).await;
-        self.tally.borrow_mut().end(id, false, Word::Left);
+        self.tally.borrow_mut().end(id, Sort::Stream, Word::Left);
     }
 
     /// Follows a stream to its end, over as many exchanges as it takes.
@@ -214,17 +216,19 @@
             text.push_str(&streamed.text);
             if streamed.done {
                 self.check_text(&prompt, &text, count);
-                self.tally.borrow_mut().end(id, false, Word::Answered);
+                self.tally
+                    .borrow_mut()
+                    .end(id, Sort::Stream, Word::Answered);
                 return;
             }
             if let Some(refusal) = streamed.refusal {
                 if let Some(word) = refused_word(&refusal) {
-                    self.tally.borrow_mut().end(id, false, word);
+                    self.tally.borrow_mut().end(id, Sort::Stream, word);
                     return;
                 }
             }
         }
-        self.tally.borrow_mut().end(id, false, Word::Lost);
+        self.tally.borrow_mut().end(id, Sort::Stream, Word::Lost);
     }
 
     /// Each token of the stand-in names its prompt and its position.
--- a/crates/hornbeamctl/src/bench/once/faults.rs
+++ b/crates/hornbeamctl/src/bench/once/faults.rs
@@ -16,8 +16,6 @@
 use crate::error::Result;
 use crate::fleet::{order, Fleet};
 
-/// Time between two faults of the schedule.
-const GAP: std::ops::Range<u64> = 300..1_200;
 /// Time until an entry VM that ended is replaced.
 const REPLACE: std::ops::Range<u64> = 500..3_000;
 /// Pause of a paused one; longer than every timeout between processes.
@@ -27,20 +25,30 @@
 /// Ways in which a runner fails.
 const RUNNER_FAULTS: [&str; 5] = ["refuse", "stall", "crash", "drop_answer", "silent"];
 
+/// Which faults to bring about, and when.
+#[derive(Debug, Clone, Copy)]
+pub struct Schedule {
+    /// Their kind.
+    pub kind: FaultKind,
+    /// For how long.
+    pub time: Duration,
+    /// Mean time from one to the next.
+    pub gap: Duration,
+}
+
 /// Brings about faults for a while, then ends them all.
 pub async fn run(
     fleet: Rc<RefCell<Fleet>>,
     client: Client,
-    kind: FaultKind,
-    seconds: u64,
+    schedule: Schedule,
     seed: u64,
 ) -> Result<()> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let end = Instant::now() + Duration::from_secs(seconds);
+    let Schedule { kind, time, gap } = schedule;
+    let end = Instant::now() + time;
     let mut running = Vec::new();
     while Instant::now() < end && kind != FaultKind::None {
-        let gap = rng.random_range(GAP);
-        monoio::time::sleep(Duration::from_millis(gap)).await;
+        monoio::time::sleep(gap.mul_f64(rng.random_range(0.4..1.6))).await;
         let kinds = [
             FaultKind::Crash,
             FaultKind::Pause,
--- a/crates/hornbeamctl/src/bench/once/mod.rs
+++ b/crates/hornbeamctl/src/bench/once/mod.rs
@@ -18,10 +18,12 @@
 
 use super::report::{self, Bounds};
 use crate::cli::OnceFlags;
+use crate::commands::timeline;
 use crate::error::Result;
 use crate::fleet::{order, Fleet};
 
 use customer::Customer;
+use faults::Schedule;
 use tally::{Figures, Tally};
 
 /// Longest time from the end of an entry VM until the engine memory of its callers is free.
@@ -73,11 +75,15 @@
     settle(&fleet, &client).await?;
     let tally = Rc::new(RefCell::new(Tally::default()));
     let mut rng = SmallRng::seed_from_u64(seed);
+    let schedule = Schedule {
+        kind: flags.faults,
+        time: Duration::from_secs(flags.seconds),
+        gap: Duration::from_millis(flags.gap_ms),
+    };
     let faults = monoio::spawn(faults::run(
         fleet.clone(),
         client.clone(),
-        flags.faults,
-        flags.seconds,
+        schedule,
         rng.random(),
     ));
     let end = Instant::now() + Duration::from_secs(flags.seconds);
@@ -105,10 +111,38 @@
         monoio::time::sleep(Duration::from_millis(50)).await;
     }
     let observed = wait_until_free(&fleet, &client).await?;
+    explain(&fleet, &client, &tally, flags.explain).await;
     let figures = tally.borrow().figures(seed, flags.faults, &observed);
     Ok(figures)
 }
 
+/// Shows on standard error what processes that still run know of requests that ended unknown.
+async fn explain(
+    fleet: &Rc<RefCell<Fleet>>,
+    client: &Client,
+    tally: &Rc<RefCell<Tally>>,
+    most: usize,
+) {
+    let operators = fleet.borrow().operators();
+    let ids: Vec<String> = tally
+        .borrow()
+        .unknown_ids()
+        .take(most)
+        .map(str::to_owned)
+        .collect();
+    for id in ids {
+        eprintln!("{id}");
+        let request = Some(hornbeamtiller_core::id::Key::of(&id).to_string());
+        let filter = timeline::Filter {
+            request,
+            ..Default::default()
+        };
+        for entry in timeline::merge(client, &operators, &filter).await {
+            eprintln!("  {}", timeline::line(&entry));
+        }
+    }
+}
+
 /// Waits for engine memory to be free, for as long as the bound allows.
 async fn wait_until_free(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<Observed> {
     let control = fleet.borrow().standins.control;
--- a/crates/hornbeamctl/src/bench/once/tally.rs
+++ b/crates/hornbeamctl/src/bench/once/tally.rs
@@ -25,12 +25,24 @@
     Lost,
 }
 
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Sort {
+    /// A call that may run only once.
+    Once,
+    /// A read.
+    Read,
+    /// A stream.
+    Stream,
+}
+
 /// What is counted while requests run.
 #[derive(Debug, Default)]
 pub struct Tally {
     open: u64,
     requests: u64,
-    words: Vec<(String, bool, Word)>,
+    words: Vec<(String, Sort, Word)>,
     double_answers: u64,
     mixed_answers: u64,
     resumed: u64,
@@ -75,9 +87,9 @@
     }
 
     /// Takes the last word on a request.
-    pub fn end(&mut self, id: String, once: bool, word: Word) {
+    pub fn end(&mut self, id: String, sort: Sort, word: Word) {
         self.open -= 1;
-        self.words.push((id, once, word));
+        self.words.push((id, sort, word));
     }
 
     /// Counts two different answers to one request.
@@ -100,12 +112,21 @@
         self.retried += 1;
     }
 
+    /// Ids of requests that ended unknown.
+    pub fn unknown_ids(&self) -> impl Iterator<Item = &str> {
+        let unknown = |word: &Word| matches!(word, Word::Refused { code, .. } if code == "unknown");
+        self.words
+            .iter()
+            .filter(move |(_, _, word)| unknown(word))
+            .map(|(id, _, _)| id.as_str())
+    }
+
     /// Holds the words against what ran.
     pub fn figures(&self, seed: u64, faults: FaultKind, observed: &Observed) -> Figures {
         let ran = |id: &String| observed.executions.get(id).copied().unwrap_or(0);
-        let once = || self.words.iter().filter(|(_, once, _)| *once);
+        let once = || self.words.iter().filter(|(_, sort, _)| *sort == Sort::Once);
         let refused = |wanted: &str| {
-            let with = |word: &&(String, bool, Word)| matches!(&word.2, Word::Refused { code, .. } if code == wanted);
+            let with = |word: &&(String, Sort, Word)| matches!(&word.2, Word::Refused { code, .. } if code == wanted);
             self.words.iter().filter(with).count() as u64
         };
         let count = |wanted: &Word| {
@@ -124,9 +145,11 @@
             .filter(|(id, _, word)| *word == Word::Answered && ran(id) == 0)
             .count() as u64;
         let mut refusals = BTreeMap::new();
-        for (_, _, word) in &self.words {
+        for (_, sort, word) in &self.words {
             if let Word::Refused { code, reason } = word {
-                *refusals.entry(format!("{code} {reason}")).or_default() += 1;
+                *refusals
+                    .entry(format!("{sort} {code} {reason}"))
+                    .or_default() += 1;
             }
         }
         let (unknown, computed) = (refused("unknown"), observed.prefill_tokens_done.max(1));
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -254,6 +254,12 @@
     /// Number of entry VMs.
     #[arg(long, default_value_t = 6)]
     pub nodes: u32,
+    /// Mean time from one fault to the next, in milliseconds.
+    #[arg(long, default_value_t = 750)]
+    pub gap_ms: u64,
+    /// Shows the merged time line of so many requests that ended unknown.
+    #[arg(long, default_value_t = 0)]
+    pub explain: usize,
     /// Kind of faults.
     #[arg(long, value_enum, default_value = "all")]
     pub faults: FaultKind,
--- a/crates/hornbeamctl/src/fleet.rs
+++ b/crates/hornbeamctl/src/fleet.rs
@@ -342,8 +342,11 @@
         }
         if node.has_left() {
             node.close();
-            monoio::time::sleep(10 * STOP_CHECK).await;
+        } else {
+            node.abort();
         }
+        // The tasks end and close their sockets; the runtime does not do so by itself.
+        monoio::time::sleep(5 * STOP_CHECK).await;
     });
     if let Err(error) = run {
         eprintln!("runtime: {error}");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Closes everything without a word, as the end of the process would.
+    pub fn abort(self) {
+        self.shell.abort();
+        self.callers.abort();
+        self.operators.abort();
+        self.peers.close();
+    }
+
     /// Stops listening. Replies under way are sent to their end while the runtime runs.
     pub fn close(self) {
         self.callers.close();
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -19,6 +19,7 @@
 use hornbeamtiller_core::id::Vm;
 use hornbeamtiller_core::message::Message;
 use hornbeamtiller_core::token::{Ring, Seat};
+use hornbeamtiller_http::lifeline::Lifeline;
 use hornbeamtiller_wire::convert;
 use hornbeamtiller_wire::handshake::{self, Nonce, Part};
 use hornbeamtiller_wire::peer_capnp::{gate, inbox};
@@ -37,7 +38,7 @@
 /// Time for a call to be answered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long messages that nobody waits for may wait for others.
-const LAZY_DELAY: Duration = Duration::from_millis(50);
+const LAZY_DELAY: Duration = Duration::from_millis(20);
 /// Pause after a failed connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -73,7 +74,7 @@
 pub struct Links {
     ring: Ring,
     seat: Seat,
-    links: RefCell<HashMap<Vm, Rc<Link>>>,
+    links: RefCell<HashMap<Vm, (Rc<Link>, Lifeline)>>,
     carried: Cell<Carried>,
 }
 
@@ -81,6 +82,8 @@
     address: RefCell<SocketAddr>,
     queue: RefCell<VecDeque<Message>>,
     wake: RefCell<Option<oneshot::Sender<()>>>,
+    /// Whether what waits is to be sent now.
+    ready: Cell<bool>,
     /// Whether a later wake is under way.
     due: Cell<bool>,
 }
@@ -96,6 +99,11 @@
         }
     }
 
+    /// Closes all links at once.
+    pub fn abort(&self) {
+        self.links.borrow_mut().clear();
+    }
+
     /// What the links have carried.
     pub fn carried(&self) -> Carried {
         self.carried.get()
@@ -110,7 +118,7 @@
     /// Takes what is due to a peer, to go in the return of a call that it made.
     pub fn take_due(&self, to: Vm) -> Vec<Message> {
         let links = self.links.borrow();
-        let Some(link) = links.get(&to) else {
+        let Some((link, _)) = links.get(&to) else {
             return Vec::new();
         };
         let batch = link.take_batch();
@@ -139,20 +147,20 @@
 
     fn link(&self, shell: &Shell, to: Vm, address: SocketAddr) -> Rc<Link> {
         let mut links = self.links.borrow_mut();
-        let link = links.entry(to).or_insert_with(|| {
+        let (link, _) = links.entry(to).or_insert_with(|| {
             let link = Rc::new(Link {
                 address: RefCell::new(address),
                 queue: RefCell::default(),
                 wake: RefCell::default(),
+                ready: Cell::new(false),
                 due: Cell::new(false),
             });
-            monoio::spawn(run(
-                shell.clone(),
-                link.clone(),
-                self.ring.clone(),
-                self.seat,
-            ));
-            link
+            let (line, watch) = Lifeline::open();
+            let running = run(shell.clone(), link.clone(), self.ring.clone(), self.seat);
+            monoio::spawn(async move {
+                _ = watch.run(running).await;
+            });
+            (link, line)
         });
         link.clone()
     }
@@ -160,6 +168,7 @@
 
 impl Link {
     fn wake(&self) {
+        self.ready.set(true);
         let wake = self.wake.borrow_mut().take();
         if let Some(wake) = wake {
             _ = wake.send(());
@@ -179,14 +188,9 @@
         });
     }
 
-    /// Tells whether a message is due.
-    fn has_urgent(&self) -> bool {
-        self.queue.borrow().iter().any(Message::is_urgent)
-    }
-
     /// Waits until there is something to send.
     async fn wait(&self) {
-        if self.has_urgent() {
+        if self.ready.get() {
             return;
         }
         let (wake, woken) = oneshot::channel();
@@ -197,6 +201,7 @@
     fn take_batch(&self) -> Vec<Message> {
         let mut queue = self.queue.borrow_mut();
         let count = queue.len().min(BATCH_MAX);
+        self.ready.set(queue.len() > count);
         queue.drain(..count).collect()
     }
 }
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -82,6 +82,8 @@
     timeline: RefCell<timeline::Ring>,
     metrics: Metrics,
     exited: Cell<bool>,
+    /// Whether the process is to look as if it had ended.
+    aborted: Cell<bool>,
 }
 
 impl Shell {
@@ -106,11 +108,15 @@
             timeline: RefCell::new(timeline),
             metrics,
             exited: Cell::new(false),
+            aborted: Cell::new(false),
         }))
     }
 
     /// Feeds one event and performs what comes of it.
     pub fn apply(&self, event: Event) {
+        if self.0.aborted.get() {
+            return;
+        }
         let now = self.0.clock.now();
         let mut effects = std::mem::take(&mut *self.0.scratch.borrow_mut());
         reduce(&mut self.0.state.borrow_mut(), now, event, &mut effects);
@@ -139,6 +145,13 @@
         self.0.answer.take();
     }
 
+    /// Does nothing from now on and closes what this process has open towards others.
+    pub fn abort(&self) {
+        self.0.aborted.set(true);
+        self.0.attempts.borrow_mut().clear();
+        self.0.links.abort();
+    }
+
     /// Reads the clocks.
     pub fn now(&self) -> Now {
         self.0.clock.now()
