Tell a second process of each stream

The engine stand-in publishes cache events late and with gaps. Every flag of hornbeamctl has a variable.

--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -350,6 +350,7 @@
             emitted: base,
             base,
             hold: None,
+            backup: None,
             answer_bytes: 0,
         };
         self.state.requests.insert(call, request);
--- a/crates/core/src/reduce/recover.rs
+++ b/crates/core/src/reduce/recover.rs
@@ -288,19 +288,40 @@
         }
     }
 
+    /// Tells the witness and one more process, so that the death of two is needed to forget a
+    /// stream beside its owner's.
     fn send_hold(&mut self, call: Call, hold: Option<Hold>) {
         let Some(request) = self.state.requests.get(&call) else {
             return;
         };
-        let Some(witness) = request.witness else {
-            return;
-        };
-        let (key, expiry) = (request.key, request.expiry);
-        if witness == self.state.seat {
-            self.hold_told(witness, key, expiry, hold);
-        } else {
-            self.send(witness.vm, Message::Hold { key, expiry, hold });
+        let (key, expiry, witness) = (request.key, request.expiry, request.witness);
+        let backup = request.backup.or_else(|| self.pick_backup(witness));
+        if let Some(request) = self.state.requests.get_mut(&call) {
+            request.backup = backup;
         }
+        for seat in [witness, backup].into_iter().flatten() {
+            if seat == self.state.seat {
+                self.hold_told(seat, key, expiry, hold.clone());
+            } else {
+                self.send(
+                    seat.vm,
+                    Message::Hold {
+                        key,
+                        expiry,
+                        hold: hold.clone(),
+                    },
+                );
+            }
+        }
+    }
+
+    /// Picks a process that answers and is not the witness.
+    fn pick_backup(&mut self, witness: Option<Seat>) -> Option<Seat> {
+        let vm = self
+            .random_members(1, witness.map(|witness| witness.vm))
+            .first()
+            .copied()?;
+        self.state.roster.get(vm).map(|member| member.seat())
     }
 
     /// As witness: takes note of a stream. Another process's word counts only once the one that
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -79,7 +79,7 @@
             intent_timeout: Duration::from_millis(500),
             seal_timeout: Duration::from_secs(1),
             recovery_timeout: Duration::from_secs(5),
-            return_grace: Duration::from_secs(8),
+            return_grace: Duration::from_secs(5),
             calls_max: 100_000,
             witness_max: 100_000,
             answer_bytes_max: 32 << 20,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -115,6 +115,8 @@
     pub base: u64,
     /// The stream at a decode engine that the witness knows of.
     pub hold: Option<Hold>,
+    /// A second process that knows of the stream, in case the witness dies together with this one.
+    pub backup: Option<Seat>,
     /// Size of the kept answer.
     pub answer_bytes: usize,
 }
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -7,6 +7,7 @@
 use hornbeamtiller_core::event::{Event, Stage};
 use hornbeamtiller_core::refusal::{Code, Reason};
 
+use hornbeamtiller_core::token::{Ring, Secret, Token};
 use world::{model, read, Told, World, TICK};
 
 /// Longest time from the end of an entry VM until the memory of its streams is free.
@@ -28,6 +29,12 @@
     (world, id)
 }
 
+fn witness_of(id: &str) -> u32 {
+    let ring = Ring::new(Secret::derive("the key of the test world"), None);
+    let token = Token::parse_id(id, &ring).expect("a good id");
+    token.witness.expect("a settled fleet has a witness").vm
+}
+
 #[test]
 fn stream_resumed_after_owner_died() {
     let (mut world, id) = with_stream(1);
@@ -78,21 +85,22 @@
 #[test]
 fn stream_of_dead_owner_and_witness() {
     let (mut world, id) = with_stream(4);
+    let witness = witness_of(&id);
     world.crash(1);
-    let holder = [2, 3].into_iter().find(|vm| {
-        world.nodes[vm]
-            .as_ref()
-            .is_some_and(|node| !node.state.holds.is_empty())
-    });
-    let holder = holder.expect("a witness has the stream");
-    world.crash(holder);
-    let place = world.call(5 - holder, Some(id), model(), 5).expect("open");
+    world.crash(witness);
+    let place = world.call(5 - witness, Some(id), model(), 5).expect("open");
     world.run_calm(Duration::from_secs(8));
-    // What the caller has can't be continued by anybody, and that is what it is told.
+    // Nobody that the id names is left, so the caller is told that the answer can't be continued.
     let Told::Refused(refusal) = world.opens[place].told[0] else {
         panic!("expected a refusal, got {:?}", world.opens[place].told);
     };
     assert_eq!(refusal.code, Code::Unknown);
+    // The second process that knows of the stream frees its memory.
+    world.run_calm(FREE_WITHIN);
+    while !world.cancels.is_empty() {
+        world.deliver_cancel(0, false);
+    }
+    assert!(world.engine_holds.is_empty());
 }
 
 #[test]
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -143,19 +143,19 @@
     )]
     pub operators: Vec<SocketAddr>,
     /// Only entries about this request: its whole id, or the digest that entries show.
-    #[arg(long)]
+    #[arg(long, env = "HORNBEAMCTL_REQUEST")]
     pub request: Option<String>,
     /// Only entries about this runner.
-    #[arg(long)]
+    #[arg(long, env = "HORNBEAMCTL_RUNNER")]
     pub runner: Option<String>,
     /// Only entries of this VM.
-    #[arg(long)]
+    #[arg(long, env = "HORNBEAMCTL_VM")]
     pub vm: Option<u32>,
     /// Only entries about this ticket.
-    #[arg(long)]
+    #[arg(long, env = "HORNBEAMCTL_TICKET")]
     pub ticket: Option<u64>,
     /// Writes one JSON object a line.
-    #[arg(long)]
+    #[arg(long, env = "HORNBEAMCTL_JSON")]
     pub json: bool,
 }
 
@@ -211,7 +211,7 @@
     #[arg(long, env = "HORNBEAMCTL_SEEDS", default_value_t = 1)]
     pub seeds: u64,
     /// Writes one JSON object a line on standard output.
-    #[arg(long)]
+    #[arg(long, env = "HORNBEAMCTL_JSON")]
     pub json: bool,
 }
 
@@ -229,13 +229,13 @@
     #[command(flatten)]
     pub seeds: SeedFlags,
     /// Pairs of plain calls.
-    #[arg(long, default_value_t = 2_000)]
+    #[arg(long, env = "HORNBEAMCTL_CALLS", default_value_t = 2_000)]
     pub calls: u32,
     /// Streams at a time.
-    #[arg(long, default_value_t = 40)]
+    #[arg(long, env = "HORNBEAMCTL_STREAMS", default_value_t = 40)]
     pub streams: u32,
     /// Tokens of each stream.
-    #[arg(long, default_value_t = 400)]
+    #[arg(long, env = "HORNBEAMCTL_TOKENS", default_value_t = 400)]
     pub tokens: u32,
 }
 
@@ -246,22 +246,22 @@
     #[command(flatten)]
     pub seeds: SeedFlags,
     /// Time for which requests are sent, in seconds.
-    #[arg(long, default_value_t = 20)]
+    #[arg(long, env = "HORNBEAMCTL_SECONDS", default_value_t = 20)]
     pub seconds: u64,
     /// Requests a second.
-    #[arg(long, default_value_t = 60)]
+    #[arg(long, env = "HORNBEAMCTL_RATE", default_value_t = 60)]
     pub rate: u32,
     /// Number of entry VMs.
-    #[arg(long, default_value_t = 6)]
+    #[arg(long, env = "HORNBEAMCTL_NODES", default_value_t = 6)]
     pub nodes: u32,
     /// Mean time from one fault to the next, in milliseconds.
-    #[arg(long, default_value_t = 750)]
+    #[arg(long, env = "HORNBEAMCTL_GAP_MS", default_value_t = 750)]
     pub gap_ms: u64,
     /// Shows the merged time line of so many requests that ended unknown.
-    #[arg(long, default_value_t = 0)]
+    #[arg(long, env = "HORNBEAMCTL_EXPLAIN", default_value_t = 0)]
     pub explain: usize,
     /// Kind of faults.
-    #[arg(long, value_enum, default_value = "all")]
+    #[arg(long, env = "HORNBEAMCTL_FAULTS", value_enum, default_value = "all")]
     pub faults: FaultKind,
 }
 
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -1,6 +1,9 @@
 //! The prefix cache: digests of whole prefixes, a block at a time, the least used going first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
 
 /// Tokens in one block.
 pub const BLOCK_TOKENS: usize = 256;
@@ -25,9 +28,27 @@
         .collect()
 }
 
+/// Published events kept.
+const EVENTS_MAX: usize = 4_096;
+/// One event in this many is never published.
+const GAP: u64 = 7;
+
+/// A change of the cache, as published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Order of the event; some numbers are missing.
+    pub number: u64,
+    /// The prefix.
+    pub prefix: Digest,
+    /// Whether it came in; else it went.
+    pub stored: bool,
+}
+
 /// The cache.
 #[derive(Debug)]
 pub struct Cache {
+    events: VecDeque<(Instant, Event)>,
+    last_event: u64,
     capacity: usize,
     clock: u64,
     used: HashMap<Digest, u64>,
@@ -38,6 +59,8 @@
     /// An empty cache for this many blocks.
     pub fn new(capacity: usize) -> Self {
         Self {
+            events: VecDeque::new(),
+            last_event: 0,
             capacity,
             clock: 0,
             used: HashMap::new(),
@@ -64,6 +87,7 @@
                 return;
             };
             self.used.remove(&digest);
+            self.publish(digest, false);
         }
     }
 
@@ -73,10 +97,36 @@
         self.by_use.clear();
     }
 
+    fn publish(&mut self, prefix: Digest, stored: bool) {
+        self.last_event += 1;
+        if self.last_event % GAP == 0 {
+            return;
+        }
+        let event = Event {
+            number: self.last_event,
+            prefix,
+            stored,
+        };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > EVENTS_MAX {
+            self.events.pop_front();
+        }
+    }
+
+    /// Events after a number that are old enough to be published.
+    pub fn events_after(&self, number: u64, lag: Duration) -> Vec<Event> {
+        let due = self
+            .events
+            .iter()
+            .filter(|(at, event)| event.number > number && at.elapsed() >= lag);
+        due.map(|(_, event)| *event).collect()
+    }
+
     fn touch(&mut self, digest: Digest) {
         self.clock += 1;
-        if let Some(before) = self.used.insert(digest, self.clock) {
-            self.by_use.remove(&before);
+        match self.used.insert(digest, self.clock) {
+            Some(before) => _ = self.by_use.remove(&before),
+            None => self.publish(digest, true),
         }
         self.by_use.insert(self.clock, digest);
     }
--- a/crates/standin/src/engine/http_api.rs
+++ b/crates/standin/src/engine/http_api.rs
@@ -147,6 +147,7 @@
         }
         match path {
             "/v1/load" => json::reply(StatusCode::OK, &self.model.load_report()),
+            "/v1/cache-events" => self.cache_events(head.uri.query()),
             "/v1/orders" => self.order(&body),
             "/v1/completions" | "/v1/chat/completions" => self.complete(&head, &body).await,
             _ => json::error(StatusCode::NOT_FOUND, "no such path"),
@@ -161,6 +162,15 @@
         json::reply(StatusCode::OK, &serde_json::json!({ "cancelled": request }))
     }
 
+    fn cache_events(&self, query: Option<&str>) -> Answer {
+        let after = json::number(query, "after").unwrap_or(0);
+        let events = self
+            .model
+            .cache()
+            .events_after(after, self.model.settings().report_lag);
+        json::reply(StatusCode::OK, &serde_json::json!({ "events": events }))
+    }
+
     fn order(&self, body: &Bytes) -> Answer {
         let Ok(order) = serde_json::from_slice::<Order>(body) else {
             return json::error(StatusCode::BAD_REQUEST, "order");
