--- /dev/null
+++ b/crates/core/tests/token.rs
@@ -0,0 +1,92 @@
+//! Entry tokens, their keys, and the clock of the time line.
+
+use std::time::Duration;
+
+use hornbeamtiller_core::timeline::{Clock, Stamp};
+use hornbeamtiller_core::token::{Error, Ring, Seat, Secret, Token};
+
+fn token() -> Token {
+    Token {
+        owner: Seat {
+            vm: 3,
+            incarnation: 77,
+        },
+        witness: Some(Seat {
+            vm: 5,
+            incarnation: 99,
+        }),
+        expiry: Duration::from_secs(1_800_000_000),
+        ticket: 12,
+        salt: 42,
+    }
+}
+
+fn ring(signing: &str, previous: Option<&str>) -> Ring {
+    Ring::new(Secret::derive(signing), previous.map(Secret::derive))
+}
+
+#[test]
+fn decode_round_trip() {
+    let keys = ring("a", None);
+    assert_eq!(Token::decode(&token().encode(&keys), &keys), Ok(token()));
+    let alone = Token {
+        witness: None,
+        ..token()
+    };
+    assert_eq!(Token::decode(&alone.encode(&keys), &keys), Ok(alone));
+}
+
+#[test]
+fn decode_during_rotation() {
+    let (old, both, new) = (ring("a", None), ring("b", Some("a")), ring("b", None));
+    let text = token().encode(&old);
+    assert!(Token::decode(&text, &both).is_ok());
+    assert_eq!(Token::decode(&text, &new), Err(Error::Forged));
+    assert!(Token::decode(&token().encode(&both), &new).is_ok());
+}
+
+#[test]
+fn decode_every_changed_bit() {
+    use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+    use base64::Engine as _;
+    let keys = ring("a", None);
+    let bytes = URL_SAFE_NO_PAD
+        .decode(token().encode(&keys))
+        .expect("base64");
+    for bit in 0..bytes.len() * 8 {
+        let mut changed = bytes.clone();
+        changed[bit / 8] ^= 1 << (bit % 8);
+        assert!(
+            Token::decode(&URL_SAFE_NO_PAD.encode(changed), &keys).is_err(),
+            "bit {bit}"
+        );
+    }
+}
+
+#[test]
+fn parse_id_nonce_bounds() {
+    let keys = ring("a", None);
+    let text = token().encode(&keys);
+    assert!(Token::parse_id(&format!("{text}.n-1_A"), &keys).is_ok());
+    for nonce in ["", "a b", "a.b", &"x".repeat(65)] {
+        assert_eq!(
+            Token::parse_id(&format!("{text}.{nonce}"), &keys),
+            Err(Error::Malformed),
+            "{nonce:?}"
+        );
+    }
+}
+
+#[test]
+fn stamp_never_goes_back() {
+    let mut clock = Clock::default();
+    let first = clock.stamp(Duration::from_secs(10));
+    let second = clock.stamp(Duration::from_secs(9));
+    assert!(second > first);
+    let seen = Stamp {
+        micros: 20_000_000,
+        counter: 3,
+    };
+    assert!(clock.merge(Duration::from_secs(11), seen) > seen);
+    assert!(clock.stamp(Duration::from_secs(12)) > seen);
+}
--- /dev/null
+++ b/crates/wire/tests/convert.rs
@@ -0,0 +1,174 @@
+//! Messages survive the wire, and the handshake accepts nothing but proof of the key.
+
+use std::time::Duration;
+
+use hornbeamtiller_core::id::Key;
+use hornbeamtiller_core::message::{Card, Hold, Message, Record, Standing};
+use hornbeamtiller_core::timeline::Stamp;
+use hornbeamtiller_core::token::{Ring, Seat, Secret};
+use hornbeamtiller_wire::convert::{read_batch, write_batch};
+use hornbeamtiller_wire::handshake::{sign, verify, Part};
+use hornbeamtiller_wire::peer_capnp::batch;
+
+fn every_message() -> Vec<Message> {
+    let key = Key(*b"0123456789abcdef");
+    let expiry = Duration::from_secs(1_800_000_000);
+    let seat = Seat {
+        vm: 4,
+        incarnation: u64::MAX,
+    };
+    let hold = Hold {
+        address: "127.0.0.1:80".parse().expect("address"),
+        request: "1-2-3".to_owned(),
+    };
+    let card = |standing| Card {
+        vm: 7,
+        incarnation: 8,
+        version: 9,
+        zone: "zone".into(),
+        caller_address: "127.0.0.1:1".parse().expect("address"),
+        peer_address: "[::1]:2".parse().expect("address"),
+        standing,
+    };
+    let standings = [
+        Standing::Joining,
+        Standing::Up,
+        Standing::Suspect,
+        Standing::Leaving,
+        Standing::Down,
+    ];
+    let records = [
+        Record::Sealed,
+        Record::Intent,
+        Record::Answered { status: 201 },
+        Record::NeverRan,
+        Record::Uncertain,
+    ];
+    let mut all = vec![
+        Message::Probe {
+            number: 1,
+            ticket: 2,
+        },
+        Message::ProbeAck {
+            number: 3,
+            ticket: 4,
+        },
+        Message::ProbeFor {
+            number: 5,
+            target: 6,
+        },
+        Message::Cards {
+            cards: standings.map(card).to_vec(),
+        },
+        Message::Intent {
+            key,
+            witness: 1,
+            expiry,
+        },
+        Message::IntentAck { key, granted: true },
+        Message::OutcomeAck { key },
+        Message::Seal {
+            key,
+            owner: seat,
+            witness: 2,
+            expiry,
+        },
+        Message::SealAck { key, record: None },
+        Message::Hold {
+            key,
+            expiry,
+            hold: Some(hold.clone()),
+        },
+        Message::Hold {
+            key,
+            expiry,
+            hold: None,
+        },
+        Message::HoldAsk { key },
+        Message::HoldTold {
+            key,
+            hold: Some(hold),
+        },
+    ];
+    all.extend(records.map(|record| Message::Outcome { key, record }));
+    all.extend(records.map(|record| Message::SealAck {
+        key,
+        record: Some(record),
+    }));
+    all
+}
+
+#[test]
+fn batch_round_trip() {
+    let messages = every_message();
+    let stamp = Stamp {
+        micros: 5,
+        counter: 6,
+    };
+    let mut out = capnp::message::Builder::new_default();
+    write_batch(out.init_root::<batch::Builder<'_>>(), stamp, &messages);
+    let bytes = capnp::serialize::write_message_to_words(&out);
+    let read =
+        capnp::serialize::read_message(&mut &bytes[..], Default::default()).expect("encoding");
+    let (read_stamp, read_messages) = read_batch(read.get_root().expect("root")).expect("batch");
+    assert_eq!((read_stamp, read_messages), (stamp, messages));
+}
+
+#[test]
+fn handshake_other_key_part_nonce_seat() {
+    let ring = |text| Ring::new(Secret::derive(text), None);
+    let (own, other) = ([1; 16], [2; 16]);
+    let seat = Seat {
+        vm: 1,
+        incarnation: 2,
+    };
+    let mac = sign(&ring("k"), Part::Initiator, &own, &other, seat);
+    assert!(verify(
+        &ring("k"),
+        Part::Initiator,
+        &own,
+        &other,
+        seat,
+        &mac
+    ));
+    assert!(!verify(
+        &ring("l"),
+        Part::Initiator,
+        &own,
+        &other,
+        seat,
+        &mac
+    ));
+    assert!(!verify(
+        &ring("k"),
+        Part::Listener,
+        &own,
+        &other,
+        seat,
+        &mac
+    ));
+    assert!(!verify(
+        &ring("k"),
+        Part::Initiator,
+        &other,
+        &own,
+        seat,
+        &mac
+    ));
+    assert!(!verify(
+        &ring("k"),
+        Part::Initiator,
+        &own,
+        &other,
+        Seat { vm: 2, ..seat },
+        &mac
+    ));
+    assert!(!verify(
+        &ring("k"),
+        Part::Initiator,
+        &own,
+        &other,
+        seat,
+        &mac[..16]
+    ));
+}
