--- a/crates/hornbeamctl/src/demo/mod.rs
+++ b/crates/hornbeamctl/src/demo/mod.rs
@@ -1,7 +1,6 @@
 //! A tour of the system: a fleet and its stand-ins in one process, and requests of each kind.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use error_stack::{Report, ResultExt as _};
 use hornbeamtiller_http::client::Client;
@@ -65,8 +64,9 @@
     let id = call_services(&client, fleet, entry).await?;
     call_models(&client, fleet, entry).await?;
     show_fleet(&client, fleet, &id).await?;
-    while stay {
-        monoio::time::sleep(Duration::from_secs(1)).await;
+    if stay {
+        println!("\nstaying up until interrupted");
+        futures::future::pending::<()>().await;
     }
     Ok(())
 }
