Spread tickets between peers; few watch the platform

Cause: every VM watched the configuration service and read the list every 2 s: at 400 VMs 200 list reads a second, a tenth of the service's rate, before any watch.

Others read every 30 s, jittered. A starting VM is not ready until it has read the service to its end and no answering peer knows more; if the service is down, its peers' word does. A refused ticket's faults go into the time line.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,12 +1,12 @@
 //! What goes into the reducer and what comes out.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::id;
 use crate::message::Message;
 use crate::refusal::Refusal;
-use crate::ticket::Ticket;
 use crate::timeline::Note;
 
 /// The time of an event, on clocks that never go back in one process.
@@ -179,8 +179,8 @@
     },
     /// Tickets were read from the platform.
     TicketsRead {
-        /// The tickets or, in their place, numbers of those that failed their check.
-        tickets: Vec<Result<Ticket, id::Ticket>>,
+        /// The tickets as they came.
+        tickets: Vec<Arc<str>>,
         /// The highest number that the service knows.
         newest: id::Ticket,
     },
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -1,9 +1,11 @@
 //! Messages between entry VMs. Each goes one way; answers are messages of their own.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::id::{Incarnation, Key, Ticket, Vm, Zone};
+use crate::ticket::Version;
 use crate::token::Seat;
 
 /// What a VM says of itself, and others pass on.
@@ -93,6 +95,27 @@
         /// The VM in question.
         target: Vm,
     },
+    /// Asks for tickets after a number.
+    TicketAsk {
+        /// The number.
+        after: Ticket,
+    },
+    /// Tickets as they came, in order.
+    Tickets {
+        /// Their JSON.
+        texts: Vec<Arc<str>>,
+    },
+    /// A part of the whole state, for a receiver that is far behind.
+    Snapshot {
+        /// The sender's highest ticket.
+        newest: Ticket,
+        /// Which part this is, from 0.
+        part: u32,
+        /// How many parts there are.
+        parts: u32,
+        /// The items.
+        versions: Vec<Version>,
+    },
     /// Statements about VMs.
     Cards {
         /// The statements.
--- a/crates/core/src/reduce/mod.rs
+++ b/crates/core/src/reduce/mod.rs
@@ -9,6 +9,7 @@
 mod leave;
 mod record;
 mod recover;
+mod spread;
 mod tickets;
 mod witness;
 
@@ -51,7 +52,7 @@
             acknowledged,
         } => step.cancel_ended(cancel, acknowledged),
         Event::Received { from, message } => step.received(from, message),
-        Event::TicketsRead { tickets, newest } => step.tickets_read(tickets, newest),
+        Event::TicketsRead { tickets, newest } => step.tickets_read(&tickets, newest),
         Event::ListRead { vms } => step.list_read(vms),
         Event::ReadFailed { read } => step.read_failed(read),
         Event::Leave => step.leave(),
@@ -126,6 +127,16 @@
             Message::Probe { number, ticket } => self.probed(from, number, ticket),
             Message::ProbeAck { number, ticket } => self.probe_acknowledged(from, number, ticket),
             Message::ProbeFor { number, target } => self.probe_for(from, number, target),
+            Message::TicketAsk { after } => self.tickets_asked(from, after),
+            Message::Tickets { texts } => self.take_tickets(&texts),
+            Message::Snapshot {
+                newest,
+                part,
+                parts,
+                versions,
+            } => {
+                self.snapshot_told(from, newest, part, parts, versions);
+            }
             Message::Cards { cards } => self.learn_cards(from, cards),
             Message::Intent {
                 key,
--- /dev/null
+++ b/crates/core/src/reduce/spread.rs
@@ -0,0 +1,155 @@
+//! Tickets between peers: few processes watch the platform, the rest learn from each other.
+//!
+//! What is new goes to a fixed number of random members; whoever was missed sees the higher number
+//! in a probe and asks. The cost of a process does not grow with the fleet.
+
+use std::time::Duration;
+
+use crate::id::{Ticket, Vm};
+use crate::message::{Message, Standing};
+use crate::state::Gathering;
+use crate::ticket::Version;
+use crate::token::Seat;
+
+use super::Step;
+
+/// Members that a new ticket is pushed to.
+const PUSH_FANOUT: usize = 4;
+/// Interval at which a process that is behind asks.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Bytes of items in one part of a snapshot.
+const PART_BYTES: usize = 48 << 10;
+
+impl Step<'_> {
+    /// Tells whether this process watches the platform for its zone: it is among the first by a
+    /// hash of the VMs that answer there. Two views may differ; then a few more or fewer watch.
+    pub(super) fn is_watcher(&mut self) -> bool {
+        let own = rank(self.state.seat.vm);
+        let zone = &self.state.settings.zone;
+        let ahead = self.state.roster.iter().filter(|member| {
+            let answers = matches!(member.card.standing, Standing::Up | Standing::Suspect);
+            answers && member.card.zone == *zone && rank(member.card.vm) < own
+        });
+        ahead.count() < self.state.settings.watchers
+    }
+
+    /// Passes on what came after a number.
+    pub(super) fn push_tickets(&mut self, before: Ticket) {
+        let Some(texts) = self.state.table.tickets_after(before) else {
+            return;
+        };
+        for vm in self.random_members(PUSH_FANOUT, None) {
+            self.send(
+                vm,
+                Message::Tickets {
+                    texts: texts.clone(),
+                },
+            );
+        }
+    }
+
+    /// Asks somebody who knows more, at a bounded rate.
+    pub(super) fn ask_if_behind(&mut self) {
+        let behind = self.state.table.newest() < self.state.ticket_heard;
+        if !behind || self.now.up < self.state.reads.ask_at {
+            return;
+        }
+        self.state.reads.ask_at = self.now.up + ASK_INTERVAL;
+        let after = self.state.table.newest();
+        for vm in self.random_members(1, None) {
+            self.send(vm, Message::TicketAsk { after });
+        }
+    }
+
+    pub(super) fn tickets_asked(&mut self, from: Seat, after: Ticket) {
+        if self.state.table.newest() <= after {
+            return;
+        }
+        match self.state.table.tickets_after(after) {
+            Some(texts) => self.send(from.vm, Message::Tickets { texts }),
+            None => self.send_snapshot(from.vm),
+        }
+    }
+
+    fn send_snapshot(&mut self, to: Vm) {
+        let newest = self.state.table.newest();
+        let parts = split(self.state.table.snapshot());
+        let count = parts.len() as u32;
+        for (part, versions) in (0..).zip(parts) {
+            self.send(
+                to,
+                Message::Snapshot {
+                    newest,
+                    part,
+                    parts: count,
+                    versions,
+                },
+            );
+        }
+    }
+
+    /// Gathers a snapshot and applies it when it is whole, so that no ticket is in force in part.
+    pub(super) fn snapshot_told(
+        &mut self,
+        from: Seat,
+        newest: Ticket,
+        part: u32,
+        parts: u32,
+        versions: Vec<Version>,
+    ) {
+        if newest <= self.state.table.newest() {
+            return;
+        }
+        let gathering = &mut self.state.reads.gathering;
+        let same = gathering
+            .as_ref()
+            .is_some_and(|own| own.from == from && own.newest == newest);
+        if !same {
+            *gathering = Some(Gathering {
+                from,
+                newest,
+                parts: Default::default(),
+            });
+        }
+        let Some(own) = gathering else {
+            return;
+        };
+        own.parts.insert(part, versions);
+        if own.parts.len() < parts as usize {
+            return;
+        }
+        let whole: Vec<Version> = std::mem::take(&mut own.parts)
+            .into_values()
+            .flatten()
+            .collect();
+        *gathering = None;
+        if self.state.table.join(newest, &whole) {
+            self.hear_ticket(newest);
+            self.note_level();
+        }
+    }
+}
+
+/// Place of a VM in the order of watchers; scattered, so that numbers do not matter.
+fn rank(vm: Vm) -> u64 {
+    let mixed = (u64::from(vm) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed ^ (mixed >> 29)
+}
+
+/// Splits items into parts of bounded size.
+fn split(versions: Vec<Version>) -> Vec<Vec<Version>> {
+    let mut parts = vec![Vec::new()];
+    let mut bytes = 0;
+    for version in versions {
+        let size = version.name.len() + version.text.len();
+        if bytes + size > PART_BYTES && bytes > 0 {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(last) = parts.last_mut() {
+            last.push(version);
+        }
+    }
+    parts
+}
--- a/crates/core/src/reduce/tickets.rs
+++ b/crates/core/src/reduce/tickets.rs
@@ -1,18 +1,23 @@
 //! Reads of the platform: tickets and the list of VMs.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+
 use crate::event::{Effect, Listed, Read};
 use crate::id;
 use crate::message::{Card, Standing};
 use crate::state::Reads;
-use crate::ticket::{Applied, Ticket};
-use crate::timeline::{Kind, Note};
+use crate::ticket::{Applied, Fault, Ticket};
+use crate::timeline::{Detail, Kind, Note};
 
 use super::Step;
 
 /// A read that has had no answer for this long beyond its own wait is begun again.
 const READ_LOST_AFTER: Duration = Duration::from_secs(15);
+/// Failed reads in a row after which a starting process takes its peers' word.
+const FAILURES_BEFORE_PEERS: u32 = 3;
 
 impl Step<'_> {
     pub(super) fn restart_reads(&mut self) {
@@ -29,22 +34,45 @@
             .reads
             .under_way
             .retain(|_, since| up < *since + READ_LOST_AFTER);
-        // The first read does not wait, so that a starting process learns at once where it stands.
-        let wait = if self.state.reads.tickets_known {
-            self.state.settings.watch_wait
-        } else {
-            Duration::ZERO
-        };
-        let tickets = Read::Tickets {
-            after: self.state.table.newest(),
-            wait_ms: wait.as_millis() as u64,
-        };
+        self.check_known();
         if up >= self.state.reads.tickets_at {
-            self.begin_read(tickets);
+            let wait = self.watch_wait();
+            let after = self.state.table.newest();
+            self.begin_read(Read::Tickets {
+                after,
+                wait_ms: wait.as_millis() as u64,
+            });
         }
         if up >= self.state.reads.list_at {
             self.begin_read(Read::List);
         }
+        self.ask_if_behind();
+    }
+
+    /// Watchers wait at the service for the next ticket; the others, and a process that has yet to
+    /// learn where it stands, ask and go.
+    fn watch_wait(&mut self) -> Duration {
+        if self.state.reads.service_end && self.is_watcher() {
+            self.state.settings.watch_wait
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// The configuration is known once the service was read to its end and no answering peer knows
+    /// more; while the service does not answer, the peers' word will do.
+    fn check_known(&mut self) {
+        let reads = &self.state.reads;
+        if reads.tickets_known {
+            return;
+        }
+        let heard = self.state.roster.iter().any(|member| member.heard);
+        let peers_only =
+            reads.failures >= FAILURES_BEFORE_PEERS && heard && self.state.table.newest() > 0;
+        let level = self.state.table.newest() >= self.state.ticket_heard;
+        if level && (reads.service_end || peers_only) {
+            self.state.reads.tickets_known = true;
+        }
     }
 
     fn begin_read(&mut self, read: Read) {
@@ -58,6 +86,7 @@
 
     pub(super) fn read_failed(&mut self, read: Read) {
         self.state.reads.under_way.remove(&Reads::slot(read));
+        self.state.reads.failures = self.state.reads.failures.saturating_add(1);
         let again = self.now.up + self.state.settings.read_retry;
         match read {
             Read::Tickets { .. } => self.state.reads.tickets_at = again,
@@ -65,26 +94,48 @@
         }
     }
 
-    pub(super) fn tickets_read(
-        &mut self,
-        tickets: Vec<Result<Ticket, id::Ticket>>,
-        newest: id::Ticket,
-    ) {
+    pub(super) fn tickets_read(&mut self, tickets: &[Arc<str>], newest: id::Ticket) {
         self.state.reads.under_way.remove(&0);
-        self.state.reads.tickets_at = self.now.up;
-        for ticket in tickets {
-            match ticket {
+        self.state.reads.failures = 0;
+        self.take_tickets(tickets);
+        self.hear_ticket(newest);
+        // A stale service shows less than is in force here; its end is no end then.
+        self.state.reads.service_end |= self.state.table.newest() >= newest;
+        let pause = if self.is_watcher() {
+            Duration::ZERO
+        } else {
+            self.fallback()
+        };
+        self.state.reads.tickets_at = self.now.up + pause;
+        self.check_known();
+    }
+
+    /// A random time around the fallback interval, so that processes do not read together.
+    fn fallback(&mut self) -> Duration {
+        let share = self.state.rng.random_range(0.5..1.5);
+        self.state.settings.fallback_interval.mul_f64(share)
+    }
+
+    /// Applies tickets in order and passes on what is new.
+    pub(super) fn take_tickets(&mut self, texts: &[Arc<str>]) {
+        let before = self.state.table.newest();
+        for text in texts {
+            match Ticket::parse(text) {
                 Ok(ticket) => self.apply_ticket(&ticket),
-                Err(number) => self.skip_ticket(number),
+                Err(faults) => self.skip_ticket(text, &faults),
             }
         }
-        self.hear_ticket(newest);
-        // A stale service may lag behind what peers know; then this process keeps asking.
+        if self.state.table.newest() > before {
+            self.hear_ticket(self.state.table.newest());
+            self.push_tickets(before);
+        }
+        self.note_level();
+    }
+
+    /// Ends the time behind, if there was one.
+    pub(super) fn note_level(&mut self) {
         if self.state.table.newest() >= self.state.ticket_heard {
             self.state.reads.behind_since = None;
-            self.state.reads.tickets_known = true;
-        } else {
-            self.state.reads.tickets_at = self.now.up + self.state.settings.read_retry;
         }
     }
 
@@ -94,10 +145,15 @@
         }
     }
 
-    fn skip_ticket(&mut self, number: id::Ticket) {
-        if self.state.table.skip(number) == Applied::New {
+    fn skip_ticket(&mut self, text: &Arc<str>, faults: &[Fault]) {
+        let Some(number) = Ticket::number_of(text) else {
+            return;
+        };
+        if self.state.table.skip(number, text.clone()) == Applied::New {
             self.state.counters.tickets_refused += 1;
-            self.note(Note::new(Kind::TicketRefused).ticket(number));
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            let detail = Detail::Faults(lines.join("; ").into());
+            self.note(Note::new(Kind::TicketRefused).ticket(number).detail(detail));
         }
     }
 
@@ -115,7 +171,13 @@
     pub(super) fn list_read(&mut self, vms: Vec<Listed>) {
         self.state.reads.under_way.remove(&1);
         self.state.reads.list_read = true;
-        self.state.reads.list_at = self.now.up + self.state.settings.list_interval;
+        let watcher = self.is_watcher();
+        let pause = if watcher {
+            self.state.settings.list_interval
+        } else {
+            self.fallback()
+        };
+        self.state.reads.list_at = self.now.up + pause;
         let listed: std::collections::BTreeSet<id::Vm> = vms.iter().map(|vm| vm.vm).collect();
         for vm in vms {
             self.learn_listed(vm);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -54,8 +54,12 @@
     pub peers_wait: Duration,
     /// Longest wait of one watch on the tickets.
     pub watch_wait: Duration,
-    /// Interval of reads of the platform's list.
+    /// Interval of reads of the platform's list by those who watch it.
     pub list_interval: Duration,
+    /// Number of processes in each zone that watch the platform.
+    pub watchers: usize,
+    /// Mean interval of reads by those who do not watch.
+    pub fallback_interval: Duration,
     /// Wait after a failed read of the platform.
     pub read_retry: Duration,
     /// Number of addresses in an answer of `/v1/entries`.
@@ -94,6 +98,8 @@
             peers_wait: Duration::from_secs(3),
             watch_wait: Duration::from_secs(10),
             list_interval: Duration::from_secs(2),
+            watchers: 2,
+            fallback_interval: Duration::from_secs(30),
             read_retry: Duration::from_millis(500),
             entries_max: 8,
             tombstones_max: 500_000,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -12,7 +12,7 @@
 use crate::message::{Hold, Record, Standing};
 use crate::refusal::Refusal;
 use crate::settings::Settings;
-use crate::ticket::Table;
+use crate::ticket::{Table, Version};
 use crate::token::{Ring, Seat, Token};
 
 /// How a call ended.
@@ -340,6 +340,17 @@
     pub woke_late: u64,
 }
 
+/// A snapshot of which not all parts have come.
+#[derive(Debug)]
+pub struct Gathering {
+    /// Who sends it.
+    pub from: Seat,
+    /// The sender's highest ticket.
+    pub newest: id::Ticket,
+    /// The parts that have come.
+    pub parts: BTreeMap<u32, Vec<Version>>,
+}
+
 /// Reads of the platform that are due or under way.
 #[derive(Debug, Default)]
 pub struct Reads {
@@ -353,6 +364,14 @@
     pub tickets_known: bool,
     /// Whether the list was read since the start.
     pub list_read: bool,
+    /// Whether the tickets were read to the service's end since the start or the last late wake-up.
+    pub service_end: bool,
+    /// Failed reads in a row.
+    pub failures: u32,
+    /// When a peer may be asked for tickets next.
+    pub ask_at: Duration,
+    /// Parts of a snapshot, with its sender and its highest ticket.
+    pub gathering: Option<Gathering>,
     /// Since when a peer is known to have a newer ticket.
     pub behind_since: Option<Duration>,
 }
--- a/crates/core/src/ticket/mod.rs
+++ b/crates/core/src/ticket/mod.rs
@@ -8,6 +8,6 @@
 
 pub use schema::{
     ClassItem, EndpointItem, Fault, Item, Kind, Limit, Repeatable, Role, RunnerItem, Shutdown,
-    Ticket,
+    Ticket, Valued,
 };
-pub use table::{Applied, Table};
+pub use table::{Applied, Table, Version};
--- a/crates/core/src/ticket/schema.rs
+++ b/crates/core/src/ticket/schema.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -170,13 +171,24 @@
     Removed,
 }
 
+/// A checked value with its JSON.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Valued {
+    /// The value.
+    pub item: Item,
+    /// Its JSON, to be passed on.
+    pub text: Arc<str>,
+}
+
 /// A checked ticket.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ticket {
     /// Its number; the first is 1.
     pub number: id::Ticket,
     /// The whole new value of every item that it touches.
-    pub items: BTreeMap<String, Item>,
+    pub items: BTreeMap<String, Valued>,
+    /// Its JSON, to be passed on.
+    pub text: Arc<str>,
 }
 
 /// What is wrong with a ticket.
@@ -234,12 +246,19 @@
         Self::check(value)
     }
 
+    /// Reads the number of a ticket that may fail its check.
+    pub fn number_of(text: &str) -> Option<id::Ticket> {
+        let value: Value = serde_json::from_str(text).ok()?;
+        value.get("number")?.as_u64()
+    }
+
     /// Checks a ticket that is already JSON.
     ///
     /// # Errors
     ///
     /// As [`Ticket::parse`].
     pub fn check(value: Value) -> Result<Self, Vec<Fault>> {
+        let text = value.to_string().into();
         let raw = Raw::deserialize(value).map_err(|error| vec![Fault::Shape(error.to_string())])?;
         let mut faults = Vec::new();
         if raw.number == 0 {
@@ -247,8 +266,9 @@
         }
         let mut items = BTreeMap::new();
         for (name, value) in raw.items {
+            let text: Arc<str> = value.to_string().into();
             match check_item(&name, value, &mut faults) {
-                Ok(item) => _ = items.insert(name, item),
+                Ok(item) => _ = items.insert(name, Valued { item, text }),
                 Err(fault) => faults.push(fault),
             }
         }
@@ -256,6 +276,7 @@
             Ok(Self {
                 number: raw.number,
                 items,
+                text,
             })
         } else {
             Err(faults)
@@ -263,6 +284,25 @@
     }
 }
 
+impl Item {
+    /// Reads the value of one item.
+    ///
+    /// # Errors
+    ///
+    /// All faults found.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let value =
+            serde_json::from_str(text).map_err(|error| vec![Fault::Shape(error.to_string())])?;
+        let mut faults = Vec::new();
+        let item = check_item(name, value, &mut faults).map_err(|fault| vec![fault])?;
+        if faults.is_empty() {
+            Ok(item)
+        } else {
+            Err(faults)
+        }
+    }
+}
+
 fn check_item(name: &str, value: Value, faults: &mut Vec<Fault>) -> Result<Item, Fault> {
     let (prefix, rest) = name.split_once('/').unwrap_or((name, ""));
     let known = match prefix {
--- a/crates/core/src/ticket/table.rs
+++ b/crates/core/src/ticket/table.rs
@@ -1,6 +1,6 @@
 //! The state that tickets add up to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use crate::id;
@@ -11,8 +11,25 @@
 struct Entry {
     ticket: id::Ticket,
     item: Arc<Item>,
+    text: Arc<str>,
 }
 
+/// One item's value, the ticket that gave it, and its JSON.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Version {
+    /// The item.
+    pub name: String,
+    /// The ticket.
+    pub ticket: id::Ticket,
+    /// The value's JSON.
+    pub text: Arc<str>,
+}
+
+/// Newest tickets kept as they came, for peers that are a little behind.
+const LOG_TICKETS: usize = 64;
+/// Bytes of them.
+const LOG_BYTES: usize = 256 << 10;
+
 /// What applying a ticket did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Applied {
@@ -32,6 +49,8 @@
 pub struct Table {
     items: BTreeMap<String, Entry>,
     newest: id::Ticket,
+    log: VecDeque<(id::Ticket, Arc<str>)>,
+    log_bytes: usize,
 }
 
 impl Table {
@@ -46,26 +65,88 @@
             Applied::New => {}
             other => return other,
         }
-        for (name, item) in &ticket.items {
+        for (name, valued) in &ticket.items {
+            let item = Arc::new(valued.item.clone());
             let entry = Entry {
                 ticket: ticket.number,
-                item: Arc::new(item.clone()),
+                item,
+                text: valued.text.clone(),
             };
             self.items.insert(name.clone(), entry);
         }
-        self.newest = ticket.number;
+        self.keep(ticket.number, ticket.text.clone());
         Applied::New
     }
 
     /// Passes over a ticket that failed its check; the state before it stays.
-    pub fn skip(&mut self, number: id::Ticket) -> Applied {
+    pub fn skip(&mut self, number: id::Ticket, text: Arc<str>) -> Applied {
         let place = self.place(number);
         if place == Applied::New {
-            self.newest = number;
+            self.keep(number, text);
         }
         place
     }
 
+    fn keep(&mut self, number: id::Ticket, text: Arc<str>) {
+        self.newest = number;
+        self.log_bytes += text.len();
+        self.log.push_back((number, text));
+        while self.log.len() > LOG_TICKETS || self.log_bytes > LOG_BYTES {
+            let Some((_, oldest)) = self.log.pop_front() else {
+                return;
+            };
+            self.log_bytes -= oldest.len();
+        }
+    }
+
+    /// The tickets after a number as they came, if all of them are still kept.
+    pub fn tickets_after(&self, number: id::Ticket) -> Option<Vec<Arc<str>>> {
+        let whole = self
+            .log
+            .front()
+            .is_some_and(|(first, _)| *first <= number + 1);
+        let after = self.log.iter().filter(|(own, _)| *own > number);
+        whole.then(|| after.map(|(_, text)| text.clone()).collect())
+    }
+
+    /// Every item as it stands.
+    pub fn snapshot(&self) -> Vec<Version> {
+        let version = |(name, entry): (&String, &Entry)| Version {
+            name: name.clone(),
+            ticket: entry.ticket,
+            text: entry.text.clone(),
+        };
+        self.items.iter().map(version).collect()
+    }
+
+    /// Joins a whole snapshot: of each item the higher ticket stands. Tells whether anything is new.
+    pub fn join(&mut self, newest: id::Ticket, versions: &[Version]) -> bool {
+        if newest <= self.newest {
+            return false;
+        }
+        for version in versions {
+            let known = self
+                .items
+                .get(&version.name)
+                .map_or(0, |entry| entry.ticket);
+            let Ok(item) = Item::parse(&version.name, &version.text) else {
+                continue;
+            };
+            if version.ticket > known {
+                let entry = Entry {
+                    ticket: version.ticket,
+                    item: Arc::new(item),
+                    text: version.text.clone(),
+                };
+                self.items.insert(version.name.clone(), entry);
+            }
+        }
+        self.newest = newest;
+        self.log.clear();
+        self.log_bytes = 0;
+        true
+    }
+
     fn place(&self, number: id::Ticket) -> Applied {
         let next = self.newest + 1;
         match number.cmp(&next) {
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -147,7 +148,7 @@
 }
 
 /// Further detail of a note.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Detail {
     /// What a runner was asked for.
     Stage(&'static str),
@@ -159,6 +160,8 @@
     Refusal(Code, Reason),
     /// For how long.
     Lasted(Duration),
+    /// What is wrong with a ticket.
+    Faults(Arc<str>),
 }
 
 impl fmt::Display for Detail {
@@ -171,6 +174,7 @@
                 let (code, reason): (&str, &str) = (code.into(), reason.into());
                 write!(f, "{code} {reason}")
             }
+            Self::Faults(faults) => f.write_str(faults),
             Self::Lasted(time) => write!(f, "{} ms", time.as_millis()),
         }
     }
@@ -313,7 +317,7 @@
             request: note.request.map(|key| key.to_string()),
             subject: note.subject.as_ref().map(Subject::to_string),
             ticket: note.ticket,
-            detail: note.detail.map(|detail| detail.to_string()),
+            detail: note.detail.as_ref().map(Detail::to_string),
         })
     }
 
--- a/crates/core/tests/ticket.rs
+++ b/crates/core/tests/ticket.rs
@@ -52,7 +52,7 @@
 fn skip_keeps_state_before() {
     let mut table = Table::default();
     table.apply(&limit(1, 4));
-    assert_eq!(table.skip(2), Applied::New);
+    assert_eq!(table.skip(2, "{}".into()), Applied::New);
     assert_eq!(
         table.organisation("o").map(|limit| limit.concurrent),
         Some(4)
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -337,8 +337,7 @@
                         .tickets
                         .iter()
                         .skip(after as usize)
-                        .cloned()
-                        .map(Ok)
+                        .map(|ticket| ticket.text.clone())
                         .collect();
                     self.feed(vm, Event::TicketsRead { tickets, newest });
                 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -5,12 +5,11 @@
 
 use bytes::Bytes;
 use hornbeamtiller_core::event::{Event, Listed, Read};
-use hornbeamtiller_core::ticket::Ticket;
 use hornbeamtiller_http::client::Reuse;
 use http::Request;
 use http_body_util::Full;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::caller::render;
 use crate::shell::Shell;
@@ -23,7 +22,7 @@
 #[derive(Deserialize)]
 struct Tickets {
     newest: u64,
-    tickets: Vec<Value>,
+    tickets: Vec<Box<RawValue>>,
 }
 
 #[derive(Deserialize)]
@@ -84,26 +83,17 @@
 
 fn parse_tickets(bytes: &[u8]) -> Option<Event> {
     let answer: Tickets = serde_json::from_slice(bytes).ok()?;
-    let mut tickets = Vec::with_capacity(answer.tickets.len());
-    for value in answer.tickets {
-        let number = value.get("number").and_then(Value::as_u64)?;
-        tickets.push(check(number, value));
-    }
+    let tickets = answer
+        .tickets
+        .into_iter()
+        .map(|ticket| ticket.get().into())
+        .collect();
     Some(Event::TicketsRead {
         tickets,
         newest: answer.newest,
     })
 }
 
-fn check(number: u64, value: Value) -> Result<Ticket, u64> {
-    Ticket::check(value).map_err(|faults| {
-        for fault in faults {
-            log::warn!(ticket = number; "ticket {number} is refused: {fault}");
-        }
-        number
-    })
-}
-
 fn parse_list(bytes: &[u8]) -> Option<Event> {
     let list: List = serde_json::from_slice(bytes).ok()?;
     let vms = list
--- a/crates/node/src/shell/perform.rs
+++ b/crates/node/src/shell/perform.rs
@@ -146,7 +146,11 @@
     fn note(&self, note: hornbeamtiller_core::timeline::Note, now: Now) {
         if matches!(
             note.kind,
-            Kind::Started | Kind::MemberDown | Kind::LeaveStarted | Kind::WokeLate
+            Kind::Started
+                | Kind::MemberDown
+                | Kind::LeaveStarted
+                | Kind::WokeLate
+                | Kind::TicketRefused
         ) {
             let subject = note
                 .subject
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -114,6 +114,19 @@
   # Empty where there is no stream.
 }
 
+struct Version {
+  name @0 :Text;
+  ticket @1 :UInt64;
+  text @2 :Text;
+}
+
+struct Snapshot {
+  newest @0 :UInt64;
+  part @1 :UInt32;
+  parts @2 :UInt32;
+  versions @3 :List(Version);
+}
+
 struct Message {
   union {
     probe @0 :Probe;
@@ -129,5 +142,8 @@
     hold @10 :Hold;
     holdAsk @11 :Key;
     holdTold @12 :Hold;
+    ticketAsk @13 :UInt64;
+    tickets @14 :List(Text);
+    snapshot @15 :Snapshot;
   }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -5,6 +5,7 @@
 
 use hornbeamtiller_core::id::Key;
 use hornbeamtiller_core::message::{Card, Hold, Message, Record, Standing};
+use hornbeamtiller_core::ticket::Version;
 use hornbeamtiller_core::timeline::Stamp;
 use hornbeamtiller_core::token::Seat;
 
@@ -73,7 +74,7 @@
     Ok((stamp, messages))
 }
 
-fn write_message(out: schema::message::Builder<'_>, message: &Message) {
+fn write_message(mut out: schema::message::Builder<'_>, message: &Message) {
     match message {
         Message::Probe { number, ticket } => write_probe(out.init_probe(), *number, *ticket),
         Message::ProbeAck { number, ticket } => write_probe(out.init_probe_ack(), *number, *ticket),
@@ -82,6 +83,25 @@
             out.set_number(*number);
             out.set_target(*target);
         }
+        Message::TicketAsk { after } => out.set_ticket_ask(*after),
+        Message::Tickets { texts } => {
+            let mut list = out.init_tickets(texts.len() as u32);
+            for (at, text) in texts.iter().enumerate() {
+                list.set(at as u32, &**text);
+            }
+        }
+        Message::Snapshot {
+            newest,
+            part,
+            parts,
+            versions,
+        } => {
+            let mut out = out.init_snapshot();
+            out.set_newest(*newest);
+            out.set_part(*part);
+            out.set_parts(*parts);
+            write_versions(out.init_versions(versions.len() as u32), versions);
+        }
         Message::Cards { cards } => {
             let mut list = out.init_cards(cards.len() as u32);
             for (at, card) in cards.iter().enumerate() {
@@ -189,6 +209,26 @@
                 expiry: Duration::from_secs(seal.get_expiry_seconds()),
             }
         }
+        Which::TicketAsk(after) => Message::TicketAsk { after },
+        Which::Tickets(texts) => {
+            let read = |text: capnp::Result<capnp::text::Reader<'_>>| Ok(text?.to_str()?.into());
+            Message::Tickets {
+                texts: texts?.iter().map(read).collect::<Result<_>>()?,
+            }
+        }
+        Which::Snapshot(snapshot) => {
+            let snapshot = snapshot?;
+            Message::Snapshot {
+                newest: snapshot.get_newest(),
+                part: snapshot.get_part(),
+                parts: snapshot.get_parts(),
+                versions: snapshot
+                    .get_versions()?
+                    .iter()
+                    .map(read_version)
+                    .collect::<Result<_>>()?,
+            }
+        }
         Which::Hold(hold) => {
             let (key, expiry, hold) = read_hold(hold?)?;
             Message::Hold { key, expiry, hold }
@@ -261,6 +301,26 @@
     Ok((read_key(outcome.get_key()?), record))
 }
 
+fn write_versions(
+    mut list: capnp::struct_list::Builder<'_, schema::version::Owned>,
+    versions: &[Version],
+) {
+    for (at, version) in versions.iter().enumerate() {
+        let mut out = list.reborrow().get(at as u32);
+        out.set_name(&*version.name);
+        out.set_ticket(version.ticket);
+        out.set_text(&*version.text);
+    }
+}
+
+fn read_version(version: schema::version::Reader<'_>) -> Result<Version> {
+    Ok(Version {
+        name: version.get_name()?.to_str()?.to_owned(),
+        ticket: version.get_ticket(),
+        text: version.get_text()?.to_str()?.into(),
+    })
+}
+
 fn write_hold(mut out: schema::hold::Builder<'_>, key: Key, expiry: Duration, hold: Option<&Hold>) {
     write_key(out.reborrow().init_key(), key);
     out.set_expiry_seconds(expiry.as_secs());
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -4,6 +4,7 @@
 
 use hornbeamtiller_core::id::Key;
 use hornbeamtiller_core::message::{Card, Hold, Message, Record, Standing};
+use hornbeamtiller_core::ticket::Version;
 use hornbeamtiller_core::timeline::Stamp;
 use hornbeamtiller_core::token::{Ring, Seat, Secret};
 use hornbeamtiller_wire::convert::{read_batch, write_batch};
@@ -85,6 +86,20 @@
             hold: None,
         },
         Message::HoldAsk { key },
+        Message::TicketAsk { after: 7 },
+        Message::Tickets {
+            texts: vec!["{}".into(), "two".into()],
+        },
+        Message::Snapshot {
+            newest: 9,
+            part: 1,
+            parts: 2,
+            versions: vec![Version {
+                name: "class/c".to_owned(),
+                ticket: 8,
+                text: "null".into(),
+            }],
+        },
         Message::HoldTold {
             key,
             hold: Some(hold),
