Prove tickets, membership and leaves over reducers

Cause: nothing showed that tickets never revert, that faults end in agreement, that a late or half-cut VM drops nobody, or that a leave cuts nothing.

The checks can fail.

Conclusion: no fault found in the reducer; the test world's platform had to keep watches.

--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,368 @@
+//! Membership, tickets and leaves over several reducers.
+
+mod world;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hornbeamtiller_core::event::Event;
+use hornbeamtiller_core::id::Vm;
+use hornbeamtiller_core::message::Standing;
+use hornbeamtiller_core::refusal::{Code, Reason};
+use hornbeamtiller_core::token::Seat;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use world::{once, read, Told, World, TICK};
+
+/// Number of cases where the environment does not say.
+const CASES: u32 = 300;
+/// Number of processes.
+const NODES: u32 = 5;
+/// Time within which a ticket is in force everywhere at today's size.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Clone)]
+enum Step {
+    Publish,
+    Stale(usize),
+    Platform(bool),
+    Advance(u32),
+    DeliverAll,
+    Deliver(usize),
+    Double(usize),
+    Drop(usize),
+    Crash(Vm),
+    Start(Vm),
+    Pause(Vm),
+    Wake(Vm),
+    Cut(Vm, Vm),
+    Heal,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let vm = 1..=NODES;
+    let at = 0usize..64;
+    prop_oneof![
+        4 => Just(Step::Publish),
+        2 => (1usize..6).prop_map(Step::Stale),
+        2 => any::<bool>().prop_map(Step::Platform),
+        10 => (1u32..40).prop_map(Step::Advance),
+        8 => Just(Step::DeliverAll),
+        4 => at.clone().prop_map(Step::Deliver),
+        2 => at.clone().prop_map(Step::Double),
+        2 => at.prop_map(Step::Drop),
+        1 => vm.clone().prop_map(Step::Crash),
+        2 => vm.clone().prop_map(Step::Start),
+        1 => vm.clone().prop_map(Step::Pause),
+        2 => vm.clone().prop_map(Step::Wake),
+        2 => (vm.clone(), vm).prop_map(|(a, b)| Step::Cut(a.min(b), a.max(b))),
+        1 => Just(Step::Heal),
+    ]
+}
+
+fn perform(world: &mut World, step: &Step) {
+    let pick = |number: usize, len: usize| (len > 0).then(|| number % len);
+    match *step {
+        Step::Publish => world.publish(),
+        Step::Stale(back) => world.platform_shows = world.tickets.len().saturating_sub(back).max(1),
+        Step::Platform(up) => world.platform_up = up,
+        Step::Advance(ticks) => (0..ticks).for_each(|_| world.advance(TICK)),
+        Step::DeliverAll => world.deliver_all(),
+        Step::Deliver(at) => pick(at, world.parcels.len())
+            .into_iter()
+            .for_each(|at| world.deliver(at, false)),
+        Step::Double(at) => pick(at, world.parcels.len())
+            .into_iter()
+            .for_each(|at| world.deliver(at, true)),
+        Step::Drop(at) => pick(at, world.parcels.len())
+            .into_iter()
+            .for_each(|at| _ = world.parcels.remove(at)),
+        Step::Crash(vm) => world.crash(vm),
+        Step::Start(vm) => world.start(vm),
+        Step::Pause(vm) => set_paused(world, vm, true),
+        Step::Wake(vm) => set_paused(world, vm, false),
+        Step::Cut(a, b) => _ = world.cut.insert((a, b)),
+        Step::Heal => world.cut.clear(),
+    }
+}
+
+fn set_paused(world: &mut World, vm: Vm, paused: bool) {
+    if let Some(Some(node)) = world.nodes.get_mut(&vm) {
+        node.paused = paused;
+    }
+}
+
+/// Checks that no boot's configuration went back, and that it is one that was published.
+fn check_monotone(world: &World, seen: &mut BTreeMap<Seat, u64>) -> Result<(), TestCaseError> {
+    for node in world.nodes.values().flatten() {
+        let table = &node.state.table;
+        let before = seen.insert(node.state.seat, table.newest()).unwrap_or(0);
+        prop_assert!(table.newest() >= before, "{:?} went back", node.state.seat);
+        let limit = table
+            .organisation("o")
+            .map(|limit| u64::from(limit.concurrent));
+        let expected = (table.newest() > 1).then_some(1_000 + table.newest());
+        prop_assert_eq!(
+            limit,
+            expected,
+            "not the state of ticket {}",
+            table.newest()
+        );
+    }
+    Ok(())
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    let cases = std::env::var("HORNBEAMTILLER_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok())
+        .unwrap_or(cases);
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        max_shrink_iters: 500,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    #[test]
+    fn tickets_any_interleaving(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..80)) {
+        let mut world = World::settled(NODES, seed);
+        let mut seen = BTreeMap::new();
+        for step in &steps {
+            perform(&mut world, step);
+            check_monotone(&world, &mut seen)?;
+        }
+        // After the faults everybody has the newest ticket, and everybody answers.
+        world.cut.clear();
+        world.platform_up = true;
+        world.platform_shows = usize::MAX;
+        (1..=NODES).for_each(|vm| {
+            set_paused(&mut world, vm, false);
+            world.start(vm);
+        });
+        world.run_calm(Duration::from_secs(45));
+        check_monotone(&world, &mut seen)?;
+        let newest = world.tickets.len() as u64;
+        for vm in 1..=NODES {
+            prop_assert_eq!(world.ticket_at(vm), Some(newest), "vm {}", vm);
+            for other in (1..=NODES).filter(|other| *other != vm) {
+                prop_assert!(!world.counts_as_down(vm, other), "vm {} takes {} for dead", vm, other);
+            }
+        }
+    }
+
+    #[test]
+    fn paused_node_drops_nobody(seed in any::<u64>(), paused in 1..=NODES, ticks in 10u32..400) {
+        let mut world = World::settled(NODES, seed);
+        set_paused(&mut world, paused, true);
+        world.run_calm(TICK * ticks);
+        set_paused(&mut world, paused, false);
+        let end = world.now + Duration::from_secs(8);
+        while world.now < end {
+            world.run_calm(TICK);
+            for vm in 1..=NODES {
+                for other in (1..=NODES).filter(|other| *other != vm && *other != paused) {
+                    prop_assert!(!world.counts_as_down(vm, other), "vm {} takes {} for dead", vm, other);
+                }
+            }
+        }
+        for vm in (1..=NODES).filter(|vm| *vm != paused) {
+            prop_assert!(!world.counts_as_down(vm, paused), "vm {} still takes the late one for dead", vm);
+        }
+    }
+
+    #[test]
+    fn half_cut_node_drops_nobody(seed in any::<u64>(), half in 1..=NODES, lost in prop::collection::vec(1..=NODES, 2)) {
+        let mut world = World::settled(NODES, seed);
+        for other in lost.iter().filter(|other| **other != half) {
+            world.cut.insert((half.min(*other), half.max(*other)));
+        }
+        let end = world.now + Duration::from_secs(10);
+        while world.now < end {
+            world.run_calm(TICK);
+            for vm in 1..=NODES {
+                for other in (1..=NODES).filter(|other| *other != vm) {
+                    prop_assert!(!world.counts_as_down(vm, other), "vm {} takes {} for dead", vm, other);
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn leave_cuts_nothing(seed in any::<u64>(), leaver in 1..=NODES, calls in prop::collection::vec((1..=NODES, any::<bool>()), 1..30)) {
+        let mut world = World::settled(NODES, seed);
+        let tokens: Vec<String> = (1..=NODES).map(|vm| world.token_of(vm).expect("settled")).collect();
+        world.feed(leaver, Event::Leave);
+        for (number, (owner, is_read)) in calls.iter().enumerate() {
+            let id = format!("{}.n{number}", tokens[*owner as usize - 1]);
+            world.call(*owner, Some(id), if *is_read { read() } else { once() }, 0);
+            world.run_calm(TICK * 30);
+            while !world.sent.is_empty() {
+                world.respond(0);
+            }
+        }
+        world.run_calm(Duration::from_secs(12));
+        prop_assert!(world.exited.contains(&leaver));
+        for (number, open) in world.opens.iter().enumerate() {
+            let fine = match &open.told[..] {
+                [Told::Answered { .. }] => true,
+                // Kept answers are good for 10 s; one call was sent every 0.6 s.
+                [Told::Refused(refusal)] => {
+                    number >= 16 && refusal.code == Code::NotRun && refusal.reason == Reason::Leaving
+                }
+                _ => false,
+            };
+            prop_assert!(fine, "{:?}", open.told);
+        }
+    }
+}
+
+#[test]
+fn ticket_in_force_everywhere_soon() {
+    let mut world = World::settled(NODES, 1);
+    world.run_calm(Duration::from_secs(5));
+    world.publish();
+    world.run_calm(IN_FORCE);
+    assert!((1..=NODES).all(|vm| world.ticket_at(vm) == Some(2)));
+}
+
+#[test]
+fn ticket_reaches_node_without_service() {
+    let mut world = World::settled(NODES, 2);
+    world.publish();
+    world.run_calm(IN_FORCE);
+    // A node that starts while the service is down learns from its peers.
+    world.crash(3);
+    world.platform_up = false;
+    world.start(3);
+    world.run_calm(Duration::from_secs(12));
+    assert_eq!(world.ticket_at(3), Some(2));
+    let node = world.nodes[&3].as_ref().expect("runs");
+    assert_eq!(node.state.not_ready(Duration::from_secs(12)), None);
+}
+
+#[test]
+fn ticket_stale_service_at_start() {
+    let mut world = World::settled(NODES, 3);
+    world.publish();
+    world.publish();
+    world.run_calm(IN_FORCE);
+    world.crash(2);
+    world.platform_shows = 1;
+    world.start(2);
+    world.run_calm(Duration::from_secs(5));
+    assert_eq!(world.ticket_at(2), Some(3));
+}
+
+#[test]
+fn snapshot_to_node_far_behind() {
+    let mut world = World::settled(3, 4);
+    world.crash(3);
+    (0..100).for_each(|_| world.publish());
+    world.run_calm(Duration::from_secs(5));
+    world.platform_up = false;
+    world.start(3);
+    world.run_calm(Duration::from_secs(12));
+    assert_eq!(world.ticket_at(3), Some(101));
+    let node = world.nodes[&3].as_ref().expect("runs");
+    assert_eq!(
+        node.state
+            .table
+            .organisation("o")
+            .map(|limit| limit.concurrent),
+        Some(1_101)
+    );
+}
+
+#[test]
+fn late_node_gives_suspects_time() {
+    let mut world = World::settled(3, 9);
+    world.cut.insert((1, 2));
+    world.cut.insert((1, 3));
+    let suspects = |world: &World| {
+        let node = world.nodes[&1].as_ref().expect("runs");
+        node.state
+            .roster
+            .iter()
+            .filter(|member| member.card.standing == Standing::Suspect)
+            .count()
+    };
+    while suspects(&world) == 0 {
+        world.run_calm(TICK);
+    }
+    set_paused(&mut world, 1, true);
+    world.run_calm(Duration::from_secs(5));
+    world.cut.clear();
+    set_paused(&mut world, 1, false);
+    world.advance(TICK);
+    assert!(!world.counts_as_down(1, 2) && !world.counts_as_down(1, 3));
+}
+
+#[test]
+fn dead_node_out_of_entries_soon() {
+    let mut world = World::settled(NODES, 5);
+    world.crash(4);
+    world.run_calm(Duration::from_secs(3));
+    for vm in (1..=NODES).filter(|vm| *vm != 4) {
+        let node = world.nodes[&vm].as_ref().expect("runs");
+        let member = node.state.roster.get(4).expect("known");
+        assert!(
+            !member.takes_callers(),
+            "vm {vm}: {:?}",
+            member.card.standing
+        );
+    }
+}
+
+#[test]
+fn leaving_node_out_of_entries_soon() {
+    let mut world = World::settled(NODES, 6);
+    world.feed(4, Event::Leave);
+    world.run_calm(Duration::from_secs(2));
+    for vm in (1..=NODES).filter(|vm| *vm != 4) {
+        let node = world.nodes[&vm].as_ref().expect("runs");
+        assert_eq!(
+            node.state.roster.get(4).expect("known").card.standing,
+            Standing::Leaving
+        );
+    }
+}
+
+#[test]
+fn entries_spread_evenly() {
+    let mut world = World::settled(8, 7);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..1_000 {
+        let first = world.entries_of(1).into_iter().next().expect("entries");
+        *counts.entry(first).or_default() += 1;
+    }
+    let most = counts.values().copied().max().unwrap_or(0);
+    assert_eq!(counts.len(), 8);
+    assert!(
+        most <= 162,
+        "one node got {most} of 1000, over 1.3 times the mean"
+    );
+}
+
+#[test]
+fn reads_bounded_by_watchers() {
+    let mut world = World::settled(9, 8);
+    world.run_calm(Duration::from_secs(10));
+    let before = world.reads;
+    world.run_calm(Duration::from_secs(60));
+    // Two watchers in each of three zones read the list every 2 s and watch for 10 s at a time; the
+    // others read both every 15 s at the most.
+    let watching = 6 * (60 / 2 + 60 / 10);
+    let others = 3 * 2 * (60 / 15);
+    assert!(
+        world.reads - before <= watching + others,
+        "{} reads",
+        world.reads - before
+    );
+}
--- a/crates/core/tests/ticket.rs
+++ b/crates/core/tests/ticket.rs
@@ -64,6 +64,22 @@
     );
 }
 
+#[test]
+fn join_older_snapshot_changes_nothing() {
+    let mut old = Table::default();
+    old.apply(&limit(1, 4));
+    let mut table = old.clone();
+    table.apply(&limit(2, 5));
+    assert!(!table.join(old.newest(), &old.snapshot()));
+    assert_eq!(table.newest(), 2);
+    assert_eq!(
+        table.organisation("o").map(|limit| limit.concurrent),
+        Some(5)
+    );
+    assert!(old.join(table.newest(), &table.snapshot()));
+    assert_eq!(old.organisation("o").map(|limit| limit.concurrent), Some(5));
+}
+
 #[test]
 fn removed_item_is_gone() {
     let mut table = Table::default();
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -74,6 +74,14 @@
     pub told: Vec<Told>,
 }
 
+/// A wait at the platform for the next ticket.
+#[derive(Debug, Clone, Copy)]
+struct Watch {
+    seat: Seat,
+    after: u64,
+    until: Duration,
+}
+
 /// A request that is passed from one node to another.
 #[derive(Debug, Clone)]
 pub struct Passed {
@@ -95,6 +103,10 @@
     pub cut: BTreeSet<(Vm, Vm)>,
     pub tickets: Vec<Ticket>,
     pub platform_up: bool,
+    /// Number of the newest ticket that the platform shows.
+    pub platform_shows: usize,
+    /// Reads of the platform so far.
+    pub reads: u64,
     /// Engine requests that hold memory, with their address.
     pub engine_holds: BTreeMap<String, SocketAddr>,
     /// Cancels under way: node, number, engine request.
@@ -102,6 +114,7 @@
     /// Positions appended to each call of each boot.
     pub appended: BTreeMap<(Seat, Call), u64>,
     pub exited: BTreeSet<Vm>,
+    watches: Vec<Watch>,
     keys: BTreeMap<(Seat, Call), Key>,
     arrivals: BTreeMap<(Vm, Exchange), Arrival>,
     tokens: BTreeMap<(Vm, Exchange), Vec<String>>,
@@ -154,10 +167,13 @@
             cut: BTreeSet::new(),
             tickets: vec![first_ticket()],
             platform_up: true,
+            platform_shows: usize::MAX,
+            reads: 0,
             engine_holds: BTreeMap::new(),
             cancels: Vec::new(),
             appended: BTreeMap::new(),
             exited: BTreeSet::new(),
+            watches: Vec::new(),
             keys: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             tokens: BTreeMap::new(),
@@ -324,23 +340,19 @@
     }
 
     fn read(&mut self, vm: Vm, read: Read) {
+        self.reads += 1;
         if !self.platform_up {
             self.feed(vm, Event::ReadFailed { read });
             return;
         }
         match read {
             Read::Tickets { after, wait_ms } => {
-                let newest = self.tickets.len() as u64;
-                // A watch that has nothing to say yet fails after its wait; a later one will answer.
-                if wait_ms == 0 || newest > after {
-                    let tickets = self
-                        .tickets
-                        .iter()
-                        .skip(after as usize)
-                        .map(|ticket| ticket.text.clone())
-                        .collect();
-                    self.feed(vm, Event::TicketsRead { tickets, newest });
-                }
+                let Some(seat) = self.seat(vm) else {
+                    return;
+                };
+                let until = self.now + Duration::from_millis(wait_ms);
+                self.watches.push(Watch { seat, after, until });
+                self.answer_watches();
             }
             Read::List => {
                 let vms = self.nodes.keys().map(|vm| listed(*vm)).collect();
@@ -349,6 +361,34 @@
         }
     }
 
+    /// Answers watches that have something to say, or have waited long enough.
+    fn answer_watches(&mut self) {
+        let newest = self.tickets.len().min(self.platform_shows) as u64;
+        let due =
+            |watch: &Watch| newest > watch.after || self.now >= watch.until || !self.platform_up;
+        let (due, waiting): (Vec<Watch>, Vec<Watch>) = self.watches.drain(..).partition(due);
+        self.watches = waiting;
+        for Watch { seat, after, .. } in due {
+            if self.seat(seat.vm) != Some(seat) {
+                continue;
+            }
+            let texts = self
+                .tickets
+                .iter()
+                .take(newest as usize)
+                .skip(after as usize);
+            let tickets = texts.map(|ticket| ticket.text.clone()).collect();
+            let event = if self.platform_up {
+                Event::TicketsRead { tickets, newest }
+            } else {
+                Event::ReadFailed {
+                    read: Read::Tickets { after, wait_ms: 0 },
+                }
+            };
+            self.feed(seat.vm, event);
+        }
+    }
+
     fn tell(&mut self, vm: Vm, exchange: Exchange, told: Told) {
         // A node that passed the request on gives its caller what the owner said.
         let passed = self
@@ -605,6 +645,7 @@
     /// Lets time pass; every process that runs ticks.
     pub fn advance(&mut self, time: Duration) {
         self.now += time;
+        self.answer_watches();
         let vms: Vec<Vm> = self.nodes.keys().copied().collect();
         for vm in vms {
             self.feed(vm, Event::Tick);
@@ -756,3 +797,53 @@
         max_tokens: 20,
     }
 }
+
+impl World {
+    /// Publishes the next ticket, which sets the limit of an organisation to its own number.
+    pub fn publish(&mut self) {
+        let number = self.tickets.len() + 1;
+        let limit = 1_000 + number;
+        let text = format!(
+            r#"{{"number":{number},"items":{{"organisation/o":{{"concurrent":{limit}}}}}}}"#
+        );
+        self.tickets
+            .push(Ticket::parse(&text).expect("a good ticket"));
+    }
+
+    /// Highest ticket in force at a process that runs.
+    pub fn ticket_at(&self, vm: Vm) -> Option<u64> {
+        self.nodes[&vm]
+            .as_ref()
+            .map(|node| node.state.table.newest())
+    }
+
+    /// Tells whether one process takes another for dead.
+    pub fn counts_as_down(&self, at: Vm, vm: Vm) -> bool {
+        let node = self.nodes[&at].as_ref();
+        let member = node.and_then(|node| node.state.roster.get(vm));
+        member.is_some_and(|member| !member.answers())
+    }
+}
+
+impl World {
+    /// Addresses that a process gives out, best first.
+    pub fn entries_of(&mut self, vm: Vm) -> Vec<String> {
+        let exchange = self.next_exchange();
+        self.feed(
+            vm,
+            Event::EntriesAsked {
+                exchange,
+                zone: None,
+            },
+        );
+        let ring = Ring::new(Secret::derive("the key of the test world"), None);
+        let tokens = self.tokens.remove(&(vm, exchange)).unwrap_or_default();
+        let owner = |text: &String| {
+            let token = hornbeamtiller_core::token::Token::decode(text, &ring);
+            token
+                .map(|token| token.owner.vm.to_string())
+                .unwrap_or_default()
+        };
+        tokens.iter().map(owner).collect()
+    }
+}
