Give the answer that the witness has

Change: an outcome carries the answer where its body is at most 1 KiB; a repeat elsewhere gets it, marked as a replay, if method, path and body are the same.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::id;
-use crate::message::Message;
+use crate::message::{Answer, Message};
 use crate::refusal::Refusal;
 use crate::timeline::Note;
 
@@ -136,6 +136,8 @@
         status: u16,
         /// Size of the body.
         bytes: usize,
+        /// The `Content-Type` and the body, if that is small enough for the witness.
+        small: Option<(Arc<str>, Arc<[u8]>)>,
     },
     /// A prefill has ended.
     Prefilled {
@@ -285,6 +287,15 @@
         /// The call.
         call: id::Call,
     },
+    /// Gives the answer that a witness has kept.
+    Give {
+        /// To which exchange.
+        exchange: id::Exchange,
+        /// The request's id.
+        id: String,
+        /// The answer.
+        answer: Arc<Answer>,
+    },
     /// Gives a call's whole recorded answer.
     Answer {
         /// To which exchange.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::id::{Incarnation, Key, Ticket, Vm, Zone};
+use crate::id::{Fingerprint, Incarnation, Key, Ticket, Vm, Zone};
 use crate::ticket::Version;
 use crate::token::Seat;
 
@@ -43,19 +43,29 @@
     Down,
 }
 
+/// A plain service's answer as a witness keeps it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// What a repeat must have in common with the request.
+    pub fingerprint: Fingerprint,
+    /// The `Content-Type`; empty where there was none.
+    pub kind: Arc<str>,
+    /// The body, if it is small.
+    pub body: Option<Arc<[u8]>>,
+}
+
 /// What a witness holds about an id.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[derive(Debug, Clone, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Record {
     /// No intent came and none will be acknowledged.
     Sealed,
     /// The owner was cleared for dispatch; no outcome is known.
     Intent,
-    /// The owner gave the whole answer of this HTTP status to its record.
-    Answered {
-        /// HTTP status.
-        status: u16,
-    },
+    /// The owner has the whole answer.
+    Answered(Arc<Answer>),
     /// The owner gave up before the first byte was written.
     NeverRan,
     /// The owner knows that it can't know.
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -352,6 +352,7 @@
             hold: None,
             backup: None,
             answer_bytes: 0,
+            answer: None,
         };
         self.state.requests.insert(call, request);
         call
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -1,10 +1,11 @@
 //! What became of attempts, and the end of calls.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::event::{Effect, Failure, Kv};
 use crate::id::{Attempt, Call, Endpoint, Organisation, Runner};
-use crate::message::Record;
+use crate::message::{Answer, Record};
 use crate::refusal::{Code, Reason, Refusal};
 use crate::state::{End, Phase, Request};
 use crate::timeline::{Detail, Kind, Note};
@@ -17,6 +18,9 @@
 /// How long a runner that was lost gets no attempt.
 const LOST_REST: Duration = Duration::from_secs(1);
 
+/// `Content-Type` and body of an answer that is small.
+type Small = (Arc<str>, Arc<[u8]>);
+
 impl Step<'_> {
     fn call_of(&self, attempt: Attempt) -> Option<Call> {
         let call = *self.state.by_attempt.get(&attempt)?;
@@ -52,13 +56,27 @@
         Some(phase)
     }
 
-    pub(super) fn answered(&mut self, attempt: Attempt, status: u16, bytes: usize) {
+    pub(super) fn answered(
+        &mut self,
+        attempt: Attempt,
+        status: u16,
+        bytes: usize,
+        small: Option<Small>,
+    ) {
         let Some(call) = self.call_of(attempt) else {
             return;
         };
         self.end_attempt(call);
         if let Some(request) = self.state.requests.get_mut(&call) {
             request.answer_bytes = bytes;
+            let (kind, body) = small.map_or(("".into(), None), |(kind, body)| (kind, Some(body)));
+            let fingerprint = request.fingerprint;
+            request.answer = Some(Arc::new(Answer {
+                status,
+                fingerprint,
+                kind,
+                body,
+            }));
         }
         self.emit(Effect::Store { call });
         self.finish(call, End::Answered { status });
@@ -289,6 +307,7 @@
         let (organisation, is_model) = (request.organisation.clone(), request.is_model());
         let needs_witness = !request.repeatable;
         let witness = request.witness.filter(|_| needs_witness);
+        let answer = request.answer.take();
         self.deactivate(call, &organisation);
         if let Some(exchange) = exchange {
             self.state.by_exchange.remove(&exchange);
@@ -316,7 +335,7 @@
             }
         }
         if let Some(witness) = witness {
-            self.owe_outcome(key, witness, record_of(end));
+            self.owe_outcome(key, witness, record_of(end, answer));
         }
         self.keep_record(call);
         self.drain_queue(&endpoint);
@@ -342,10 +361,10 @@
     }
 }
 
-fn record_of(end: End) -> Record {
-    match end {
-        End::Answered { status } => Record::Answered { status },
-        End::Refused(refusal) if refusal.code == Code::NotRun => Record::NeverRan,
-        End::Refused(_) => Record::Uncertain,
+fn record_of(end: End, answer: Option<Arc<Answer>>) -> Record {
+    match (end, answer) {
+        (End::Answered { .. }, Some(answer)) => Record::Answered(answer),
+        (End::Refused(refusal), _) if refusal.code == Code::NotRun => Record::NeverRan,
+        _ => Record::Uncertain,
     }
 }
--- a/crates/core/src/reduce/record.rs
+++ b/crates/core/src/reduce/record.rs
@@ -84,6 +84,6 @@
 
     /// Finds what this process holds as witness about an id.
     pub(super) fn witnessed(&self, key: Key) -> Option<crate::state::Witnessed> {
-        self.state.witnessed.get(&key).copied()
+        self.state.witnessed.get(&key).cloned()
     }
 }
--- a/crates/core/src/reduce/witness.rs
+++ b/crates/core/src/reduce/witness.rs
@@ -1,9 +1,11 @@
 //! The hand-over record between owner and witness: intents, outcomes and seals.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::event::Effect;
 use crate::id::{Call, Exchange, Incarnation, Key};
-use crate::message::{Message, Record};
+use crate::message::{Answer, Message, Record};
 use crate::refusal::{Reason, Refusal};
 use crate::state::{Foreign, Owed, Phase, SealWait, Witnessed};
 use crate::timeline::{Kind, Note};
@@ -89,7 +91,7 @@
             key,
             Owed {
                 witness,
-                record,
+                record: record.clone(),
                 since: up,
                 sent: up,
             },
@@ -115,7 +117,9 @@
         };
         let wait = SealWait {
             exchange,
+            id: foreign.id.clone(),
             key,
+            fingerprint: foreign.arrival.fingerprint,
             conclusive,
             owner: token.owner,
             witness,
@@ -192,7 +196,7 @@
         let exchanges: Vec<Exchange> = waiting.map(|wait| wait.exchange).collect();
         for exchange in exchanges {
             if let Some(wait) = self.state.seals.remove(&exchange) {
-                self.tell_sealed(&wait, record);
+                self.tell_sealed(&wait, record.clone());
             }
         }
     }
@@ -200,16 +204,37 @@
     /// Tells a caller what the witness's record proves.
     fn tell_sealed(&mut self, wait: &SealWait, record: Option<Record>) {
         let refusal = match record {
+            Some(Record::Answered(answer)) => {
+                self.give_witnessed(wait, answer);
+                return;
+            }
             Some(Record::Sealed | Record::NeverRan) if wait.conclusive => {
                 Refusal::not_run(Reason::Sealed)
             }
-            Some(Record::Answered { .. }) => Refusal::unknown(Reason::AnswerDropped),
             Some(Record::Uncertain) => Refusal::unknown(Reason::RunnerLost),
             _ => Refusal::unknown(Reason::OwnerUnreachable),
         };
         self.refuse(wait.exchange, Some(wait.key), refusal);
     }
 
+    /// Gives the answer that the witness has, if it has the whole of it.
+    fn give_witnessed(&mut self, wait: &SealWait, answer: Arc<Answer>) {
+        let key = Some(wait.key);
+        if answer.fingerprint != wait.fingerprint {
+            self.refuse(wait.exchange, key, Refusal::unknown(Reason::IdReused));
+        } else if answer.body.is_none() {
+            self.refuse(wait.exchange, key, Refusal::unknown(Reason::AnswerDropped));
+        } else {
+            self.state.counters.repeated += 1;
+            self.note(Note::new(Kind::Repeated).request(wait.key));
+            self.emit(Effect::Give {
+                exchange: wait.exchange,
+                id: wait.id.clone(),
+                answer,
+            });
+        }
+    }
+
     pub(super) fn tick_witness(&mut self) {
         self.tick_intents();
         self.tick_seals();
@@ -269,17 +294,13 @@
             .owed
             .iter()
             .filter(|(_, owed)| up >= owed.sent + interval)
-            .map(|(key, owed)| (*key, *owed))
+            .map(|(key, owed)| (*key, owed.clone()))
             .collect();
         for (key, owed) in due {
+            let record = owed.record.clone();
+            let witness = owed.witness.vm;
             self.state.owed.insert(key, Owed { sent: up, ..owed });
-            self.send(
-                owed.witness.vm,
-                Message::Outcome {
-                    key,
-                    record: owed.record,
-                },
-            );
+            self.send(witness, Message::Outcome { key, record });
         }
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of one entry VM's decisions.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -9,7 +10,7 @@
 use crate::event::{Arrival, Kv, Read, Work};
 use crate::id::{self, Call, Exchange, Fingerprint, Key};
 use crate::member::Roster;
-use crate::message::{Hold, Record, Standing};
+use crate::message::{Answer, Hold, Record, Standing};
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::ticket::{Table, Version};
@@ -119,6 +120,8 @@
     pub backup: Option<Seat>,
     /// Size of the kept answer.
     pub answer_bytes: usize,
+    /// The answer as the witness is to keep it.
+    pub answer: Option<Arc<Answer>>,
 }
 
 impl Request {
@@ -160,7 +163,7 @@
 }
 
 /// What this process holds as witness about one id.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Witnessed {
     /// The record.
     pub record: Record,
@@ -174,7 +177,11 @@
     /// The exchange.
     pub exchange: Exchange,
     /// The id.
+    pub id: String,
+    /// Digest of the id.
     pub key: Key,
+    /// What the request must have in common with the first under its id.
+    pub fingerprint: Fingerprint,
     /// Whether a seal proves that the call never ran.
     pub conclusive: bool,
     /// The owner that the token names.
@@ -190,7 +197,7 @@
 }
 
 /// An outcome that the witness has not acknowledged.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Owed {
     /// The witness.
     pub witness: Seat,
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_core::event::{Event, Failure};
+use hornbeamtiller_core::event::{Event, Failure, Work};
 use hornbeamtiller_core::id::Key;
 use hornbeamtiller_core::message::Message;
 use hornbeamtiller_core::refusal::{Code, Reason, Refusal};
@@ -332,7 +332,7 @@
 }
 
 #[test]
-fn owner_restarted_old_id() {
+fn owner_restarted_answer_at_witness() {
     let mut world = World::settled(3, 5);
     let token = world.token_of(1).expect("token");
     let id = format!("{token}.a");
@@ -342,9 +342,23 @@
     world.crash(1);
     world.start(1);
     world.run_calm(Duration::from_secs(3));
-    let place = world.call(1, Some(id), once(), 0).expect("open");
+    // The witness has the outcome with the answer.
+    let place = world.call(1, Some(id.clone()), once(), 0).expect("open");
+    let other = Work::Service {
+        method: "POST".to_owned(),
+        path: "/other".to_owned(),
+    };
+    let reused = world.call(1, Some(id), other, 0).expect("open");
     world.drain();
-    assert_eq!(only_refusal(&world, place).code, Code::Unknown);
+    assert!(matches!(
+        world.opens[place].told[..],
+        [Told::Answered { replay: true, .. }]
+    ));
+    let refusal = only_refusal(&world, reused);
+    assert_eq!(
+        (refusal.code, refusal.reason),
+        (Code::Unknown, Reason::IdReused)
+    );
     assert_eq!(world.executions.values().copied().collect::<Vec<_>>(), [1]);
 }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -323,6 +323,14 @@
                 let tokens = entries.into_iter().map(|entry| entry.token).collect();
                 self.tokens.insert((seat.vm, exchange), tokens);
             }
+            Effect::Give {
+                exchange, answer, ..
+            } => {
+                // The fake runner's answer is the digest of the id that it ran.
+                let body = answer.body.as_deref().and_then(|body| body.try_into().ok());
+                let key = Key(body.expect("a digest"));
+                self.tell(seat.vm, exchange, Told::Answered { key, replay: true });
+            }
             Effect::Forget { .. }
             | Effect::Complete { .. }
             | Effect::Store { .. }
@@ -566,6 +574,7 @@
                 attempt: sent.attempt,
                 status: 200,
                 bytes: 10,
+                small: Some(("".into(), sent.key.0[..].into())),
             },
             Stage::Prefill => {
                 // An engine drops the result by itself when nobody imports it.
--- a/crates/hornbeamctl/src/bench/mod.rs
+++ b/crates/hornbeamctl/src/bench/mod.rs
@@ -1,5 +1,7 @@
 //! Measurements: each prints its figures and fails where a stated bound is broken.
 
+mod control;
+mod fleet;
 mod once;
 mod overhead;
 mod report;
@@ -15,6 +17,8 @@
 pub fn run(flags: &BenchFlags) -> Result<()> {
     match &flags.command {
         BenchCommand::Overhead(flags) => overhead::run(flags),
+        BenchCommand::Control(flags) => control::run(flags),
+        BenchCommand::Fleet(flags) => fleet::run(flags),
         BenchCommand::Once(flags) => once::run(flags),
     }
 }
--- a/crates/hornbeamctl/src/bench/once/mod.rs
+++ b/crates/hornbeamctl/src/bench/once/mod.rs
@@ -1,8 +1,8 @@
 //! Executions against answers, on real sockets and under faults by seed.
 
-mod customer;
+pub mod customer;
 mod faults;
-mod tally;
+pub mod tally;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -66,7 +66,7 @@
 
 // The fleet is borrowed for the settling only, before any other task runs.
 #[allow(clippy::await_holding_refcell_ref)]
-async fn settle(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<()> {
+pub async fn settle(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<()> {
     fleet.borrow().settle(client).await
 }
 
@@ -158,7 +158,7 @@
 }
 
 /// Sends the stand-ins where all VMs are.
-async fn place(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<()> {
+pub async fn place(fleet: &Rc<RefCell<Fleet>>, client: &Client) -> Result<()> {
     let (control, asks) = {
         let fleet = fleet.borrow();
         (fleet.standins.control, fleet.placement())
--- a/crates/hornbeamctl/src/bench/overhead.rs
+++ b/crates/hornbeamctl/src/bench/overhead.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 use serde_json::json;
 
+use super::control::{metrics, value, HEADER_BYTES};
 use super::report::{self, micros, millis, quantile, Bounds};
 use crate::caller::{self, Ask};
 use crate::cli::OverheadFlags;
@@ -43,6 +44,8 @@
     routed_p99_us: f64,
     owner_processor_us: f64,
     witness_processor_us: f64,
+    /// Sent by owner and witness together, with network headers; probes are in it.
+    peer_bytes_per_call: f64,
 }
 
 #[derive(Serialize)]
@@ -52,6 +55,7 @@
     tokens: u64,
     tokens_per_s: f64,
     processor_us_per_token: f64,
+    peer_bytes_per_stream: f64,
     interval_p50_ms: f64,
     interval_p99_ms: f64,
     chunks_per_token: f64,
@@ -150,13 +154,13 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let (mut direct, mut routed) = (Vec::new(), Vec::new());
     let mut before = (owner.processor.read(), witness.processor.read());
-    let mut idle = Duration::ZERO;
+    let mut bytes = peer_bytes(fleet, client).await;
     for number in 0..pairs + WARM_UP {
         if number == WARM_UP {
             direct.clear();
             routed.clear();
             before = (owner.processor.read(), witness.processor.read());
-            idle = Duration::ZERO;
+            bytes = peer_bytes(fleet, client).await;
         }
         let straight = Ask::new(method.clone(), path).body("{}");
         let through = Ask::new(
@@ -182,7 +186,6 @@
             } else {
                 (owner.caller, &through, &mut routed)
             };
-            let started = Instant::now();
             let answer = caller::send(client, address, ask)
                 .await
                 .change_context(Error::Unreachable(address))?;
@@ -191,13 +194,10 @@
                 return Err(Report::new(Error::Unexpected(text)));
             }
             times.push(answer.took);
-            if turn {
-                idle += started.elapsed();
-            }
         }
     }
     let after = (owner.processor.read(), witness.processor.read());
-    _ = idle;
+    let bytes = peer_bytes(fleet, client).await - bytes;
     direct.sort();
     routed.sort();
     let (direct_median, routed_median) = (quantile(&direct, 0.5), quantile(&routed, 0.5));
@@ -213,9 +213,21 @@
         routed_p99_us: micros(quantile(&routed, 0.99)),
         owner_processor_us: micros(after.0 - before.0) / f64::from(pairs),
         witness_processor_us: micros(after.1 - before.1) / f64::from(pairs),
+        peer_bytes_per_call: bytes / f64::from(pairs),
     })
 }
 
+/// What all nodes have sent to peers, with network headers.
+async fn peer_bytes(fleet: &Fleet, client: &Client) -> f64 {
+    let mut all = 0.0;
+    for member in &fleet.members {
+        let text = metrics(client, member.operator).await;
+        all += value(&text, "hornbeamtiller_peer_bytes_total") as f64;
+        all += HEADER_BYTES * value(&text, "hornbeamtiller_peer_writes_total") as f64;
+    }
+    all
+}
+
 async fn token_of(client: &Client, address: SocketAddr, vm: u32) -> Result<String> {
     let entries = caller::entries(client, address).await?;
     let entry = entries.entries.into_iter().find(|entry| entry.vm == vm);
@@ -239,12 +251,14 @@
         "model": fleet.deployment.model(), "prompt": "a short prompt", "max_tokens": flags.tokens, "stream": true,
     });
     let ask = Ask::post("/v1/completions", &body);
+    let bytes = peer_bytes(fleet, client).await;
     let before = owner.processor.read();
     let started = Instant::now();
     let all = (0..flags.streams).map(|_| caller::stream(client, owner.caller, &ask, usize::MAX));
     let all = join_all(all).await;
     let took = started.elapsed();
     let spent = owner.processor.read() - before;
+    let bytes = peer_bytes(fleet, client).await - bytes;
     let mut intervals = Vec::new();
     let mut tokens = 0;
     for streamed in all {
@@ -269,6 +283,7 @@
         tokens,
         tokens_per_s: tokens as f64 / took.as_secs_f64(),
         processor_us_per_token: micros(spent) / tokens as f64,
+        peer_bytes_per_stream: bytes / f64::from(flags.streams),
         interval_p50_ms: millis(quantile(&intervals, 0.5)),
         interval_p99_ms: millis(quantile(&intervals, 0.99)),
         chunks_per_token: 1.0 - late as f64 / tokens as f64,
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -197,6 +197,10 @@
 pub enum BenchCommand {
     /// What one node adds to a call and to a token, against the same straight to the stand-in.
     Overhead(OverheadFlags),
+    /// What a node spends on control, at several sizes of the fleet.
+    Control(ControlFlags),
+    /// A rolling replacement, tickets and a failing platform under load.
+    Fleet(FleetFlags),
     /// Executions against answers, with entry VMs and runners that fail by seed.
     Once(OnceFlags),
 }
@@ -282,3 +286,40 @@
     /// All of these.
     All,
 }
+
+/// Flags of `bench control`.
+#[derive(Debug, Args)]
+pub struct ControlFlags {
+    /// Seeds and form of output.
+    #[command(flatten)]
+    pub seeds: SeedFlags,
+    /// Numbers of entry VMs, separated by commas.
+    #[arg(
+        long,
+        env = "HORNBEAMCTL_SIZES",
+        value_delimiter = ',',
+        default_value = "8,16,32,64"
+    )]
+    pub sizes: Vec<u32>,
+    /// Time before the measured one, in milliseconds for each node: a node connects to each other
+    /// one when it first probes it.
+    #[arg(long, env = "HORNBEAMCTL_WARM_MS", default_value_t = 1_500)]
+    pub warm_ms: u64,
+    /// Time over which each size is measured, in seconds.
+    #[arg(long, env = "HORNBEAMCTL_SECONDS", default_value_t = 10)]
+    pub seconds: u64,
+}
+
+/// Flags of `bench fleet`.
+#[derive(Debug, Args)]
+pub struct FleetFlags {
+    /// Seeds and form of output.
+    #[command(flatten)]
+    pub seeds: SeedFlags,
+    /// Number of entry VMs.
+    #[arg(long, env = "HORNBEAMCTL_NODES", default_value_t = 8)]
+    pub nodes: u32,
+    /// Requests a second.
+    #[arg(long, env = "HORNBEAMCTL_RATE", default_value_t = 40)]
+    pub rate: u32,
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -44,7 +44,15 @@
 type Read = fn(&State, &Links) -> u64;
 
 /// Name, help text and source of each plain count.
-const COUNTERS: [(&str, &str, Read); 16] = [
+const COUNTERS: [(&str, &str, Read); 18] = [
+    (
+        "peer_bytes_total",
+        "Bytes sent to peers, without headers of the network.",
+        |_, links| links.sent().get().0,
+    ),
+    ("peer_writes_total", "Writes to peers.", |_, links| {
+        links.sent().get().1
+    }),
     (
         "recovered_total",
         "Requests taken over from a dead owner.",
--- a/crates/node/src/peer/io.rs
+++ b/crates/node/src/peer/io.rs
@@ -1,6 +1,6 @@
 //! A monoio connection as the byte streams that `capnp-rpc` reads and writes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,12 +12,29 @@
 
 /// One direction of a connection; clones share the connection.
 #[derive(Clone)]
-pub struct Half(Rc<RefCell<TcpStreamPoll>>);
+pub struct Half {
+    stream: Rc<RefCell<TcpStreamPoll>>,
+    sent: Sent,
+}
+
+/// What all connections of a process have sent to peers.
+#[derive(Debug, Clone, Default)]
+pub struct Sent(Rc<Cell<(u64, u64)>>);
+
+impl Sent {
+    /// Bytes, and the writes that carried them.
+    pub fn get(&self) -> (u64, u64) {
+        self.0.get()
+    }
+}
 
 impl Half {
     /// Shares a connection between its two directions.
-    pub fn new(stream: TcpStreamPoll) -> Self {
-        Self(Rc::new(RefCell::new(stream)))
+    pub fn new(stream: TcpStreamPoll, sent: Sent) -> Self {
+        Self {
+            stream: Rc::new(RefCell::new(stream)),
+            sent,
+        }
     }
 }
 
@@ -28,7 +45,7 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let mut buf = ReadBuf::new(buf);
-        let mut stream = self.0.borrow_mut();
+        let mut stream = self.stream.borrow_mut();
         std::task::ready!(Pin::new(&mut *stream).poll_read(cx, &mut buf))?;
         Poll::Ready(Ok(buf.filled().len()))
     }
@@ -40,14 +57,18 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+        let written =
+            std::task::ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf))?;
+        let (bytes, writes) = self.sent.0.get();
+        self.sent.0.set((bytes + written as u64, writes + 1));
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -26,7 +26,7 @@
 use monoio::io::IntoPollIo as _;
 use monoio::net::TcpStream;
 
-use super::io::Half;
+use super::io::{Half, Sent};
 use crate::shell::Shell;
 
 /// Messages that may wait for a link; the oldest go first.
@@ -76,6 +76,7 @@
     seat: Seat,
     links: RefCell<HashMap<Vm, (Rc<Link>, Lifeline)>>,
     carried: Cell<Carried>,
+    sent: Sent,
 }
 
 struct Link {
@@ -96,9 +97,15 @@
             seat,
             links: RefCell::default(),
             carried: Cell::default(),
+            sent: Sent::default(),
         }
     }
 
+    /// What all connections with peers have sent, in both roles.
+    pub fn sent(&self) -> &Sent {
+        &self.sent
+    }
+
     /// Closes all links at once.
     pub fn abort(&self) {
         self.links.borrow_mut().clear();
@@ -211,8 +218,11 @@
     loop {
         link.wait().await;
         let address = *link.address.borrow();
-        let opened =
-            monoio::time::timeout(CONNECT_TIMEOUT, Session::open(address, &ring, seat)).await;
+        let opened = monoio::time::timeout(
+            CONNECT_TIMEOUT,
+            Session::open(address, &ring, seat, shell.links().sent().clone()),
+        )
+        .await;
         let session = match opened {
             Ok(Ok(session)) => session,
             _ => {
@@ -242,10 +252,10 @@
 }
 
 impl Session {
-    async fn open(address: SocketAddr, ring: &Ring, seat: Seat) -> Result<Self, Error> {
+    async fn open(address: SocketAddr, ring: &Ring, seat: Seat, sent: Sent) -> Result<Self, Error> {
         let stream = TcpStream::connect_addr(address).await?;
         stream.set_nodelay(true)?;
-        let half = Half::new(stream.into_poll_io()?);
+        let half = Half::new(stream.into_poll_io()?, sent);
         let network = VatNetwork::new(half.clone(), half, Side::Client, Default::default());
         let mut system = RpcSystem::new(Box::new(network), None);
         let gate: gate::Client = system.bootstrap(Side::Server);
--- a/crates/node/src/peer/listener.rs
+++ b/crates/node/src/peer/listener.rs
@@ -115,7 +115,7 @@
     };
     let mut options = capnp::message::ReaderOptions::new();
     options.traversal_limit_in_words(Some(MESSAGE_WORDS_MAX));
-    let half = Half::new(stream);
+    let half = Half::new(stream, shell.links().sent().clone());
     let network = VatNetwork::new(half.clone(), half, Side::Server, options);
     let activity = Rc::new(Activity::default());
     let gate = Gate {
--- a/crates/node/src/shell/mod.rs
+++ b/crates/node/src/shell/mod.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,9 @@
 use crate::settings::Settings;
 use crate::stream;
 
+/// Largest answer that goes to the witness, in bytes.
+const SMALL_ANSWER_MAX: usize = 1024;
+
 /// What is kept for a call.
 #[derive(Debug)]
 pub struct Kept {
@@ -139,6 +143,7 @@
             attempt,
             status: whole.status.as_u16(),
             bytes: whole.body.len(),
+            small: small(&whole),
         };
         self.0.answer.replace(Some(Rc::new(whole)));
         self.apply(event);
@@ -214,3 +219,15 @@
         self.0.attempts.borrow_mut().remove(&attempt);
     }
 }
+
+/// Content type and body of an answer that a witness may keep.
+fn small(whole: &Whole) -> Option<(Arc<str>, Arc<[u8]>)> {
+    if whole.body.len() > SMALL_ANSWER_MAX {
+        return None;
+    }
+    let kind = whole
+        .headers
+        .get(http::header::CONTENT_TYPE)
+        .and_then(|kind| kind.to_str().ok());
+    Some((kind.unwrap_or_default().into(), whole.body[..].into()))
+}
--- a/crates/node/src/shell/perform.rs
+++ b/crates/node/src/shell/perform.rs
@@ -1,11 +1,15 @@
 //! What each effect means in sockets and memory.
 
+use std::rc::Rc;
+
+use bytes::Bytes;
 use hornbeamtiller_core::event::{Effect, Event, Now};
 use hornbeamtiller_core::id::{Call, Exchange};
+use hornbeamtiller_core::message::Answer;
 use hornbeamtiller_core::timeline::Kind;
 use hornbeamtiller_http::lifeline::Lifeline;
 
-use super::{Kept, Shell, Verdict};
+use super::{Kept, Shell, Verdict, Whole};
 use crate::{attempt, platform, stream};
 
 impl Shell {
@@ -23,6 +27,11 @@
                 base,
             } => self.keep(exchange, call, &id, base),
             Effect::Forget { call } => _ = self.0.kept.borrow_mut().remove(&call),
+            Effect::Give {
+                exchange,
+                id,
+                answer,
+            } => self.give(exchange, &id, &answer),
             Effect::Store { call } => self.store_answer(call),
             Effect::Answer {
                 exchange,
@@ -90,6 +99,33 @@
         self.0.kept.borrow_mut().insert(call, kept);
     }
 
+    /// Gives an answer that a witness has kept.
+    fn give(&self, exchange: Exchange, id: &str, answer: &Answer) {
+        let mut headers = http::HeaderMap::new();
+        if let Ok(kind) = http::HeaderValue::from_str(&answer.kind) {
+            headers.insert(http::header::CONTENT_TYPE, kind);
+        }
+        let status = http::StatusCode::from_u16(answer.status).unwrap_or_default();
+        let body = answer
+            .body
+            .as_deref()
+            .map(Bytes::copy_from_slice)
+            .unwrap_or_default();
+        let whole = Rc::new(Whole {
+            status,
+            headers,
+            body,
+        });
+        self.tell(
+            exchange,
+            Verdict::Whole {
+                whole,
+                id: id.into(),
+                replay: true,
+            },
+        );
+    }
+
     /// Gives a plain service's answer.
     fn answer(&self, exchange: Exchange, call: Call, replay: bool) {
         let found = self.kept(call, |kept| (kept.answer.clone(), kept.id.clone()));
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -62,11 +62,19 @@
   standing @6 :Standing;
 }
 
+struct Answer {
+  status @0 :UInt16;
+  fingerprint @1 :Key;
+  kind @2 :Text;
+  body @3 :Data;
+  hasBody @4 :Bool;
+}
+
 struct Record {
   union {
     sealed @0 :Void;
     intent @1 :Void;
-    answered @2 :UInt16;
+    answered @2 :Answer;
     neverRan @3 :Void;
     uncertain @4 :Void;
     none @5 :Void;
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -1,10 +1,11 @@
 //! Conversion between the reducer's messages and the schema's.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeamtiller_core::id::Key;
-use hornbeamtiller_core::message::{Card, Hold, Message, Record, Standing};
+use hornbeamtiller_core::id::{Fingerprint, Key};
+use hornbeamtiller_core::message::{Answer, Card, Hold, Message, Record, Standing};
 use hornbeamtiller_core::ticket::Version;
 use hornbeamtiller_core::timeline::Stamp;
 use hornbeamtiller_core::token::Seat;
@@ -123,7 +124,7 @@
             write_key(out.reborrow().init_key(), *key);
             out.set_granted(*granted);
         }
-        Message::Outcome { key, record } => write_outcome(out.init_outcome(), *key, Some(*record)),
+        Message::Outcome { key, record } => write_outcome(out.init_outcome(), *key, Some(record)),
         Message::OutcomeAck { key } => write_key(out.init_outcome_ack(), *key),
         Message::Seal {
             key,
@@ -144,7 +145,9 @@
         Message::HoldTold { key, hold } => {
             write_hold(out.init_hold_told(), *key, Duration::ZERO, hold.as_ref());
         }
-        Message::SealAck { key, record } => write_outcome(out.init_seal_ack(), *key, *record),
+        Message::SealAck { key, record } => {
+            write_outcome(out.init_seal_ack(), *key, record.as_ref())
+        }
     }
 }
 
@@ -275,14 +278,37 @@
     }
 }
 
-fn write_outcome(mut out: schema::outcome::Builder<'_>, key: Key, record: Option<Record>) {
+fn write_answer(mut out: schema::answer::Builder<'_>, answer: &Answer) {
+    out.set_status(answer.status);
+    write_key(out.reborrow().init_fingerprint(), Key(answer.fingerprint.0));
+    out.set_kind(&*answer.kind);
+    if let Some(body) = &answer.body {
+        out.set_body(body);
+        out.set_has_body(true);
+    }
+}
+
+fn read_answer(answer: schema::answer::Reader<'_>) -> Result<Answer> {
+    let body = answer
+        .get_has_body()
+        .then(|| answer.get_body())
+        .transpose()?;
+    Ok(Answer {
+        status: answer.get_status(),
+        fingerprint: Fingerprint(read_key(answer.get_fingerprint()?).0),
+        kind: answer.get_kind()?.to_str()?.into(),
+        body: body.map(Into::into),
+    })
+}
+
+fn write_outcome(mut out: schema::outcome::Builder<'_>, key: Key, record: Option<&Record>) {
     write_key(out.reborrow().init_key(), key);
     let mut out = out.init_record();
     match record {
         None => out.set_none(()),
         Some(Record::Sealed) => out.set_sealed(()),
         Some(Record::Intent) => out.set_intent(()),
-        Some(Record::Answered { status }) => out.set_answered(status),
+        Some(Record::Answered(answer)) => write_answer(out.init_answered(), answer),
         Some(Record::NeverRan) => out.set_never_ran(()),
         Some(Record::Uncertain) => out.set_uncertain(()),
     }
@@ -294,7 +320,7 @@
         Which::None(()) => None,
         Which::Sealed(()) => Some(Record::Sealed),
         Which::Intent(()) => Some(Record::Intent),
-        Which::Answered(status) => Some(Record::Answered { status }),
+        Which::Answered(answer) => Some(Record::Answered(Arc::new(read_answer(answer?)?))),
         Which::NeverRan(()) => Some(Record::NeverRan),
         Which::Uncertain(()) => Some(Record::Uncertain),
     };
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -1,9 +1,10 @@
 //! Messages survive the wire, and the handshake accepts nothing but proof of the key.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeamtiller_core::id::Key;
-use hornbeamtiller_core::message::{Card, Hold, Message, Record, Standing};
+use hornbeamtiller_core::id::{Fingerprint, Key};
+use hornbeamtiller_core::message::{Answer, Card, Hold, Message, Record, Standing};
 use hornbeamtiller_core::ticket::Version;
 use hornbeamtiller_core::timeline::Stamp;
 use hornbeamtiller_core::token::{Ring, Seat, Secret};
@@ -41,7 +42,12 @@
     let records = [
         Record::Sealed,
         Record::Intent,
-        Record::Answered { status: 201 },
+        Record::Answered(Arc::new(Answer {
+            status: 201,
+            fingerprint: Fingerprint([7; 16]),
+            kind: "text/plain".into(),
+            body: Some(b"body"[..].into()),
+        })),
         Record::NeverRan,
         Record::Uncertain,
     ];
@@ -105,7 +111,11 @@
             hold: Some(hold),
         },
     ];
-    all.extend(records.map(|record| Message::Outcome { key, record }));
+    all.extend(
+        records
+            .clone()
+            .map(|record| Message::Outcome { key, record }),
+    );
     all.extend(records.map(|record| Message::SealAck {
         key,
         record: Some(record),
