Keep an owner's witnesses few

Cause: a witness was any process, so that an owner's messages went to all and shared no calls.

Change: the witnesses of an owner are two, by a hash of both VMs, in another zone where there is one; the second process that knows of a stream is the other of them.

--- a/crates/core/src/reduce/entries.rs
+++ b/crates/core/src/reduce/entries.rs
@@ -11,6 +11,9 @@
 
 use super::Step;
 
+/// Processes among which the witnesses of one owner's tokens are.
+const WITNESSES: usize = 2;
+
 struct Candidate {
     seat: Seat,
     zone: Zone,
@@ -87,7 +90,11 @@
         }
     }
 
-    /// Picks a process that answers, in another zone than the owner's where there is one.
+    /// Picks a witness for an owner: one of the first few by a hash of both, in another zone than the
+    /// owner's where there is one.
+    ///
+    /// An owner's messages to its witnesses go to few processes so that they share calls, and each
+    /// process witnesses for few owners.
     pub(super) fn pick_witness(&mut self, owner: Seat, zone: &str) -> Option<Seat> {
         let mut seats: Vec<(Seat, bool)> = Vec::new();
         for member in self.state.roster.iter() {
@@ -99,21 +106,13 @@
         if owner.vm != self.state.seat.vm && self.state.lifecycle == Lifecycle::Running {
             seats.push((self.state.seat, &*self.state.settings.zone != zone));
         }
-        let elsewhere: Vec<Seat> = seats
-            .iter()
-            .filter(|(_, other)| *other)
-            .map(|(seat, _)| *seat)
-            .collect();
-        let choices: Vec<Seat> = if elsewhere.is_empty() {
-            seats.into_iter().map(|(seat, _)| seat).collect()
-        } else {
-            elsewhere
-        };
-        if choices.is_empty() {
-            return None;
+        seats.sort_by_key(|(seat, elsewhere)| (!elsewhere, rank(owner.vm, seat.vm)));
+        if seats.first().is_some_and(|(_, elsewhere)| *elsewhere) {
+            seats.retain(|(_, elsewhere)| *elsewhere);
         }
-        let at = self.state.rng.random_range(0..choices.len());
-        Some(choices[at])
+        seats.truncate(WITNESSES);
+        let at = self.state.rng.random_range(0..seats.len().max(1));
+        seats.get(at).map(|(seat, _)| *seat)
     }
 
     /// Random members that answer, without `except`.
@@ -130,3 +129,10 @@
         vms
     }
 }
+
+/// Order of a VM among another's witnesses.
+fn rank(owner: Vm, vm: Vm) -> u64 {
+    let pair = (u64::from(owner) << 32) | u64::from(vm);
+    let mixed = pair.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/crates/core/src/reduce/recover.rs
+++ b/crates/core/src/reduce/recover.rs
@@ -22,6 +22,8 @@
 const RECOVERY_STEP: Duration = Duration::from_millis(250);
 /// How long a boot that this process has never heard of may turn out to be a new one.
 const UNHEARD_WAIT: Duration = Duration::from_secs(1);
+/// Random picks made to find a witness other than a given one.
+const BACKUP_TRIES: usize = 4;
 /// Longest wait for the witness's word on a stream.
 const HOLD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -315,8 +317,15 @@
         }
     }
 
-    /// Picks a process that answers and is not the witness.
+    /// Picks another one of this process's witnesses; any process where there is no other.
     fn pick_backup(&mut self, witness: Option<Seat>) -> Option<Seat> {
+        let (own, zone) = (self.state.seat, self.state.settings.zone.clone());
+        for _ in 0..BACKUP_TRIES {
+            let picked = self.pick_witness(own, &zone);
+            if picked.is_some() && picked != witness {
+                return picked;
+            }
+        }
         let vm = self
             .random_members(1, witness.map(|witness| witness.vm))
             .first()
