--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -11,9 +11,8 @@
 use hornbeamtiller_core::refusal::{Code, Reason};
 use hornbeamtiller_core::token::Seat;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
-use world::{once, read, Told, World, TICK};
+use world::{config, once, read, Told, World, TICK};
 
 /// Number of cases where the environment does not say.
 const CASES: u32 = 300;
@@ -113,20 +112,6 @@
     Ok(())
 }
 
-fn config(cases: u32) -> ProptestConfig {
-    let cases = std::env::var("HORNBEAMTILLER_CASES")
-        .ok()
-        .and_then(|cases| cases.parse().ok())
-        .unwrap_or(cases);
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        max_shrink_iters: 500,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(config(CASES))]
 
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -9,16 +9,13 @@
 use hornbeamtiller_core::id::Key;
 use hornbeamtiller_core::message::Message;
 use hornbeamtiller_core::refusal::{Code, Reason, Refusal};
-use hornbeamtiller_core::token::{Ring, Secret, Token};
+use hornbeamtiller_core::token::Token;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
-use world::{once, read, Told, World, TICK};
+use world::{config, once, read, ring, Told, World, TICK};
 
 /// Number of cases where the environment does not say.
 const CASES: u32 = 1_500;
-/// Seed of all cases.
-const SEED: u64 = 20_261_203;
 /// Number of processes.
 const NODES: u32 = 4;
 
@@ -164,26 +161,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let cases = std::env::var("HORNBEAMTILLER_CASES")
-        .ok()
-        .and_then(|cases| cases.parse().ok())
-        .unwrap_or(CASES);
-    let seed = std::env::var("HORNBEAMTILLER_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok())
-        .unwrap_or(SEED);
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(CASES))]
 
     #[test]
     fn calls_any_interleaving(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..120)) {
@@ -284,7 +263,7 @@
     let id = format!("{token}.a");
     world.call(1, Some(id.clone()), once(), 0);
     world.run_calm(TICK);
-    let ring = Ring::new(Secret::derive("the key of the test world"), None);
+    let ring = ring();
     let parsed = Token::parse_id(&id, &ring).expect("a good id");
     let witness = parsed.witness.expect("a settled fleet has a witness");
     world.crash(1);
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -7,8 +7,8 @@
 use hornbeamtiller_core::event::{Event, Stage};
 use hornbeamtiller_core::refusal::{Code, Reason};
 
-use hornbeamtiller_core::token::{Ring, Secret, Token};
-use world::{model, read, Told, World, TICK};
+use hornbeamtiller_core::token::Token;
+use world::{model, read, ring, Told, World, TICK};
 
 /// Longest time from the end of an entry VM until the memory of its streams is free.
 const FREE_WITHIN: Duration = Duration::from_secs(15);
@@ -30,7 +30,7 @@
 }
 
 fn witness_of(id: &str) -> u32 {
-    let ring = Ring::new(Secret::derive("the key of the test world"), None);
+    let ring = ring();
     let token = Token::parse_id(id, &ring).expect("a good id");
     token.witness.expect("a settled fleet has a witness").vm
 }
--- a/crates/core/tests/stream.rs
+++ b/crates/core/tests/stream.rs
@@ -7,14 +7,11 @@
 use hornbeamtiller_core::event::{Event, Failure, Stage};
 use hornbeamtiller_core::refusal::Code;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
-use world::{model, Told, World, TICK};
+use world::{config, model, Told, World, TICK};
 
 /// Number of cases where the environment does not say.
 const CASES: u32 = 1_500;
-/// Seed of all cases.
-const SEED: u64 = 20_261_203;
 /// Longest time from a caller's going until its engine memory is free.
 const FREE_WITHIN: Duration = Duration::from_secs(5);
 
@@ -168,22 +165,8 @@
     }
 }
 
-fn config() -> ProptestConfig {
-    let cases = std::env::var("HORNBEAMTILLER_CASES")
-        .ok()
-        .and_then(|cases| cases.parse().ok())
-        .unwrap_or(CASES);
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(CASES))]
 
     #[test]
     fn streams_any_interleaving(seed in any::<u64>(), steps in prop::collection::vec(step(), 1..100)) {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -20,10 +20,28 @@
 use hornbeamtiller_core::settings::Settings;
 use hornbeamtiller_core::state::State;
 use hornbeamtiller_core::ticket::Ticket;
-use hornbeamtiller_core::token::{Ring, Seat, Secret};
+use hornbeamtiller_core::token::{Ring, Seat, Secret, Token};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 /// Start of the world, since the Unix epoch.
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+/// Seed of all property tests where the environment does not say.
+const SEED: u64 = 20_261_203;
+/// Steps taken to shrink a failing case.
+const SHRINK_STEPS: u32 = 2_000;
+
+/// Settings of a property test: the same cases every time, unless the environment asks for others.
+pub fn config(cases: u32) -> ProptestConfig {
+    let given = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    ProptestConfig {
+        cases: given("HORNBEAMTILLER_CASES").map_or(cases, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(given("HORNBEAMTILLER_SEED").unwrap_or(SEED)),
+        failure_persistence: None,
+        max_shrink_iters: SHRINK_STEPS,
+        ..ProptestConfig::default()
+    }
+}
+
 /// Boot of the sender of a request that nobody waits for any more.
 const NOBODY: u64 = u64::MAX;
 /// Interval of ticks.
@@ -124,6 +142,11 @@
     tune: fn(&mut Settings),
 }
 
+/// Keys of the world's tokens.
+pub fn ring() -> Ring {
+    Ring::new(Secret::derive("the key of the test world"), None)
+}
+
 fn address(vm: Vm, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, vm as u8], port))
 }
@@ -205,7 +228,7 @@
             vm,
             incarnation: self.last_boot,
         };
-        let ring = Ring::new(Secret::derive("the key of the test world"), None);
+        let ring = ring();
         let state = State::open(settings, seat, ring, self.seed ^ self.last_boot);
         self.nodes.insert(
             vm,
@@ -441,12 +464,10 @@
                 zone: None,
             },
         );
-        let ring = Ring::new(Secret::derive("the key of the test world"), None);
+        let ring = ring();
         let tokens = self.tokens.remove(&(vm, exchange))?;
-        let own = |text: &String| {
-            hornbeamtiller_core::token::Token::decode(text, &ring)
-                .is_ok_and(|token| token.owner.vm == vm)
-        };
+        let own =
+            |text: &String| Token::decode(text, &ring).is_ok_and(|token| token.owner.vm == vm);
         tokens.into_iter().find(own)
     }
 
@@ -845,10 +866,10 @@
                 zone: None,
             },
         );
-        let ring = Ring::new(Secret::derive("the key of the test world"), None);
+        let ring = ring();
         let tokens = self.tokens.remove(&(vm, exchange)).unwrap_or_default();
         let owner = |text: &String| {
-            let token = hornbeamtiller_core::token::Token::decode(text, &ring);
+            let token = Token::decode(text, &ring);
             token
                 .map(|token| token.owner.vm.to_string())
                 .unwrap_or_default()
--- a/crates/hornbeamctl/src/bench/control.rs
+++ b/crates/hornbeamctl/src/bench/control.rs
@@ -4,8 +4,6 @@
 use std::time::{Duration, Instant};
 
 use hornbeamtiller_http::client::Client;
-use hornbeamtiller_standin::deployment::{Deployment, SERVICE_TIME};
-use hornbeamtiller_standin::fixture;
 use serde::Serialize;
 use serde_json::json;
 
@@ -13,7 +11,7 @@
 use crate::caller::{self, Ask};
 use crate::cli::ControlFlags;
 use crate::error::Result;
-use crate::fleet::Fleet;
+use crate::fleet::{myto, Fleet};
 
 /// Size that the slopes are carried on to.
 const TARGET_NODES: f64 = 400.0;
@@ -71,15 +69,8 @@
 
 fn run_size(nodes: u32, flags: &ControlFlags, seed: u64) -> Result<Figures> {
     report::progress(&format!("{nodes} nodes"));
-    let settings = fixture::Settings {
-        deployment: Deployment::Myto,
-        listen: SocketAddr::from(([127, 0, 1, 1], 0)),
-        service_time: SERVICE_TIME,
-        relays: 0,
-        tune: |_| {},
-    };
     let before = resident_bytes();
-    let fleet = Fleet::open(nodes, settings)?;
+    let fleet = Fleet::open(nodes, myto(0))?;
     let measured = crate::block_on(measure(&fleet, flags, seed, before));
     fleet.close();
     measured
--- a/crates/hornbeamctl/src/bench/fleet.rs
+++ b/crates/hornbeamctl/src/bench/fleet.rs
@@ -8,8 +8,6 @@
 
 use hornbeamtiller_core::ticket::Ticket;
 use hornbeamtiller_http::client::Client;
-use hornbeamtiller_standin::deployment::{Deployment, SERVICE_TIME};
-use hornbeamtiller_standin::fixture;
 use hornbeamtiller_standin::observed::Observed;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -22,7 +20,7 @@
 use crate::caller::{self, Ask};
 use crate::cli::{FaultKind, FleetFlags};
 use crate::error::Result;
-use crate::fleet::{order, Fleet, OPERATOR_TOKEN};
+use crate::fleet::{myto, order, with_shared, Fleet, OPERATOR_TOKEN};
 
 /// Bound on the time until a ticket is in force at every ready node.
 const TICKET_MAX_MS: f64 = 3_000.0;
@@ -70,19 +68,9 @@
 }
 
 fn run_seed(flags: &FleetFlags, seed: u64) -> Result<Figures> {
-    let settings = fixture::Settings {
-        deployment: Deployment::Myto,
-        listen: SocketAddr::from(([127, 0, 1, 1], 0)),
-        service_time: SERVICE_TIME,
-        relays: flags.nodes,
-        tune: |_| {},
-    };
-    let fleet = Rc::new(RefCell::new(Fleet::open(flags.nodes, settings)?));
-    let measured = crate::block_on(measure(fleet.clone(), flags, seed));
-    if let Ok(fleet) = Rc::try_unwrap(fleet) {
-        fleet.into_inner().close();
-    }
-    measured
+    with_shared(flags.nodes, myto(flags.nodes), |fleet| {
+        measure(fleet, flags, seed)
+    })
 }
 
 /// One run: what its parts share.
--- a/crates/hornbeamctl/src/bench/once/mod.rs
+++ b/crates/hornbeamctl/src/bench/once/mod.rs
@@ -5,13 +5,10 @@
 pub mod tally;
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hornbeamtiller_http::client::{self, Client};
-use hornbeamtiller_standin::deployment::{Deployment, SERVICE_TIME};
-use hornbeamtiller_standin::fixture;
 use hornbeamtiller_standin::observed::Observed;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -20,7 +17,7 @@
 use crate::cli::OnceFlags;
 use crate::commands::timeline;
 use crate::error::Result;
-use crate::fleet::{order, Fleet};
+use crate::fleet::{myto, order, with_shared, Fleet};
 
 use customer::Customer;
 use faults::Schedule;
@@ -49,19 +46,9 @@
 }
 
 fn run_seed(flags: &OnceFlags, seed: u64) -> Result<Figures> {
-    let settings = fixture::Settings {
-        deployment: Deployment::Myto,
-        listen: SocketAddr::from(([127, 0, 1, 1], 0)),
-        service_time: SERVICE_TIME,
-        relays: flags.nodes,
-        tune: |_| {},
-    };
-    let fleet = Rc::new(RefCell::new(Fleet::open(flags.nodes, settings)?));
-    let measured = crate::block_on(measure(fleet.clone(), flags, seed));
-    if let Ok(fleet) = Rc::try_unwrap(fleet) {
-        fleet.into_inner().close();
-    }
-    measured
+    with_shared(flags.nodes, myto(flags.nodes), |fleet| {
+        measure(fleet, flags, seed)
+    })
 }
 
 // The fleet is borrowed for the settling only, before any other task runs.
--- a/crates/hornbeamctl/src/fleet.rs
+++ b/crates/hornbeamctl/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet on loopback addresses in this process: a thread for each entry VM, and one for
 //! the stand-ins.
 
+use std::cell::RefCell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -12,7 +13,7 @@
 use hornbeamtiller_http::client::Client;
 use hornbeamtiller_node::{Flags, Node};
 use hornbeamtiller_standin::control;
-use hornbeamtiller_standin::deployment::Deployment;
+use hornbeamtiller_standin::deployment::{Deployment, SERVICE_TIME};
 use hornbeamtiller_standin::fixture::{self, Fixture};
 use hornbeamtiller_standin::observed::Observed;
 use hornbeamtiller_standin::platform::Vm;
@@ -215,6 +216,39 @@
     }
 }
 
+/// Runs a function on a fleet that is shared by its tasks, and ends the fleet after it.
+///
+/// # Errors
+///
+/// Those of the function, and [`Error::Start`].
+pub fn with_shared<T, F>(
+    nodes: u32,
+    settings: fixture::Settings,
+    run: impl FnOnce(Rc<RefCell<Fleet>>) -> F,
+) -> Result<T>
+where
+    F: std::future::Future<Output = Result<T>>,
+{
+    let fleet = Rc::new(RefCell::new(Fleet::open(nodes, settings)?));
+    let outcome = crate::block_on(run(fleet.clone()));
+    if let Ok(fleet) = Rc::try_unwrap(fleet) {
+        fleet.into_inner().close();
+    }
+    outcome
+}
+
+/// Stand-ins of Myto Szlak on addresses that the system chooses, with a stretch of network before
+/// each of `relays` VMs.
+pub fn myto(relays: u32) -> fixture::Settings {
+    fixture::Settings {
+        deployment: Deployment::Myto,
+        listen: SocketAddr::from(([127, 0, 1, 1], 0)),
+        service_time: SERVICE_TIME,
+        relays,
+        tune: |_| {},
+    }
+}
+
 /// Gives the stand-ins orders.
 ///
 /// # Errors
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,13 +1,15 @@
 //! Bodies: whole ones, and ones whose chunks come one at a time.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::header::{HeaderValue, CONTENT_TYPE};
+use http::{Response, StatusCode};
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt as _;
+use serde::Serialize;
 
 /// Why a body was not read whole.
 #[derive(Debug, thiserror::Error)]
@@ -87,6 +89,18 @@
     }
 }
 
+/// A value as a JSON reply.
+pub fn json<T: Serialize, S>(status: StatusCode, value: &T) -> Response<Reply<S>> {
+    // The types that come here have neither maps with odd keys nor failing visitors.
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Reply::whole(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 impl<S: Source> http_body::Body for Reply<S> {
     type Data = Bytes;
     type Error = Broken;
@@ -145,6 +159,3 @@
         futures::Stream::poll_next(Pin::new(&mut self.0), cx)
     }
 }
-
-/// The error type of bodies that can't fail.
-pub type Unfailing = Infallible;
--- a/crates/node/src/caller/render.rs
+++ b/crates/node/src/caller/render.rs
@@ -51,16 +51,7 @@
     elsewhere: Vec<String>,
 }
 
-/// Any value as a JSON reply.
-pub fn json<T: Serialize, S>(status: StatusCode, value: &T) -> Response<Reply<S>> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(Reply::whole(body));
-    *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    response
-}
+pub use hornbeamtiller_http::body::json;
 
 /// The addresses to use.
 pub fn entries(entries: &[Entry], keep: Duration) -> Answer {
