Give back what an abandoned import held in the stand-in

A decode whose caller left during the import dropped its request with the reservation still counted.

Change: the reservation gives itself back when dropped; import_abandoned_frees_pieces failed before.

--- a/crates/standin/src/engine/http_api.rs
+++ b/crates/standin/src/engine/http_api.rs
@@ -283,16 +283,15 @@
         let text = completion.text();
         let max_tokens = completion.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
         let tokens = completion.tokens(&text) + max_tokens;
-        if !self.model.reserve(tokens) {
+        let Some(reservation) = self.model.reserve(tokens) else {
             return json::error(StatusCode::TOO_MANY_REQUESTS, "no room");
-        }
+        };
         let epoch = self.model.epoch();
         let imported = self.import(&completion.kv_transfer_params).await;
         if self.model.epoch() != epoch {
             return cut();
         }
         if !imported || self.model.is_cancelled(&name) {
-            self.model.unreserve(tokens);
             return json::error(StatusCode::CONFLICT, "the cache is gone");
         }
         let stream = Rc::new(RefCell::new(Stream {
@@ -305,7 +304,7 @@
             broken: false,
             wakers: Vec::new(),
         }));
-        self.model.start(name, stream.clone());
+        self.model.start(reservation, name, stream.clone());
         self.stream_reply(stream, 0)
     }
 
--- a/crates/standin/src/engine/model.rs
+++ b/crates/standin/src/engine/model.rs
@@ -275,18 +275,23 @@
     }
 
     /// Takes a slot of the batch and pieces for a stream that is about to import its cache.
-    pub fn reserve(&self, tokens: u64) -> bool {
+    pub fn reserve(&self, tokens: u64) -> Option<Reservation> {
         let used = self.0.streams.borrow().len() as u64 + self.0.importing.get();
         if used >= self.0.settings.slots as u64 || !self.take_pieces(Self::pieces_for(tokens)) {
             self.count(|counts| counts.refused += 1);
-            return false;
+            return None;
         }
         self.0.importing.set(self.0.importing.get() + 1);
-        true
+        let epoch = self.epoch();
+        Some(Reservation {
+            model: self.clone(),
+            tokens,
+            epoch,
+        })
     }
 
-    /// Gives back what [`Model::reserve`] took for an import that failed.
-    pub fn unreserve(&self, tokens: u64) {
+    /// Gives back what [`Model::reserve`] took.
+    fn unreserve(&self, tokens: u64) {
         self.0
             .importing
             .set(self.0.importing.get().saturating_sub(1));
@@ -294,10 +299,11 @@
     }
 
     /// Turns a reservation into a stream.
-    pub fn start(&self, request: String, stream: Cell<Stream>) {
-        self.0
-            .importing
-            .set(self.0.importing.get().saturating_sub(1));
+    pub fn start(&self, reservation: Reservation, request: String, stream: Cell<Stream>) {
+        let pieces = stream.borrow().pieces;
+        drop(reservation);
+        // What the reservation gave back is free still, as nothing runs in between.
+        self.take_pieces(pieces);
         self.0.streams.borrow_mut().insert(request, stream);
         wake(&self.0.batch_wake);
     }
@@ -479,6 +485,21 @@
     _ = woken.await;
 }
 
+/// A slot and pieces held for an import; dropping it, also with its request, gives them back.
+pub struct Reservation {
+    model: Model,
+    tokens: u64,
+    epoch: u64,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if self.epoch == self.model.epoch() {
+            self.model.unreserve(self.tokens);
+        }
+    }
+}
+
 /// Time between tokens of a batch of this size.
 pub fn interval(settings: &Settings, streams: usize) -> Duration {
     settings.interval_base + settings.interval_per_stream * streams as u32
