Send engine work once an attempt

The client sent a request again on every kept-open connection that failed, so that one whose answer was dropped reached the engine several times under one name; the later one hid the earlier one's memory, and a prefill was computed up to as often as there were idle connections.

Ruled out: cancels that were not acknowledged (none pending), imports abandoned (mended before).

Change: engine work goes on a connection of its own; elsewhere a lost kept-open connection is followed by one fresh one. prefill_answer_dropped_sent_once_an_attempt failed before with 6 requests for 3 attempts. The stand-in frees what a second request of one name replaces.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -48,7 +48,8 @@
 /// Whether a connection that was used before will do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
-    /// A kept-open connection will do; the request may be sent again if that one turns out dead.
+    /// A kept-open connection will do; the request is sent a second time if that one turns out dead,
+    /// so that only cheap work that may be repeated should go this way.
     Allowed,
     /// Only a connection made just now.
     Fresh,
@@ -153,20 +154,18 @@
             let connection = self.connect(address).await?;
             return self.exchange(connection, address, request, timeout).await;
         }
-        let mut again = request.clone();
-        while let Some(connection) = self.take_idle(address) {
+        if let Some(connection) = self.take_idle(address) {
             match self
                 .exchange(connection, address, request.clone(), timeout)
                 .await
             {
-                // The far end may have closed a kept-open connection; only a fresh one tells more.
-                Err(Error::Lost(_)) => again = request.clone(),
+                // The far end may have closed a kept-open connection; a fresh one tells.
+                Err(Error::Lost(_)) => {}
                 other => return other,
             }
         }
         let connection = self.connect(address).await?;
-        self.exchange(connection, address, std::mem::take(&mut again), timeout)
-            .await
+        self.exchange(connection, address, request, timeout).await
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
--- a/crates/node/src/attempt/model.rs
+++ b/crates/node/src/attempt/model.rs
@@ -147,9 +147,10 @@
         HeaderValue::from_str(&job.request).map_err(|_| Failure::Rejected)?,
     );
     render::set_host(headers, job.address);
+    // A request that is sent twice would be computed twice.
     let client = shell.client();
     let sent = client
-        .send(job.address, request, Reuse::Allowed, job.timeout)
+        .send(job.address, request, Reuse::Fresh, job.timeout)
         .await;
     let answer = sent.map_err(|error| failure(&error))?;
     match answer.head.status {
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -233,6 +233,42 @@
     });
 }
 
+#[test]
+fn prefill_answer_dropped_sent_once_an_attempt() {
+    with_fleet(1, |fleet| async move {
+        let body = json!({ "model": "summarizer", "prompt": "a log", "max_tokens": 2 }).to_string();
+        let path = "/v1/completions";
+        // Kept-open connections to the runners, if there are any, come from these.
+        for _ in 0..6 {
+            fleet
+                .send(fleet.caller(0), Method::POST, path, &[], &body)
+                .await;
+        }
+        let prefills = || {
+            let runners = fleet.fixture.observed().runners;
+            let mine = runners
+                .iter()
+                .filter(|runner| runner.id.starts_with("prefill-"));
+            mine.map(|runner| runner.requests).sum::<u64>()
+        };
+        let before = prefills();
+        set_all(
+            &fleet,
+            &["prefill-1", "prefill-2", "prefill-3"],
+            Fault::DropAnswer,
+        );
+        let refused = fleet
+            .send(fleet.caller(0), Method::POST, path, &[], &body)
+            .await;
+        assert_eq!(refused.refusal().1, "unknown");
+        assert_eq!(
+            prefills() - before,
+            3,
+            "one request to an engine for each of three attempts"
+        );
+    });
+}
+
 #[test]
 fn stream_decode_crashes() {
     with_fleet(1, |fleet| async move {
--- a/crates/standin/src/engine/model.rs
+++ b/crates/standin/src/engine/model.rs
@@ -222,6 +222,7 @@
 
     /// Keeps a prefill's result for its import.
     pub fn hold(&self, request: String, tokens: u64, computed: u64) {
+        self.waste(&request);
         let until = Instant::now() + self.0.settings.result_life;
         self.0.held.borrow_mut().insert(
             request,
@@ -304,6 +305,7 @@
         drop(reservation);
         // What the reservation gave back is free still, as nothing runs in between.
         self.take_pieces(pieces);
+        self.end(&request);
         self.0.streams.borrow_mut().insert(request, stream);
         wake(&self.0.batch_wake);
     }
