Keep a stream known until its cancel is acknowledged

The owner told those who know of a stream that it was no more when it ordered the cancel, not when the engine took it; with the engine silent and the owner dead soon after, nobody repeated the cancel.

Change: the release goes out with the engine's acknowledgement. stream_cancel_lost_then_owner_died failed before.

--- a/crates/core/src/reduce/cancel.rs
+++ b/crates/core/src/reduce/cancel.rs
@@ -1,11 +1,12 @@
 //! Clean-up for callers that are gone: engines free the memory, and the order is repeated until
 //! they say so.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::event::Effect;
 use crate::id::{Attempt, Call, Runner};
-use crate::state::{PendingCancel, Phase};
+use crate::state::{PendingCancel, Phase, Release};
 use crate::timeline::{Kind, Note};
 
 use super::Step;
@@ -126,15 +127,22 @@
         let key = request.key;
         let name = self.engine_request(attempt);
         self.note(Note::new(Kind::CancelSent).request(key).runner(runner));
-        self.order_cancel(address, name);
+        let release = self.take_release(call);
+        self.order_cancel(address, name, release);
     }
 
     /// Orders an engine to drop a request, until it says that it has.
-    pub(super) fn order_cancel(&mut self, address: std::net::SocketAddr, request: String) {
+    pub(super) fn order_cancel(
+        &mut self,
+        address: SocketAddr,
+        request: String,
+        release: Option<Release>,
+    ) {
         let cancel = self.state.next_number();
         let pending = PendingCancel {
             address,
             request,
+            release,
             since: self.now.up,
             again: None,
         };
@@ -163,7 +171,11 @@
             return;
         };
         if acknowledged {
+            let release = pending.release.take();
             self.state.cancels.remove(&cancel);
+            if let Some(release) = release {
+                self.release_hold(&release);
+            }
             self.note(Note::new(Kind::Cancelled));
         } else if pending.since < give_up {
             self.state.cancels.remove(&cancel);
--- a/crates/core/src/reduce/recover.rs
+++ b/crates/core/src/reduce/recover.rs
@@ -10,7 +10,7 @@
 use crate::id::{Call, Exchange, Key, Vm};
 use crate::message::{Hold, Message, Standing};
 use crate::refusal::{Code, Reason, Refusal};
-use crate::state::{Foreign, Recovery, WitnessedHold};
+use crate::state::{Foreign, Recovery, Release, WitnessedHold};
 use crate::ticket::RunnerItem;
 use crate::timeline::{Kind, Note};
 use crate::token::Seat;
@@ -301,7 +301,17 @@
         if let Some(request) = self.state.requests.get_mut(&call) {
             request.backup = backup;
         }
-        for seat in [witness, backup].into_iter().flatten() {
+        self.tell_seats([witness, backup], key, expiry, hold);
+    }
+
+    fn tell_seats(
+        &mut self,
+        seats: [Option<Seat>; 2],
+        key: Key,
+        expiry: Duration,
+        hold: Option<Hold>,
+    ) {
+        for seat in seats.into_iter().flatten() {
             if seat == self.state.seat {
                 self.hold_told(seat, key, expiry, hold.clone());
             } else {
@@ -317,6 +327,29 @@
         }
     }
 
+    /// Takes a call's stream as one that is being cancelled: those who know of it are told once the
+    /// engine has acknowledged, so that they go on if this process dies before.
+    pub(super) fn take_release(&mut self, call: Call) -> Option<Release> {
+        let request = self.state.requests.get_mut(&call)?;
+        request.hold.take()?;
+        let seats = [request.witness, request.backup];
+        Some(Release {
+            key: request.key,
+            expiry: request.expiry,
+            seats,
+        })
+    }
+
+    /// Tells those who know of a stream that it is no more, unless the call has another by now.
+    pub(super) fn release_hold(&mut self, release: &Release) {
+        let call = self.state.by_key.get(&release.key);
+        let request = call.and_then(|call| self.state.requests.get(call));
+        if request.is_some_and(|request| request.hold.is_some()) {
+            return;
+        }
+        self.tell_seats(release.seats, release.key, release.expiry, None);
+    }
+
     /// Picks another one of this process's witnesses; any process where there is no other.
     fn pick_backup(&mut self, witness: Option<Seat>) -> Option<Seat> {
         let (own, zone) = (self.state.seat, self.state.settings.zone.clone());
@@ -386,7 +419,7 @@
         for key in overdue {
             if let Some(held) = self.state.holds.remove(&key) {
                 self.note(Note::new(Kind::CancelSent).request(key).vm(held.owner.vm));
-                self.order_cancel(held.hold.address, held.hold.request);
+                self.order_cancel(held.hold.address, held.hold.request, None);
             }
         }
     }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -18,7 +18,7 @@
 use crate::token::{Ring, Seat};
 
 pub use record::{
-    Foreign, Load, Owed, PendingCancel, Probe, Recovery, SealWait, Tombstone, Witnessed,
+    Foreign, Load, Owed, PendingCancel, Probe, Recovery, Release, SealWait, Tombstone, Witnessed,
     WitnessedHold,
 };
 pub use request::{End, Phase, Request};
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -66,6 +66,17 @@
     pub sent: Duration,
 }
 
+/// Word to those who know of a stream that it is no more; due once the engine has said so.
+#[derive(Debug, Clone)]
+pub struct Release {
+    /// The id.
+    pub key: Key,
+    /// End of the id's life, since the Unix epoch.
+    pub expiry: Duration,
+    /// The witness and the second process.
+    pub seats: [Option<Seat>; 2],
+}
+
 /// A cancel that the engine has not acknowledged.
 #[derive(Debug, Clone)]
 pub struct PendingCancel {
@@ -75,6 +86,8 @@
     pub request: String,
     /// When the cancel was decided.
     pub since: Duration,
+    /// Who is to be told once it is acknowledged.
+    pub release: Option<Release>,
     /// When to send it again, unless an order is under way.
     pub again: Option<Duration>,
 }
--- a/crates/core/tests/recover.rs
+++ b/crates/core/tests/recover.rs
@@ -75,6 +75,36 @@
     assert!(world.engine_holds.is_empty());
 }
 
+#[test]
+fn stream_cancel_lost_then_owner_died() {
+    let (mut world, _) = with_stream(7);
+    let exchange = world.opens[0].exchange;
+    world.feed(1, Event::CallerGone { exchange });
+    // The owner orders the cancel, the engine does not take it, and the owner dies.
+    world.run_calm(Duration::from_secs(2));
+    assert_eq!(world.cancels.len(), 1);
+    world.deliver_cancel(0, true);
+    world.crash(1);
+    world.cancels.clear();
+    world.run_calm(FREE_WITHIN);
+    while !world.cancels.is_empty() {
+        world.deliver_cancel(0, false);
+    }
+    assert!(world.engine_holds.is_empty());
+}
+
+#[test]
+fn stream_released_after_cancel() {
+    let (mut world, id) = with_stream(8);
+    let exchange = world.opens[0].exchange;
+    world.feed(1, Event::CallerGone { exchange });
+    world.run_calm(Duration::from_secs(2));
+    world.deliver_cancel(0, false);
+    world.run_calm(TICK);
+    let witness = world.nodes[&witness_of(&id)].as_ref().expect("runs");
+    assert!(witness.state.holds.is_empty());
+}
+
 #[test]
 fn stream_not_cancelled_while_owner_lives() {
     let (mut world, _) = with_stream(3);
