--- a/crates/hornbeamctl/src/bench/fleet.rs
+++ b/crates/hornbeamctl/src/bench/fleet.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use serde_json::{json, Value};
 
-use super::once::customer::Customer;
+use super::once::caller::Caller;
 use super::once::tally::Tally;
 use super::report::{self, Bounds};
 use crate::caller::{self, Ask};
@@ -160,7 +160,7 @@
     let mut number = 0;
     while !*done.borrow() {
         let seed = rng.random();
-        let customer = Customer::new(
+        let caller = Caller::new(
             run.fleet.clone(),
             run.client.clone(),
             tally.clone(),
@@ -168,7 +168,7 @@
             seed,
         );
         tally.borrow_mut().begun();
-        monoio::spawn(customer.run());
+        monoio::spawn(caller.run());
         number += 1;
         let gap = -f64::ln(1.0 - rng.random::<f64>()) / f64::from(rate);
         monoio::time::sleep(Duration::from_secs_f64(gap)).await;
--- a/crates/hornbeamctl/src/bench/once/customer.rs
+++ b/crates/hornbeamctl/src/bench/once/caller.rs
@@ -7,13 +7,12 @@
 
 use bytes::Bytes;
 use hornbeamtiller_http::client::Client;
-use http::Method;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use serde_json::{json, Value};
 
 use super::tally::{Sort, Tally, Word};
-use crate::caller::{self, Ask, Entry};
+use crate::caller::{self as api, Ask, Entry};
 use crate::fleet::Fleet;
 
 /// Times that a caller asks for one request.
@@ -35,7 +34,7 @@
 const AGAIN_SHARE: f64 = 0.2;
 
 /// One caller with one request.
-pub struct Customer {
+pub struct Caller {
     fleet: Rc<RefCell<Fleet>>,
     client: Client,
     tally: Rc<RefCell<Tally>>,
@@ -43,7 +42,7 @@
     rng: SmallRng,
 }
 
-impl Customer {
+impl Caller {
     /// A caller.
     pub fn new(
         fleet: Rc<RefCell<Fleet>>,
@@ -90,8 +89,7 @@
     async fn entry(&mut self) -> Option<Entry> {
         for _ in 0..ASKS_MAX {
             let address = self.any_address();
-            let asked =
-                monoio::time::timeout(PATIENCE, caller::entries(&self.client, address)).await;
+            let asked = monoio::time::timeout(PATIENCE, api::entries(&self.client, address)).await;
             if let Ok(Ok(entries)) = asked {
                 if let Some(entry) = entries.entries.into_iter().next() {
                     return Some(entry);
@@ -106,9 +104,9 @@
         let deployment = self.fleet.borrow().deployment;
         let (read, top_up) = deployment.paths();
         let (method, path) = if once {
-            (Method::POST, top_up)
+            (http::Method::POST, top_up)
         } else {
-            (Method::GET, read)
+            (http::Method::GET, read)
         };
         let path = format!("/v1/services/{}{path}", deployment.service());
         let ask = Ask::new(method, &path)
@@ -150,7 +148,7 @@
                 monoio::time::sleep(PAUSE).await;
                 address = self.any_address();
             }
-            let sent = caller::send(&self.client, address, ask);
+            let sent = api::send(&self.client, address, ask);
             let Ok(Ok(answer)) = monoio::time::timeout(PATIENCE, sent).await else {
                 continue;
             };
@@ -181,7 +179,7 @@
 
     async fn left_stream(self, entry: Entry, id: String) {
         let (_, ask) = self.completion(&id, LEFT_TOKENS, 0);
-        _ = caller::stream(&self.client, entry.address, &ask, LEAVE_AFTER).await;
+        _ = api::stream(&self.client, entry.address, &ask, LEAVE_AFTER).await;
         self.tally.borrow_mut().end(id, Sort::Stream, Word::Left);
     }
 
@@ -197,7 +195,7 @@
                 address = self.any_address();
             }
             let (prompt, ask) = self.completion(&id, TOKENS, count);
-            let Ok(streamed) = caller::stream(&self.client, address, &ask, usize::MAX).await else {
+            let Ok(streamed) = api::stream(&self.client, address, &ask, usize::MAX).await else {
                 continue;
             };
             let expected = count as u64 + 1;
--- a/crates/hornbeamctl/src/bench/once/mod.rs
+++ b/crates/hornbeamctl/src/bench/once/mod.rs
@@ -1,6 +1,6 @@
 //! Executions against answers, on real sockets and under faults by seed.
 
-pub mod customer;
+pub mod caller;
 mod faults;
 pub mod tally;
 
@@ -19,7 +19,7 @@
 use crate::error::Result;
 use crate::fleet::{myto, order, with_shared, Fleet};
 
-use customer::Customer;
+use self::caller::Caller;
 use faults::Schedule;
 use tally::{Figures, Tally};
 
@@ -76,7 +76,7 @@
     let end = Instant::now() + Duration::from_secs(flags.seconds);
     let mut number = 0;
     while Instant::now() < end {
-        let customer = Customer::new(
+        let caller = Caller::new(
             fleet.clone(),
             client.clone(),
             tally.clone(),
@@ -84,7 +84,7 @@
             rng.random(),
         );
         tally.borrow_mut().begun();
-        monoio::spawn(customer.run());
+        monoio::spawn(caller.run());
         number += 1;
         if number % u64::from(flags.rate) == 0 {
             report::progress(&format!("seed {seed}: {number} requests"));
