Listen before the address is told; drop an unused field

Cause: a run of the tests failed once with 'Address already in use' in completion_collected: where no port is named, a free one was found and listened at later, and another test took it in between. A seal also carried its owner, which nobody read.

Change: the caller listener is opened first and answers once the state is made, as the peer listener does. The field is gone. A process counts as paused after 1 s instead of 0.7 s, which is still under the 1.5 s after which others may take it for dead: a busy machine is not a pause.

Conclusion: the race is gone by construction.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,7 +6,6 @@
 
 use crate::id::{Fingerprint, Incarnation, Key, Ticket, Vm, Zone};
 use crate::ticket::Version;
-use crate::token::Seat;
 
 /// What a VM says of itself, and others pass on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -163,8 +162,6 @@
     Seal {
         /// The id.
         key: Key,
-        /// The owner that the token names.
-        owner: Seat,
         /// Boot of the witness that the token names.
         witness: Incarnation,
         /// End of the id's life, since the Unix epoch.
--- a/crates/core/src/reduce/mod.rs
+++ b/crates/core/src/reduce/mod.rs
@@ -152,10 +152,9 @@
             Message::HoldTold { key, hold } => self.hold_answered(key, &hold),
             Message::Seal {
                 key,
-                owner,
                 witness,
                 expiry,
-            } => self.seal_asked(from, key, owner, witness, expiry),
+            } => self.seal_asked(from, key, witness, expiry),
             Message::SealAck { key, record } => self.seal_acknowledged(from, key, record),
         }
     }
--- a/crates/core/src/reduce/witness.rs
+++ b/crates/core/src/reduce/witness.rs
@@ -121,7 +121,6 @@
             key,
             fingerprint: foreign.arrival.fingerprint,
             conclusive,
-            owner: token.owner,
             witness,
             expiry: token.expiry,
             since: self.now.up,
@@ -152,7 +151,6 @@
     fn send_seal(&mut self, wait: &SealWait) {
         let message = Message::Seal {
             key: wait.key,
-            owner: wait.owner,
             witness: wait.witness.incarnation,
             expiry: wait.expiry,
         };
@@ -164,7 +162,6 @@
         &mut self,
         from: Seat,
         key: Key,
-        _owner: Seat,
         witness: Incarnation,
         expiry: Duration,
     ) {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -103,7 +103,7 @@
             read_retry: Duration::from_millis(500),
             entries_max: 8,
             tombstones_max: 500_000,
-            late_after: Duration::from_millis(700),
+            late_after: Duration::from_secs(1),
         }
     }
 }
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -41,8 +41,6 @@
     pub fingerprint: Fingerprint,
     /// Whether a seal proves that the call never ran.
     pub conclusive: bool,
-    /// The owner that the token names.
-    pub owner: Seat,
     /// The witness that the token names.
     pub witness: Seat,
     /// End of the id's life, since the Unix epoch.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -97,17 +97,7 @@
     ///
     /// The system's error where the address can't be listened at.
     pub fn bind<H: Handler>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self> {
-        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
-        let listener = TcpListener::bind_with_config(address, &options)?;
-        let address = listener.local_addr()?;
-        let (listening, stopped) = oneshot::channel();
-        let closing = Rc::new(Closing::default());
-        monoio::spawn(accept(listener, limits, handler, stopped, closing.clone()));
-        Ok(Self {
-            address,
-            closing,
-            _listening: listening,
-        })
+        Ok(Bound::open(address)?.spawn(limits, handler))
     }
 
     /// The address listened at.
@@ -131,6 +121,49 @@
     }
 }
 
+/// A listener whose address is known but that does not answer yet.
+pub struct Bound {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Bound {
+    /// Listens at an address; port 0 lets the system choose one.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the address can't be listened at.
+    pub fn open(address: SocketAddr) -> io::Result<Self> {
+        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+        let listener = TcpListener::bind_with_config(address, &options)?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address })
+    }
+
+    /// The address listened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Begins to answer.
+    pub fn spawn<H: Handler>(self, limits: Limits, handler: H) -> Server {
+        let (listening, stopped) = oneshot::channel();
+        let closing = Rc::new(Closing::default());
+        monoio::spawn(accept(
+            self.listener,
+            limits,
+            handler,
+            stopped,
+            closing.clone(),
+        ));
+        Server {
+            address: self.address,
+            closing,
+            _listening: listening,
+        }
+    }
+}
+
 /// What connections look at to learn that the server ends.
 #[derive(Debug, Default)]
 struct Closing {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 use hornbeamtiller_core::state::State;
 use hornbeamtiller_core::token::Seat;
 use hornbeamtiller_http::client::{self, Client};
-use hornbeamtiller_http::server::{Limits, Server};
+use hornbeamtiller_http::server::{self, Limits, Server};
 
 use crate::caller::Caller;
 use crate::metrics::Metrics;
@@ -55,9 +55,9 @@
         let peers = peer::Listener::bind(settings.flags.peer_listen)
             .change_context(Error::Listen("peers"))?;
         settings.flags.peer_listen = peers.address();
-        let callers =
-            bind_first(settings.flags.caller_listen).change_context(Error::Listen("callers"))?;
-        settings.flags.caller_listen = callers;
+        let bound = server::Bound::open(settings.flags.caller_listen)
+            .change_context(Error::Listen("callers"))?;
+        settings.flags.caller_listen = bound.address();
         let metrics = Metrics::open().change_context(Error::Metrics)?;
         let state = open_state(&settings);
         let shell = Shell::open(
@@ -66,12 +66,7 @@
             Client::open(client::Settings::default()),
             metrics,
         );
-        let callers = Server::bind(
-            callers,
-            settings.caller_limits(),
-            Caller::new(shell.clone()),
-        )
-        .change_context(Error::Listen("callers"))?;
+        let callers = bound.spawn(settings.caller_limits(), Caller::new(shell.clone()));
         let limits = Limits {
             connections: OPERATOR_CONNECTIONS,
             ..Limits::default()
@@ -147,14 +142,6 @@
     }
 }
 
-/// Finds a free port where none is named, so that the address is known before the state is made.
-fn bind_first(address: SocketAddr) -> std::io::Result<SocketAddr> {
-    if address.port() != 0 {
-        return Ok(address);
-    }
-    std::net::TcpListener::bind(address)?.local_addr()
-}
-
 fn open_state(settings: &Settings) -> State {
     let flags = &settings.flags;
     let seat = Seat {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -33,11 +33,6 @@
   low @1 :UInt64;
 }
 
-struct Seat {
-  vm @0 :UInt32;
-  incarnation @1 :UInt64;
-}
-
 enum Standing {
   joining @0;
   up @1;
@@ -109,9 +104,8 @@
 
 struct Seal {
   key @0 :Key;
-  owner @1 :Seat;
-  witness @2 :UInt64;
-  expirySeconds @3 :UInt64;
+  witness @1 :UInt64;
+  expirySeconds @2 :UInt64;
 }
 
 struct Hold {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -8,7 +8,6 @@
 use hornbeamtiller_core::message::{Answer, Card, Hold, Message, Record, Standing};
 use hornbeamtiller_core::ticket::Version;
 use hornbeamtiller_core::timeline::Stamp;
-use hornbeamtiller_core::token::Seat;
 
 use crate::peer_capnp as schema;
 
@@ -128,13 +127,11 @@
         Message::OutcomeAck { key } => write_key(out.init_outcome_ack(), *key),
         Message::Seal {
             key,
-            owner,
             witness,
             expiry,
         } => {
             let mut out = out.init_seal();
             write_key(out.reborrow().init_key(), *key);
-            write_seat(out.reborrow().init_owner(), *owner);
             out.set_witness(*witness);
             out.set_expiry_seconds(expiry.as_secs());
         }
@@ -207,7 +204,6 @@
             let seal = seal?;
             Message::Seal {
                 key: read_key(seal.get_key()?),
-                owner: read_seat(seal.get_owner()?),
                 witness: seal.get_witness(),
                 expiry: Duration::from_secs(seal.get_expiry_seconds()),
             }
@@ -266,18 +262,6 @@
     Key(whole.to_be_bytes())
 }
 
-fn write_seat(mut out: schema::seat::Builder<'_>, seat: Seat) {
-    out.set_vm(seat.vm);
-    out.set_incarnation(seat.incarnation);
-}
-
-fn read_seat(seat: schema::seat::Reader<'_>) -> Seat {
-    Seat {
-        vm: seat.get_vm(),
-        incarnation: seat.get_incarnation(),
-    }
-}
-
 fn write_answer(mut out: schema::answer::Builder<'_>, answer: &Answer) {
     out.set_status(answer.status);
     write_key(out.reborrow().init_fingerprint(), Key(answer.fingerprint.0));
