Say the repeat rule once; drop what nothing reads

The rule that decides whether a call needs an intent stood twice, negated, where the two must never drift apart; three listeners set the same options; each choice of a runner made a new string for each runner it looked at; ForwardFailed carried a flag, and the client's error a method, that nothing read.

Change: agreed_repeatable answers both questions; socket::listen opens every listener; plan::pick takes the endpoint's own name; the flag and the method are gone; the tests' world asks for entries in one place.

No speed was measured.

Conclusion: behaviour is as it was.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -125,8 +125,6 @@
     ForwardFailed {
         /// The exchange.
         exchange: id::Exchange,
-        /// Whether a byte of it may have been written.
-        written: bool,
     },
     /// A plain service's answer has come whole.
     Answered {
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -34,7 +34,7 @@
 pub fn pick(
     state: &mut State,
     now: Now,
-    endpoint: &str,
+    endpoint: &id::Endpoint,
     want: Want,
     tried: &[id::Runner],
 ) -> Option<RunnerItem> {
@@ -71,7 +71,7 @@
     })
 }
 
-fn load_of(state: &State, endpoint: &str, runner: &id::Runner) -> Load {
-    let key = (id::Endpoint::from(endpoint), runner.clone());
+fn load_of(state: &State, endpoint: &id::Endpoint, runner: &id::Runner) -> Load {
+    let key = (endpoint.clone(), runner.clone());
     state.loads.get(&key).copied().unwrap_or_default()
 }
--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -100,14 +100,20 @@
     /// token was made and allows repeats. If this process holds that same state and it forbids
     /// repeats, no dispatch can go past a seal.
     pub(super) fn seal_is_conclusive(&self, arrival: &Arrival, token: &Token) -> bool {
+        self.agreed_repeatable(arrival, token) == Some(false)
+    }
+
+    /// Tells whether a call may be repeated, if the endpoint's state here stood already when the
+    /// token was made: then every process that can answer gives the same answer.
+    fn agreed_repeatable(&self, arrival: &Arrival, token: &Token) -> Option<bool> {
         let Work::Service { method, path } = &arrival.work else {
-            return false;
+            return None;
         };
         let table = &self.state.table;
         let same_state = table.newest() >= token.ticket
             && table.endpoint_version(&arrival.endpoint) <= token.ticket;
-        let endpoint = table.endpoint(&arrival.endpoint);
-        same_state && endpoint.is_some_and(|endpoint| !endpoint.may_repeat(method, path))
+        let endpoint = table.endpoint(&arrival.endpoint).filter(|_| same_state)?;
+        Some(endpoint.may_repeat(method, path))
     }
 
     /// Attaches a repeat of an id to its call.
@@ -116,6 +122,7 @@
             return;
         };
         let key = request.key;
+        let phase = request.phase.clone();
         if request.fingerprint != arrival.fingerprint {
             let running = request.is_active();
             let refusal = Refusal {
@@ -141,12 +148,10 @@
         }
         self.state.counters.repeated += 1;
         self.note(Note::new(Kind::Repeated).request(key));
-        match request_phase(self.state.requests.get(&call)) {
-            Some(Phase::Done(End::Refused(refusal))) => {
-                self.refuse(arrival.exchange, Some(key), refusal)
-            }
-            Some(Phase::Done(End::Answered { .. })) => self.replay(call, arrival),
-            Some(Phase::Parked) => {
+        match phase {
+            Phase::Done(End::Refused(refusal)) => self.refuse(arrival.exchange, Some(key), refusal),
+            Phase::Done(End::Answered { .. }) => self.replay(call, arrival),
+            Phase::Parked => {
                 self.take_over(call, arrival);
                 self.unpark(call);
             }
@@ -361,14 +366,8 @@
     /// Tells whether a call may be dispatched without the witness: model work, and calls that may
     /// be repeated under an endpoint state that stood already when the token was made.
     fn may_go_without_intent(&self, arrival: &Arrival, token: &Token) -> bool {
-        let Work::Service { method, path } = &arrival.work else {
-            return true;
-        };
-        let table = &self.state.table;
-        let same_state = table.newest() >= token.ticket
-            && table.endpoint_version(&arrival.endpoint) <= token.ticket;
-        let endpoint = table.endpoint(&arrival.endpoint);
-        same_state && endpoint.is_some_and(|endpoint| endpoint.may_repeat(method, path))
+        let is_model = matches!(arrival.work, Work::Model { .. });
+        is_model || self.agreed_repeatable(arrival, token) == Some(true)
     }
 
     pub(super) fn caller_gone(&mut self, exchange: Exchange) {
@@ -439,7 +438,3 @@
         }
     }
 }
-
-fn request_phase(request: Option<&Request>) -> Option<Phase> {
-    request.map(|request| request.phase.clone())
-}
--- a/crates/core/src/reduce/mod.rs
+++ b/crates/core/src/reduce/mod.rs
@@ -37,7 +37,7 @@
         Event::EntriesAsked { exchange, zone } => step.entries_asked(exchange, zone),
         Event::Arrived(arrival) => step.arrived(arrival),
         Event::CallerGone { exchange } => step.caller_gone(exchange),
-        Event::ForwardFailed { exchange, .. } => step.forward_failed(exchange),
+        Event::ForwardFailed { exchange } => step.forward_failed(exchange),
         Event::Answered {
             attempt,
             status,
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -456,6 +456,14 @@
 
     /// Tokens that a process gives out, best first; the first own one where there is one.
     pub fn token_of(&mut self, vm: Vm) -> Option<String> {
+        let ring = ring();
+        let own =
+            |text: &String| Token::decode(text, &ring).is_ok_and(|token| token.owner.vm == vm);
+        self.tokens_of(vm).into_iter().find(own)
+    }
+
+    /// Asks a process for entries and gives their tokens, best first.
+    fn tokens_of(&mut self, vm: Vm) -> Vec<String> {
         let exchange = self.next_exchange();
         self.feed(
             vm,
@@ -464,11 +472,7 @@
                 zone: None,
             },
         );
-        let ring = ring();
-        let tokens = self.tokens.remove(&(vm, exchange))?;
-        let own =
-            |text: &String| Token::decode(text, &ring).is_ok_and(|token| token.owner.vm == vm);
-        tokens.into_iter().find(own)
+        self.tokens.remove(&(vm, exchange)).unwrap_or_default()
     }
 
     fn next_exchange(&mut self) -> Exchange {
@@ -542,7 +546,6 @@
                 passed.from.vm,
                 Event::ForwardFailed {
                     exchange: passed.exchange,
-                    written: lost,
                 },
             );
             return;
@@ -858,22 +861,13 @@
 impl World {
     /// Addresses that a process gives out, best first.
     pub fn entries_of(&mut self, vm: Vm) -> Vec<String> {
-        let exchange = self.next_exchange();
-        self.feed(
-            vm,
-            Event::EntriesAsked {
-                exchange,
-                zone: None,
-            },
-        );
         let ring = ring();
-        let tokens = self.tokens.remove(&(vm, exchange)).unwrap_or_default();
         let owner = |text: &String| {
             let token = Token::decode(text, &ring);
             token
                 .map(|token| token.owner.vm.to_string())
                 .unwrap_or_default()
         };
-        tokens.iter().map(owner).collect()
+        self.tokens_of(vm).iter().map(owner).collect()
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -77,13 +77,6 @@
     TooLarge(usize),
 }
 
-impl Error {
-    /// Tells whether a byte of the request may have been written.
-    pub fn may_be_written(&self) -> bool {
-        !matches!(self, Error::Connect { .. })
-    }
-}
-
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Dropping this closes the socket at once, whatever is under way on it.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod runtime;
 pub mod server;
 pub mod silence;
-mod socket;
+pub mod socket;
 pub mod sse;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use monoio::io::IntoPollIo as _;
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::net::{TcpListener, TcpStream};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use crate::body::{Reply, Source};
@@ -134,8 +134,7 @@
     ///
     /// The system's error where the address can't be listened at.
     pub fn open(address: SocketAddr) -> io::Result<Self> {
-        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
-        let listener = TcpListener::bind_with_config(address, &options)?;
+        let listener = socket::listen(address)?;
         let address = listener.local_addr()?;
         Ok(Self { listener, address })
     }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -1,10 +1,11 @@
 //! Options of sockets: no delay, and an end to connections that are silent for good.
 
 use std::io;
+use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, BorrowedFd};
 use std::time::Duration;
 
-use monoio::net::TcpStream;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use socket2::{SockRef, TcpKeepalive};
 
 /// Silence after which the system begins to probe a connection.
@@ -16,6 +17,16 @@
 /// How long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Listens at an address that no other socket may share; port 0 lets the system choose one.
+///
+/// # Errors
+///
+/// The system's error where the address can't be listened at.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+    TcpListener::bind_with_config(address, &options)
+}
+
 /// Sets the options on a connection.
 ///
 /// # Errors
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -176,39 +176,30 @@
     ) -> Answer {
         let request = forwarded_request(incoming, address);
         let client = self.shell.client();
-        let written = match client
+        let sent = client
             .send(address, request, Reuse::Fresh, FORWARD_TIMEOUT)
-            .await
-        {
-            Err(error) => error.may_be_written(),
+            .await;
+        match sent {
             Ok(answer) if is_event_stream(&answer.head) => {
-                let mut response = Response::new(());
-                *response.status_mut() = answer.head.status;
-                copy_headers(&answer.head.headers, response.headers_mut());
-                return response.map(|()| {
-                    Reply::Chunks(Stream::Relay(Box::new(Relayed {
-                        relay: answer.into_source(),
-                        _guard: guard,
-                    })))
-                });
+                let head = answer.head.clone();
+                let relay = answer.into_source();
+                let relayed = Relayed {
+                    relay,
+                    _guard: guard,
+                };
+                return passed_on(&head, Reply::Chunks(Stream::Relay(Box::new(relayed))));
             }
             Ok(answer) => {
                 let max = self.shell.settings().flags.answer_bytes.saturating_mul(2);
-                match answer.whole(max, FORWARD_TIMEOUT).await {
-                    Ok((head, body)) => {
-                        let mut response = Response::new(Reply::whole(body));
-                        *response.status_mut() = head.status;
-                        copy_headers(&head.headers, response.headers_mut());
-                        return response;
-                    }
-                    Err(_) => true,
+                if let Ok((head, body)) = answer.whole(max, FORWARD_TIMEOUT).await {
+                    return passed_on(&head, Reply::whole(body));
                 }
             }
-        };
+            Err(_) => {}
+        }
         let verdict = self.shell.begin_again(guard.exchange());
         self.shell.apply(Event::ForwardFailed {
             exchange: guard.exchange(),
-            written,
         });
         Box::pin(self.follow(guard, verdict, signal, incoming, model)).await
     }
@@ -228,6 +219,14 @@
     request
 }
 
+/// The owner's reply with another body, as this VM's own.
+fn passed_on(head: &http::response::Parts, body: Reply<Stream>) -> Answer {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    copy_headers(&head.headers, response.headers_mut());
+    response
+}
+
 fn is_event_stream(head: &http::response::Parts) -> bool {
     let kind = head.headers.get(http::header::CONTENT_TYPE);
     kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
--- a/crates/node/src/peer/listener.rs
+++ b/crates/node/src/peer/listener.rs
@@ -15,11 +15,12 @@
 use futures::FutureExt as _;
 use hornbeamtiller_core::event::Event;
 use hornbeamtiller_core::token::Seat;
+use hornbeamtiller_http::socket;
 use hornbeamtiller_wire::convert;
 use hornbeamtiller_wire::handshake::{self, Nonce, Part};
 use hornbeamtiller_wire::peer_capnp::{gate, inbox};
 use monoio::io::IntoPollIo as _;
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::net::{TcpListener, TcpStream};
 
 use super::io::Half;
 use crate::shell::Shell;
@@ -49,8 +50,7 @@
     ///
     /// The system's error where the address can't be listened at.
     pub fn bind(address: SocketAddr) -> io::Result<Bound> {
-        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
-        let listener = TcpListener::bind_with_config(address, &options)?;
+        let listener = socket::listen(address)?;
         let address = listener.local_addr()?;
         Ok(Bound { address, listener })
     }
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -9,8 +9,9 @@
 
 use futures::channel::oneshot;
 use futures::future::{select, Either};
+use hornbeamtiller_http::socket;
 use monoio::io::{AsyncWriteRentExt as _, Splitable as _};
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::net::{TcpListener, TcpStream};
 use serde::{Deserialize, Serialize};
 
 /// Bytes moved at a time.
@@ -54,8 +55,7 @@
     ///
     /// The system's error where the address can't be listened at.
     pub fn bind(address: SocketAddr, target: Rc<Cell<SocketAddr>>) -> io::Result<Self> {
-        let options = ListenerOpts::new().reuse_port(false).reuse_addr(true);
-        let listener = TcpListener::bind_with_config(address, &options)?;
+        let listener = socket::listen(address)?;
         let address = listener.local_addr()?;
         let inner = Rc::new(Inner::default());
         monoio::spawn(accept(listener, target, inner.clone()));
