--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,18 @@
+//! The process around the decisions of `hornbeamtiller-relay`: sockets, timers, peers and logs.
+//!
+//! What callers and runners speak is a [`dialect::Dialect`]; this crate knows no header or path of
+//! its own. Configuration comes as events from whoever reads it.
+
+mod attempt;
+pub mod caller;
+pub mod dialect;
+pub mod gateway;
+mod log_line;
+pub mod metrics;
+mod peer;
+pub mod settings;
+pub mod shell;
+
+pub use gateway::Gateway;
+pub use settings::Settings;
+pub use shell::Shell;
--- /dev/null
+++ b/crates/gateway/src/log_line.rs
@@ -0,0 +1,48 @@
+//! Notes of the reducer as log lines.
+
+use hornbeamtiller_relay::note::Note;
+use log::kv::{Error, Key, Source, Value, VisitSource};
+
+/// The fields of a note that are set.
+struct Fields<'a>(&'a Note);
+
+impl Source for Fields<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), Error> {
+        let note = self.0;
+        let mut text = |key: &'static str, value: Option<&'kvs str>| match value {
+            Some(value) => visitor.visit_pair(Key::from_str(key), Value::from(value)),
+            None => Ok(()),
+        };
+        text("request", note.request.as_deref())?;
+        text("runner", note.runner.as_deref())?;
+        text("outcome", note.outcome.as_deref())?;
+        if let Some(attempt) = note.attempt {
+            visitor.visit_pair(Key::from_str("attempt"), Value::from(attempt))?;
+        }
+        if let Some(version) = note.version {
+            visitor.visit_pair(Key::from_str("version"), Value::from(version))?;
+        }
+        if let Some(age) = note.age {
+            let millis = age.as_micros() as f64 / 1e3;
+            visitor.visit_pair(Key::from_str("ms"), Value::from(millis))?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes a note.
+pub fn write(note: &Note) {
+    if !log::log_enabled!(log::Level::Info) {
+        return;
+    }
+    let kind: &'static str = note.kind.into();
+    let fields = Fields(note);
+    log::logger().log(
+        &log::Record::builder()
+            .level(log::Level::Info)
+            .target("relay")
+            .args(format_args!("{kind}"))
+            .key_values(&fields)
+            .build(),
+    );
+}
--- a/crates/generate/src/lib.rs
+++ b/crates/generate/src/lib.rs
@@ -1,11 +1,11 @@
-//! Writes the committed code of the peer schema.
+//! Writes the committed code of the schemas.
 //!
 //! This stands apart from the `wire` crate, which can't be built while its code does not fit a
 //! changed schema. The build of the product needs neither this crate nor the schema compiler.
 
 use std::path::Path;
 
-/// Compiles `peer.capnp` of the schema folder into the output folder.
+/// Compiles the schemas of the schema folder into the output folder.
 ///
 /// # Errors
 ///
@@ -14,6 +14,7 @@
     capnpc::CompilerCommand::new()
         .src_prefix(schema)
         .file(schema.join("peer.capnp"))
+        .file(schema.join("fleet.capnp"))
         .default_parent_module(vec!["generated".to_owned()])
         .output_path(output)
         .run()
--- a/crates/hornbeamtiller/src/logging.rs
+++ b/crates/hornbeamtiller/src/logging.rs
@@ -1,9 +1,36 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines, written by a thread of their own so that a blocked output stops nothing.
+//!
+//! Lines that come faster than the bound, or while the output is blocked, are left out; a line says
+//! how many.
 
-use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
+use std::io::{self, Write as _};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use log::{LevelFilter, Record};
+use log4rs::append::Append;
 use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+use log4rs::encode::Encode as _;
+
+/// Lines that may wait for the output.
+const QUEUE_LINES: usize = 4_096;
+/// Lines in a second.
+const LINES_PER_SECOND: u32 = 1_500;
+/// Pause in which lines gather for one write.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// Where logs go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
 
 /// Why logs can't be written.
 #[derive(Debug, thiserror::Error)]
@@ -14,6 +41,9 @@
     /// A logger was set before.
     #[error("a logger is set already")]
     Set(#[from] log::SetLoggerError),
+    /// The writing thread can't be started.
+    #[error("can't start the thread that writes logs")]
+    Thread(#[from] io::Error),
 }
 
 /// Begins to write logs.
@@ -21,14 +51,84 @@
 /// # Errors
 ///
 /// [`Error`].
-pub fn open() -> Result<(), Error> {
-    let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
+pub fn open(output: Output) -> Result<(), Error> {
+    let (lines, written) = sync_channel(QUEUE_LINES);
+    let left_out = Arc::new(AtomicU64::new(0));
+    let counter = left_out.clone();
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write(&written, &counter, output))?;
+    let appender = Queue {
+        encoder: JsonEncoder::new(),
+        lines,
+        left_out,
+        allowance: Mutex::new((Instant::now(), LINES_PER_SECOND)),
+    };
     let config = Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(appender)))
-        .build(Root::builder().appender("stderr").build(LevelFilter::Info))?;
+        .appender(Appender::builder().build("queue", Box::new(appender)))
+        .build(Root::builder().appender("queue").build(LevelFilter::Info))?;
     log4rs::init_config(config)?;
     Ok(())
 }
+
+/// Puts lines into a bounded queue.
+#[derive(Debug)]
+struct Queue {
+    encoder: JsonEncoder,
+    lines: SyncSender<Vec<u8>>,
+    left_out: Arc<AtomicU64>,
+    /// When the running second began, and lines left in it.
+    allowance: Mutex<(Instant, u32)>,
+}
+
+impl Queue {
+    fn allows(&self) -> bool {
+        let Ok(mut allowance) = self.allowance.lock() else {
+            return false;
+        };
+        if allowance.0.elapsed() >= Duration::from_secs(1) {
+            *allowance = (Instant::now(), LINES_PER_SECOND);
+        }
+        let left = allowance.1;
+        allowance.1 = left.saturating_sub(1);
+        left > 0
+    }
+}
+
+impl Append for Queue {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        if !self.allows() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut line = SimpleWriter(Vec::with_capacity(256));
+        self.encoder.encode(&mut line, record)?;
+        if self.lines.try_send(line.0).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// Writes what gathers until the process ends.
+fn write(lines: &Receiver<Vec<u8>>, left_out: &AtomicU64, output: Output) {
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER);
+        let mut gathered = first;
+        lines.try_iter().for_each(|line| gathered.extend(line));
+        let missing = left_out.swap(0, Ordering::Relaxed);
+        if missing > 0 {
+            let line = format!("{{\"level\":\"WARN\",\"message\":\"lines_left_out\",\"attributes\":{{\"count\":{missing}}}}}\n");
+            gathered.extend_from_slice(line.as_bytes());
+        }
+        let done = match output {
+            Output::Stdout => io::stdout().write_all(&gathered),
+            Output::Stderr => io::stderr().write_all(&gathered),
+        };
+        if done.is_err() {
+            left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -1,18 +1,22 @@
-//! The process of one entry VM.
+//! The process of one entry VM: with the flags below before this project's own callers, or, as
+//! `gateway`, on the operators' platform.
 //!
 //! Exit codes: 0 after a graceful leave, 2 for wrong flags, 3 for settings that fail their check,
 //! 4 where the process can't start.
 
 mod logging;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use error_stack::{Report, ResultExt as _};
 use hornbeamtiller_node::{Flags, Node, Settings};
+use hornbeamtiller_platform::Process;
+use logging::Output;
 
 /// Exit code for settings that fail their check.
 const EXIT_SETTINGS: u8 = 3;
@@ -29,12 +33,27 @@
 #[derive(Debug, Parser)]
 #[command(
     version,
+    args_conflicts_with_subcommands = true,
+    subcommand_negates_reqs = true,
     after_help = "Exit codes: 0 left gracefully, 2 wrong flags, 3 settings fail their check, \
                                  4 can't start."
 )]
 struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
     #[command(flatten)]
-    flags: Flags,
+    flags: Option<Flags>,
+}
+
+/// Other ways to run than before this project's own callers.
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs on the operators' platform, which gives the settings as a file.
+    Gateway {
+        /// The settings file.
+        #[arg(long, env = "HORNBEAMTILLER_SETTINGS")]
+        settings: PathBuf,
+    },
 }
 
 /// Why the process ended in failure.
@@ -59,16 +78,24 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-    let settings = match Cli::parse().flags.check() {
-        Ok(settings) => settings,
-        Err(faults) => {
-            faults
-                .iter()
-                .for_each(|fault| eprintln!("hornbeamtiller: {fault}"));
+    let cli = Cli::parse();
+    let ended = match (cli.command, cli.flags) {
+        (Some(Command::Gateway { settings }), _) => run_gateway(&settings),
+        (None, Some(flags)) => match flags.check() {
+            Ok(settings) => run_node(settings),
+            Err(faults) => {
+                faults
+                    .iter()
+                    .for_each(|fault| eprintln!("hornbeamtiller: {fault}"));
+                return ExitCode::from(EXIT_SETTINGS);
+            }
+        },
+        (None, None) => {
+            eprintln!("hornbeamtiller: flags are missing; see --help");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    match run(settings) {
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("hornbeamtiller: {report:#}");
@@ -77,12 +104,34 @@
     }
 }
 
-fn run(settings: Settings) -> Result<(), Report<Error>> {
-    logging::open().change_context(Error::Logging)?;
+fn run_node(settings: Settings) -> Result<(), Report<Error>> {
+    logging::open(Output::Stderr).change_context(Error::Logging)?;
     let stop = receive_signals().change_context(Error::Signals)?;
     hornbeamtiller_http::runtime::block_on(serve(settings, stop)).change_context(Error::Runtime)?
 }
 
+fn run_gateway(settings: &Path) -> Result<(), Report<Error>> {
+    logging::open(Output::Stdout).change_context(Error::Logging)?;
+    let stop = receive_signals().change_context(Error::Signals)?;
+    hornbeamtiller_http::runtime::block_on(serve_gateway(settings, stop))
+        .change_context(Error::Runtime)?
+}
+
+async fn serve_gateway(settings: &Path, stop: Arc<AtomicBool>) -> Result<(), Report<Error>> {
+    let process = Process::open(settings).change_context(Error::Start)?;
+    log::info!("started");
+    while !stop.load(Ordering::Relaxed) {
+        monoio::time::sleep(SIGNAL_CHECK).await;
+    }
+    process.leave();
+    while !process.has_left() {
+        monoio::time::sleep(SIGNAL_CHECK).await;
+    }
+    process.close();
+    monoio::time::sleep(LAST_WRITES).await;
+    Ok(())
+}
+
 /// Sets a flag at the first signal and ends the process at the second.
 fn receive_signals() -> std::io::Result<Arc<AtomicBool>> {
     let stop = Arc::new(AtomicBool::new(false));
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -33,6 +33,8 @@
     pub idle: Duration,
     /// Idle connections kept per address.
     pub idle_max: usize,
+    /// How long sent bytes may stay unacknowledged.
+    pub unacknowledged: Duration,
 }
 
 impl Default for Settings {
@@ -41,6 +43,7 @@
             connect_timeout: Duration::from_millis(500),
             idle: Duration::from_secs(5),
             idle_max: 32,
+            unacknowledged: socket::UNACKNOWLEDGED,
         }
     }
 }
@@ -66,6 +69,9 @@
         /// What the system said.
         error: io::Error,
     },
+    /// The connection was closed before a byte of the request was written.
+    #[error("connection closed before the request was written")]
+    Unwritten,
     /// The connection was lost after the request was, or may have been, written.
     #[error("connection lost: {0}")]
     Lost(#[from] hyper::Error),
@@ -77,6 +83,9 @@
     TooLarge(usize),
 }
 
+/// How much sooner than the far end an idle connection is given up.
+const KEEP_ALIVE_LEAD: Duration = Duration::from_millis(700);
+
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Dropping this closes the socket at once, whatever is under way on it.
@@ -85,7 +94,7 @@
 
 struct Idle {
     connection: Connection,
-    since: Instant,
+    until: Instant,
 }
 
 /// A client of one thread.
@@ -103,6 +112,13 @@
     }
 }
 
+impl Error {
+    /// Tells whether not one byte of the request was written.
+    pub fn is_unwritten(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::Unwritten)
+    }
+}
+
 /// An answer whose body is still to be read. Dropping it closes the connection.
 pub struct Answer {
     /// The head.
@@ -110,6 +126,8 @@
     body: Incoming,
     silence: Silence,
     connection: Option<Connection>,
+    /// How long the connection may be kept idle.
+    keep: Duration,
     address: SocketAddr,
     client: Client,
 }
@@ -161,6 +179,41 @@
         self.exchange(connection, address, request, timeout).await
     }
 
+    /// Sends a request to its end at most once and waits for the head of its answer. Kept-open
+    /// connections that turn out closed before a byte was written are passed over.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; [`Error::is_unwritten`] tells whether the request can have arrived.
+    pub async fn send_once(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        timeout: Duration,
+    ) -> Result<Answer, Error> {
+        let mut kept = reuse == Reuse::Allowed;
+        loop {
+            let idle = self.take_idle(address).filter(|_| kept);
+            kept = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(address).await?,
+            };
+            let mut silence = Silence::open(timeout);
+            let sent = connection.sender.try_send_request(request);
+            let sent = silence.bound(sent).await;
+            match sent.map_err(|_| Error::TimedOut(timeout))? {
+                Ok(response) => return Ok(self.answer(address, connection, response, silence)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if kept => request = unsent,
+                    Some(_) => return Err(Error::Unwritten),
+                    None => return Err(Error::Lost(error.into_error())),
+                },
+            }
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
         let fail = |error| Error::Connect { address, error };
         let connecting = TcpStream::connect_addr(address);
@@ -168,7 +221,7 @@
             Ok(result) => result.map_err(fail)?,
             Err(_) => return Err(fail(io::ErrorKind::TimedOut.into())),
         };
-        socket::prepare(&stream).map_err(fail)?;
+        socket::prepare(&stream, self.settings.unacknowledged).map_err(fail)?;
         let io = MonoioIo::new(stream.into_poll_io().map_err(fail)?);
         let (sender, connection) = http1::handshake(io)
             .await
@@ -192,25 +245,37 @@
     ) -> Result<Answer, Error> {
         let mut silence = Silence::open(timeout);
         let sent = silence.bound(connection.sender.send_request(request)).await;
-        let response: Response<Incoming> = sent.map_err(|_| Error::TimedOut(timeout))??;
+        let response = sent.map_err(|_| Error::TimedOut(timeout))??;
+        Ok(self.answer(address, connection, response, silence))
+    }
+
+    fn answer(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        response: Response<Incoming>,
+        silence: Silence,
+    ) -> Answer {
         let (head, body) = response.into_parts();
-        Ok(Answer {
+        let keep = keep_alive(&head).map_or(self.settings.idle, |told| {
+            told.saturating_sub(KEEP_ALIVE_LEAD).min(self.settings.idle)
+        });
+        Answer {
             head,
             body,
             silence,
             connection: Some(connection),
+            keep,
             address,
             client: self.clone(),
-        })
+        }
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(last) = list.pop() {
-            let usable =
-                last.since.elapsed() < self.settings.idle && last.connection.sender.is_ready();
-            if usable {
+            if last.until > Instant::now() && last.connection.sender.is_ready() {
                 return Some(last.connection);
             }
         }
@@ -218,17 +283,19 @@
         None
     }
 
-    fn give_back(&self, address: SocketAddr, connection: Connection) {
-        if !connection.sender.is_ready() {
+    fn give_back(&self, address: SocketAddr, connection: Connection, keep: Duration) {
+        // A connection whose far end asked for its close is closed a little later.
+        if connection.sender.is_closed() || keep.is_zero() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(address).or_default();
-        list.retain(|idle| idle.since.elapsed() < self.settings.idle);
+        let now = Instant::now();
+        list.retain(|idle| idle.until > now);
         if list.len() < self.settings.idle_max {
             list.push(Idle {
                 connection,
-                since: Instant::now(),
+                until: now + keep,
             });
         }
     }
@@ -284,11 +351,24 @@
     /// Gives the connection back for reuse once the body has ended whole.
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.client.give_back(self.address, connection);
+            self.client.give_back(self.address, connection, self.keep);
         }
     }
 }
 
+/// How long the far end says that it keeps the connection; nothing if it is about to close it.
+fn keep_alive(head: &http::response::Parts) -> Option<Duration> {
+    let value = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = |value: &str| value.to_ascii_lowercase().contains("close");
+    if value("connection").is_some_and(closes) {
+        return Some(Duration::ZERO);
+    }
+    let part = value("keep-alive")?
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(part.parse().ok()?))
+}
+
 /// The body of an answer as the source of a reply.
 #[derive(Debug)]
 pub struct Relay(Answer);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -231,7 +231,7 @@
 }
 
 async fn serve<H: Handler>(stream: TcpStream, limits: Limits, handler: H, counted: Counted) {
-    if socket::prepare(&stream).is_err() {
+    if socket::prepare(&stream, socket::UNACKNOWLEDGED).is_err() {
         return;
     }
     let Ok(stream) = stream.into_poll_io() else {
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -14,8 +14,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Unanswered probes after which the connection is lost.
 const KEEPALIVE_PROBES: u32 = 3;
-/// How long sent bytes may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long sent bytes may stay unacknowledged where nothing else is asked for.
+pub const UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 
 /// Listens at an address that no other socket may share; port 0 lets the system choose one.
 ///
@@ -27,12 +27,12 @@
     TcpListener::bind_with_config(address, &options)
 }
 
-/// Sets the options on a connection.
+/// Sets the options on a connection, whose sent bytes may stay unacknowledged for so long.
 ///
 /// # Errors
 ///
 /// The system's error; the connection is of no use then.
-pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+pub fn prepare(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     // SAFETY: The descriptor is open as long as `stream` is borrowed, which is longer than `fd`.
     let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
     let socket = SockRef::from(&fd);
@@ -42,5 +42,5 @@
         .with_retries(KEEPALIVE_PROBES);
     socket.set_nodelay(true)?;
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacknowledged))
 }
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -42,27 +42,41 @@
     /// Takes the next whole event; comments are passed over.
     pub fn next_event(&mut self) -> Option<Event> {
         loop {
-            let end = memchr::memmem::find(&self.buffer, b"\n\n")?;
-            let block = self.buffer.split_to(end + 2).freeze();
+            let block = self.next_block()?;
             if let Some(event) = parse(&block) {
                 return Some(event);
             }
         }
     }
+
+    /// Takes the next whole block as it came, up to and with its blank line.
+    pub fn next_block(&mut self) -> Option<Bytes> {
+        let end = memchr::memmem::find(&self.buffer, b"\n\n")?;
+        Some(self.buffer.split_to(end + 2).freeze())
+    }
+
+    /// Tells whether part of a block has come.
+    pub fn is_midway(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+}
+
+/// The `id` field of a block.
+pub fn block_id(block: &[u8]) -> Option<u64> {
+    let line = block
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
 
 fn parse(block: &Bytes) -> Option<Event> {
-    let mut id = None;
     let mut data = None;
     for line in block.split(|byte| *byte == b'\n') {
         if let Some(value) = line.strip_prefix(b"data: ") {
             data = Some(block.slice_ref(value));
-        } else if let Some(value) = line.strip_prefix(b"id: ") {
-            id = std::str::from_utf8(value)
-                .ok()
-                .and_then(|text| text.parse().ok());
         }
     }
+    let id = block_id(block);
     data.map(|data| Event { id, data })
 }
 
--- a/crates/node/src/attempt/mod.rs
+++ b/crates/node/src/attempt/mod.rs
@@ -85,7 +85,7 @@
 /// Tells how far an attempt got from what the client saw.
 fn failure(error: &client::Error) -> Failure {
     match error {
-        client::Error::Connect { .. } => Failure::NotWritten,
+        client::Error::Connect { .. } | client::Error::Unwritten => Failure::NotWritten,
         client::Error::Lost(_) => Failure::Lost,
         client::Error::TimedOut(_) => Failure::TimedOut,
         client::Error::TooLarge(_) => Failure::TooLarge,
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -26,8 +26,8 @@
 use monoio::io::IntoPollIo as _;
 use monoio::net::TcpStream;
 
-use super::io::{Half, Sent};
 use crate::shell::Shell;
+use hornbeamtiller_wire::io::{Half, Sent};
 
 /// Messages that may wait for a link; the oldest go first.
 const QUEUE_MAX: usize = 4_096;
--- a/crates/node/src/peer/listener.rs
+++ b/crates/node/src/peer/listener.rs
@@ -22,8 +22,8 @@
 use monoio::io::IntoPollIo as _;
 use monoio::net::{TcpListener, TcpStream};
 
-use super::io::Half;
 use crate::shell::Shell;
+use hornbeamtiller_wire::io::Half;
 
 /// Largest message, in words of 8 bytes.
 const MESSAGE_WORDS_MAX: usize = 128 << 10;
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,6 +1,5 @@
 //! Connections between entry VMs: `capnp-rpc` with a handshake under the shared key.
 
-mod io;
 mod link;
 mod listener;
 
--- /dev/null
+++ b/crates/relay/src/budget.rs
@@ -0,0 +1,83 @@
+//! The allowance for second tries, shared by all VMs without a message.
+//!
+//! Each VM spends the ratio of its own requests and its part of the slack. The window is cut into
+//! slices so that any span of its length stays within the allowance.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Slices of a window.
+const SLICES: u32 = 10;
+/// Share of the allowance that is spent, so that skew between VMs does not break the bound.
+const SHARE: f64 = 0.7;
+
+/// Counts of one slice.
+#[derive(Debug, Clone, Copy, Default)]
+struct Slice {
+    number: u64,
+    requests: u32,
+    extra: u32,
+}
+
+/// The allowance for one endpoint.
+#[derive(Debug)]
+pub struct Budget {
+    ratio: f64,
+    slack: f64,
+    slice: Duration,
+    slices: VecDeque<Slice>,
+}
+
+impl Budget {
+    /// Makes an unused allowance; `slack` is for all VMs together.
+    pub fn open(ratio: f64, slack: f64, window: Duration) -> Self {
+        Self {
+            ratio,
+            slack,
+            slice: window / SLICES,
+            slices: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, now: Duration) {
+        self.current(now).requests += 1;
+    }
+
+    /// Takes one second try, if the allowance has one left among this many VMs.
+    pub fn take(&mut self, now: Duration, vms: usize) -> bool {
+        self.current(now);
+        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
+        let extra: u32 = self.slices.iter().map(|slice| slice.extra).sum();
+        let part = self.slack / vms.max(1) as f64;
+        let allowed = (self.ratio * f64::from(requests) + part) * SHARE;
+        if f64::from(extra + 1) > allowed {
+            return false;
+        }
+        self.current(now).extra += 1;
+        true
+    }
+
+    fn current(&mut self, now: Duration) -> &mut Slice {
+        let number = (now.as_nanos() / self.slice.as_nanos().max(1)) as u64;
+        while self
+            .slices
+            .front()
+            .is_some_and(|slice| slice.number + u64::from(SLICES) < number)
+        {
+            self.slices.pop_front();
+        }
+        if self
+            .slices
+            .back()
+            .is_none_or(|slice| slice.number != number)
+        {
+            self.slices.push_back(Slice {
+                number,
+                ..Slice::default()
+            });
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
+    }
+}
--- /dev/null
+++ b/crates/relay/src/call.rs
@@ -0,0 +1,134 @@
+//! One call: what it asks for, how far it got, and what its attempts may have done.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::event::{Kv, Prompt};
+use crate::id;
+use crate::manifest::Route;
+
+/// What the attempts of a call may have done at runners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Exposure {
+    /// No runner ran the request, and none can any more.
+    NotRun,
+    /// A runner may have run it, or may run it still.
+    MayHaveRun,
+}
+
+/// Where a call stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// It waits for room at a runner.
+    Waiting {
+        /// When to look again.
+        again_at: Duration,
+    },
+    /// A prefill runner reads its prompt.
+    Prefill {
+        /// The attempt.
+        attempt: id::Attempt,
+        /// The runner.
+        runner: id::Runner,
+        /// When it began.
+        since: Duration,
+        /// When to give the attempt up.
+        give_up: Duration,
+    },
+    /// A runner works on it.
+    Run {
+        /// The attempt.
+        attempt: id::Attempt,
+        /// The runner.
+        runner: id::Runner,
+        /// When it began.
+        since: Duration,
+        /// When to give the attempt up unless something comes.
+        give_up: Option<Duration>,
+    },
+}
+
+impl Step {
+    /// The attempt under way and its runner.
+    pub fn attempt(&self) -> Option<(id::Attempt, &id::Runner)> {
+        match self {
+            Self::Waiting { .. } => None,
+            Self::Prefill {
+                attempt, runner, ..
+            }
+            | Self::Run {
+                attempt, runner, ..
+            } => Some((*attempt, runner)),
+        }
+    }
+}
+
+/// How far a stream's answer got towards the caller.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Whether the caller has the head of the answer.
+    pub head_passed: bool,
+    /// Position of the last event that the caller has.
+    pub last: Option<u64>,
+    /// When the last event came.
+    pub last_at: Duration,
+}
+
+/// A call.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Id of the request, for logs.
+    pub id: Arc<str>,
+    /// The route that it took when it came.
+    pub route: Arc<Route>,
+    /// Version of the manifest that gave the route.
+    pub version: id::Version,
+    /// The endpoint picked for it.
+    pub endpoint: id::Endpoint,
+    /// When it was read whole.
+    pub began: Duration,
+    /// When its final answer is due at the latest.
+    pub until: Duration,
+    /// Size of its prompt and of its answer, where it is for a model.
+    pub prompt: Option<Prompt>,
+    /// Where it stands.
+    pub step: Step,
+    /// What its attempts may have done.
+    pub exposure: Exposure,
+    /// Attempts that a runner may have run.
+    pub runs: u32,
+    /// Times that the request reached a runner.
+    pub sends: u32,
+    /// Prefills that were asked for.
+    pub prefills: u32,
+    /// Runners that failed it or had no room.
+    pub tried: Vec<id::Runner>,
+    /// Its KV cache at a prefill runner.
+    pub kv: Option<Kv>,
+    /// How far its answer got.
+    pub progress: Progress,
+    /// The last failure of a runner's own that may be passed on when nothing better comes.
+    pub spoiled: bool,
+    /// Whether its caller is gone.
+    pub gone: bool,
+}
+
+impl Call {
+    /// Time until the final answer is due.
+    pub fn left(&self, now: Duration) -> Duration {
+        self.until.saturating_sub(now)
+    }
+
+    /// Tells whether another runner may be asked after one that may have run the request.
+    pub fn may_run_again(&self) -> bool {
+        self.route.may_repeat() && self.runs < self.route.attempts
+    }
+}
+
+impl Call {
+    /// Tells whether another runner may be asked if the attempt about to begin comes to nothing.
+    pub fn may_run_again_after_this(&self) -> bool {
+        self.route.may_repeat() && self.runs + 1 < self.route.attempts
+    }
+}
--- /dev/null
+++ b/crates/relay/src/place.rs
@@ -0,0 +1,132 @@
+//! The choice of a runner: among those that take work, the one expected to answer first.
+//!
+//! It answers loads where every VM sees only its own requests and what runners told of theirs some
+//! time ago: two runners are drawn at random and the better one is taken, so that VMs that believe
+//! the same do not all choose the same.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom as _;
+use rand::Rng;
+
+use crate::id;
+use crate::pool::{Pool, Role, Runner, Standing};
+
+/// What a runner is wanted for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Want {
+    /// One exchange with a plain service.
+    Plain,
+    /// Reading a prompt.
+    Prefill,
+    /// Generating a stream.
+    Decode,
+}
+
+impl Want {
+    fn fits(self, role: Option<Role>) -> bool {
+        match self {
+            Self::Plain => true,
+            Self::Prefill => role == Some(Role::Prefill),
+            Self::Decode => role != Some(Role::Prefill),
+        }
+    }
+}
+
+/// Age after which a runner's word on its load counts nothing.
+const TOLD_MAX_AGE: Duration = Duration::from_millis(400);
+/// Time of an answer where none has come yet.
+const LATENCY_UNKNOWN: Duration = Duration::from_millis(50);
+/// What a certain failure is taken to cost, as a time.
+const FAILURE_COST: Duration = Duration::from_millis(600);
+/// What another availability zone is taken to cost, as a time.
+const ZONE_COST: Duration = Duration::from_millis(4);
+/// How long a runner is passed over after it refused for lack of room.
+const FULL_REST: Duration = Duration::from_millis(60);
+
+/// Where and for whom a runner is sought.
+#[derive(Debug)]
+pub struct Search<'a> {
+    /// The endpoint.
+    pub endpoint: &'a id::Endpoint,
+    /// What for.
+    pub want: Want,
+    /// Availability zone of this VM.
+    pub zone: &'a id::Zone,
+    /// Runners that failed the call before.
+    pub tried: &'a [id::Runner],
+    /// How long a leaving runner may still be used where no other is left.
+    pub drain: Duration,
+}
+
+/// Picks a runner, or none where none takes work.
+pub fn pick<'a>(
+    pool: &'a Pool,
+    search: &Search<'_>,
+    now: Duration,
+    rng: &mut impl Rng,
+) -> Option<&'a Runner> {
+    let fits: Vec<&Runner> = pool
+        .of(search.endpoint)
+        .filter(|runner| search.want.fits(runner.card.role) && !runner.displaced)
+        .collect();
+    let ready = |runner: &&&Runner| runner.standing == Standing::Ready;
+    let fresh = |runner: &&&Runner| !search.tried.contains(&runner.card.runner);
+    let awake = |runner: &&&Runner| !runner.judge.rests(now) && !is_full(runner, now);
+    let usable = |runner: &&&Runner| is_usable(runner, search.drain, now);
+    let tiers: [Vec<&Runner>; 4] = [
+        fits.iter()
+            .filter(ready)
+            .filter(fresh)
+            .filter(awake)
+            .copied()
+            .collect(),
+        fits.iter().filter(ready).filter(awake).copied().collect(),
+        fits.iter()
+            .filter(usable)
+            .filter(fresh)
+            .filter(awake)
+            .copied()
+            .collect(),
+        fits.iter().filter(ready).filter(fresh).copied().collect(),
+    ];
+    let tier = tiers.iter().find(|tier| !tier.is_empty())?;
+    let two: Vec<&&Runner> = tier.choose_multiple(rng, 2).collect();
+    two.into_iter()
+        .min_by_key(|runner| cost(runner, search.zone, now))
+        .copied()
+}
+
+fn is_full(runner: &Runner, now: Duration) -> bool {
+    runner.full_at.is_some_and(|at| at + FULL_REST > now)
+}
+
+fn is_usable(runner: &Runner, drain: Duration, now: Duration) -> bool {
+    match runner.standing {
+        Standing::Ready => true,
+        Standing::Leaving { since } => since + drain > now,
+    }
+}
+
+/// Requests at the runner, as far as this VM can tell.
+pub fn ahead(runner: &Runner, now: Duration) -> u32 {
+    let told = runner
+        .told
+        .filter(|(_, at)| at.saturating_add(TOLD_MAX_AGE) > now);
+    let told = told.map_or(0, |(told, _)| told.running + told.waiting);
+    told.max(runner.own)
+}
+
+/// The time that an answer is expected to take.
+pub fn cost(runner: &Runner, zone: &id::Zone, now: Duration) -> Duration {
+    let usual = runner.judge.latency().unwrap_or(LATENCY_UNKNOWN);
+    let slots = f64::from(runner.card.slots.max(1));
+    let load = f64::from(ahead(runner, now)) / slots;
+    let failure = FAILURE_COST.mul_f64(runner.judge.share(now));
+    let away = if runner.card.zone == *zone {
+        Duration::ZERO
+    } else {
+        ZONE_COST
+    };
+    usual.mul_f64(1.0 + load) + failure + away
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,276 @@
+//! The runners as the configuration service lists them and as traffic shows them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id;
+use crate::judge::Judge;
+
+/// Part of a model engine in the pipeline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// It reads prompts.
+    Prefill,
+    /// It generates tokens.
+    Decode,
+}
+
+/// A runner as the list describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Card {
+    /// Name of this start of the runner.
+    pub runner: id::Runner,
+    /// The endpoint that it belongs to.
+    pub endpoint: id::Endpoint,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to end.
+    pub draining: bool,
+    /// Its part, where it is a model engine.
+    pub role: Option<Role>,
+    /// Start of the runner, in milliseconds since the Unix epoch; tells two starts of one name apart.
+    pub born: u64,
+    /// Position of this entry in the list's history.
+    pub revision: id::Revision,
+}
+
+/// Load as the runner itself told it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// Whether a runner takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It does.
+    Ready,
+    /// It is about to end, or its entry is gone.
+    Leaving {
+        /// When this process learned that.
+        since: Duration,
+    },
+}
+
+/// One runner.
+#[derive(Debug, Clone)]
+pub struct Runner {
+    /// Its entry.
+    pub card: Card,
+    /// Whether it takes new work.
+    pub standing: Standing,
+    /// What traffic showed.
+    pub judge: Judge,
+    /// Exchanges of this VM under way there.
+    pub own: u32,
+    /// Prompt tokens of this VM that it has yet to read.
+    pub own_tokens: u64,
+    /// Its last word on its load, and when it came.
+    pub told: Option<(Told, Duration)>,
+    /// When it last refused for lack of room.
+    pub full_at: Option<Duration>,
+    /// Another runner answered at its address.
+    pub displaced: bool,
+}
+
+impl Runner {
+    fn new(card: Card, now: Duration) -> Self {
+        let standing = standing(&card, now);
+        Self {
+            card,
+            standing,
+            judge: Judge::default(),
+            own: 0,
+            own_tokens: 0,
+            told: None,
+            full_at: None,
+            displaced: false,
+        }
+    }
+}
+
+fn standing(card: &Card, now: Duration) -> Standing {
+    if card.draining {
+        Standing::Leaving { since: now }
+    } else {
+        Standing::Ready
+    }
+}
+
+/// All runners of all endpoints.
+#[derive(Debug, Default)]
+pub struct Pool {
+    runners: HashMap<id::Runner, Runner>,
+    endpoints: BTreeMap<id::Endpoint, Vec<id::Runner>>,
+    /// Position up to which the list is known.
+    pub revision: id::Revision,
+    /// Revisions at which entries ended, so that an older entry does not bring one back.
+    ended: HashMap<id::Runner, id::Revision>,
+}
+
+/// How long the end of an entry is remembered.
+const ENDED_MAX: usize = 4096;
+
+impl Pool {
+    /// Finds a runner.
+    pub fn get(&self, runner: &id::Runner) -> Option<&Runner> {
+        self.runners.get(runner)
+    }
+
+    /// Finds a runner to change it.
+    pub fn get_mut(&mut self, runner: &id::Runner) -> Option<&mut Runner> {
+        self.runners.get_mut(runner)
+    }
+
+    /// The runners of an endpoint.
+    pub fn of<'a>(&'a self, endpoint: &id::Endpoint) -> impl Iterator<Item = &'a Runner> + 'a {
+        self.endpoints
+            .get(endpoint)
+            .into_iter()
+            .flatten()
+            .filter_map(|runner| self.runners.get(runner))
+    }
+
+    /// All runners.
+    pub fn iter(&self) -> impl Iterator<Item = &Runner> {
+        self.runners.values()
+    }
+
+    /// Takes an entry; an older one than the known changes nothing. Tells whether anything changed.
+    pub fn set(&mut self, card: Card, now: Duration) -> bool {
+        if self
+            .ended
+            .get(&card.runner)
+            .is_some_and(|ended| *ended >= card.revision)
+        {
+            return false;
+        }
+        let known = self.runners.get_mut(&card.runner);
+        match known {
+            Some(runner) if runner.card.revision >= card.revision => {
+                if runner.card.revision == card.revision {
+                    return Self::back(runner, now);
+                }
+                return false;
+            }
+            // The same start: what traffic showed stays.
+            Some(runner)
+                if runner.card.born == card.born && runner.card.address == card.address =>
+            {
+                if runner.card.draining != card.draining || !card.draining {
+                    let standing = standing(&card, now);
+                    let kept = matches!(
+                        (runner.standing, standing),
+                        (Standing::Leaving { .. }, Standing::Leaving { .. })
+                    );
+                    if !kept {
+                        runner.standing = standing;
+                    }
+                }
+                runner.displaced = false;
+                runner.card = card;
+                return true;
+            }
+            _ => {}
+        }
+        self.remove(&card.runner.clone());
+        self.endpoints
+            .entry(card.endpoint.clone())
+            .or_default()
+            .push(card.runner.clone());
+        self.runners
+            .insert(card.runner.clone(), Runner::new(card, now));
+        true
+    }
+
+    /// Takes back that an entry was missing.
+    fn back(runner: &mut Runner, now: Duration) -> bool {
+        let standing = standing(&runner.card, now);
+        let changed = standing == Standing::Ready && runner.standing != Standing::Ready;
+        if changed {
+            runner.standing = Standing::Ready;
+        }
+        changed
+    }
+
+    /// Takes that an entry has ended. The runner gets work only where no other can.
+    pub fn end(&mut self, runner: &id::Runner, revision: id::Revision, now: Duration) -> bool {
+        let newer = self
+            .runners
+            .get(runner)
+            .is_some_and(|known| known.card.revision > revision);
+        if newer {
+            return false;
+        }
+        if self.ended.len() >= ENDED_MAX {
+            self.ended.clear();
+        }
+        self.ended.insert(runner.clone(), revision);
+        self.missing(runner, now)
+    }
+
+    /// Takes a whole list: entries that it lacks and that are no newer have ended.
+    pub fn replace(&mut self, cards: Vec<Card>, revision: id::Revision, now: Duration) -> bool {
+        let listed: std::collections::HashSet<id::Runner> =
+            cards.iter().map(|card| card.runner.clone()).collect();
+        let mut changed = false;
+        for card in cards {
+            changed |= self.set(card, now);
+        }
+        let gone: Vec<id::Runner> = self
+            .runners
+            .values()
+            .filter(|runner| !listed.contains(&runner.card.runner))
+            .filter(|runner| runner.card.revision <= revision)
+            .map(|runner| runner.card.runner.clone())
+            .collect();
+        for runner in gone {
+            changed |= self.missing(&runner, now);
+        }
+        self.revision = self.revision.max(revision);
+        changed
+    }
+
+    fn missing(&mut self, runner: &id::Runner, now: Duration) -> bool {
+        match self.runners.get_mut(runner) {
+            Some(known) if known.standing == Standing::Ready => {
+                known.standing = Standing::Leaving { since: now };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets runners that have been leaving for so long that nothing of theirs can be under way.
+    pub fn sweep(&mut self, now: Duration, after: Duration) {
+        let old: Vec<id::Runner> = self
+            .runners
+            .values()
+            .filter(|runner| runner.own == 0)
+            .filter(|runner| matches!(runner.standing, Standing::Leaving { since } if since + after < now))
+            .map(|runner| runner.card.runner.clone())
+            .collect();
+        for runner in old {
+            self.remove(&runner);
+        }
+    }
+
+    fn remove(&mut self, runner: &id::Runner) {
+        if let Some(old) = self.runners.remove(runner) {
+            if let Some(list) = self.endpoints.get_mut(&old.card.endpoint) {
+                list.retain(|other| other != runner);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/reduce/arrive.rs
@@ -0,0 +1,133 @@
+//! Requests as they come in, and callers as they go.
+
+use std::time::Duration;
+
+use crate::budget::Budget;
+use crate::call::{Call, Exposure, Progress, Step};
+use crate::event::{Arrival, Effect};
+use crate::id;
+use crate::manifest::Kind as RouteKind;
+use crate::note::{Kind, Note};
+use crate::refusal::{Reason, Refusal};
+
+use super::Reducer;
+
+/// When to come back to a process that has no configuration yet.
+const RETRY_UNREADY: Duration = Duration::from_millis(100);
+/// How much sooner than its caller's own limit a call gets its final answer.
+const ANSWER_LEAD: Duration = Duration::from_millis(15);
+
+impl Reducer<'_> {
+    pub(super) fn arrived(&mut self, arrival: Arrival) {
+        self.state.counters.arrived += 1;
+        let Some(manifest) = self.state.manifest.clone() else {
+            let refusal = Refusal::not_run(Reason::NoManifest, RETRY_UNREADY);
+            return self.refuse_arrival(&arrival, refusal);
+        };
+        let Some(route) = manifest.route(&arrival.host, &arrival.path).cloned() else {
+            return self.refuse_arrival(&arrival, Refusal::invalid(Reason::NoRoute));
+        };
+        let Some(endpoint) = route.target(&mut self.state.rng).cloned() else {
+            return self.refuse_arrival(&arrival, Refusal::invalid(Reason::NoRoute));
+        };
+        let now = self.now;
+        self.budget(&endpoint).request(now);
+        let limit = arrival.time_limit.unwrap_or(route.timeout);
+        let limit = route.timeout.min(limit.saturating_sub(ANSWER_LEAD));
+        let is_model = manifest
+            .endpoints
+            .get(&endpoint)
+            .is_some_and(|known| known.engine.is_some());
+        let call = Call {
+            id: arrival.id.clone(),
+            route,
+            version: manifest.version,
+            endpoint,
+            began: self.now,
+            until: self.now + limit,
+            prompt: arrival.prompt.filter(|_| is_model),
+            step: Step::Waiting { again_at: self.now },
+            exposure: Exposure::NotRun,
+            runs: 0,
+            sends: 0,
+            prefills: 0,
+            tried: Vec::new(),
+            kv: None,
+            progress: Progress {
+                last: arrival.after,
+                ..Progress::default()
+            },
+            spoiled: false,
+            gone: false,
+        };
+        self.note(
+            Note::new(Kind::Accepted)
+                .request(&call.id)
+                .version(call.version)
+                .outcome(&call.route.name),
+        );
+        self.state.calls.insert(arrival.call, call);
+        self.advance(arrival.call);
+    }
+
+    fn refuse_arrival(&mut self, arrival: &Arrival, refusal: Refusal) {
+        self.count_refusal(refusal);
+        self.note(
+            Note::new(Kind::Refused)
+                .request(&arrival.id)
+                .version(
+                    self.state
+                        .manifest
+                        .as_ref()
+                        .map_or(0, |known| known.version),
+                )
+                .outcome(format!(
+                    "{} {} {}",
+                    refusal.claim, refusal.reason, arrival.path
+                )),
+        );
+        self.emit(Effect::Refuse {
+            call: arrival.call,
+            refusal,
+        });
+        self.emit(Effect::Forget { call: arrival.call });
+    }
+
+    pub(super) fn count_refusal(&mut self, refusal: Refusal) {
+        let key = (refusal.reason.into(), refusal.claim.to_string());
+        *self.state.counters.refused.entry(key).or_default() += 1;
+    }
+
+    /// The allowance for second tries at an endpoint.
+    pub(super) fn budget(&mut self, endpoint: &id::Endpoint) -> &mut Budget {
+        let settings = &self.state.settings;
+        let open = || {
+            Budget::open(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window,
+            )
+        };
+        self.state
+            .budgets
+            .entry(endpoint.clone())
+            .or_insert_with(open)
+    }
+
+    /// Stops the work of a caller that has left. A request that may run once goes on: stopping it
+    /// halfway helps nobody.
+    pub(super) fn caller_gone(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        call.gone = true;
+        let id = call.id.clone();
+        let lasted = self.now.saturating_sub(call.began);
+        let goes_on = call.route.kind == RouteKind::NonIdempotent && call.step.attempt().is_some();
+        self.state.counters.callers_gone += 1;
+        self.note(Note::new(Kind::CallerGone).request(&id).age(lasted));
+        if !goes_on {
+            self.end_call(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -0,0 +1,476 @@
+//! Attempts as they begin, are given up, and are followed by others; final answers of this process.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+
+use crate::call::{Call, Exposure, Step};
+use crate::event::{Ask, Dispatch, Effect};
+use crate::id;
+use crate::judge::Sign;
+use crate::manifest::Kind as RouteKind;
+use crate::note::{Kind, Note};
+use crate::place::{self, Search, Want};
+use crate::pool::Runner;
+use crate::refusal::{Reason, Refusal};
+
+use super::Reducer;
+
+/// Pause of a call that waits for room before it looks again.
+const WAIT_STEP: Duration = Duration::from_millis(25);
+/// Most times that one request is sent, whatever the allowance.
+const SENDS_MAX: u32 = 6;
+/// Share of its objective that a plain call waits for room.
+const WAIT_SHARE: f64 = 0.6;
+/// Share of its time that a stream waits for room.
+const STREAM_WAIT_SHARE: f64 = 0.5;
+/// Least time that an attempt needs to be worth its start.
+const ATTEMPT_MIN: Duration = Duration::from_millis(20);
+/// Shortest silence after which a repeatable call is taken elsewhere.
+const SILENCE_MIN: Duration = Duration::from_millis(90);
+/// Silence in times of the usual answer, for the same.
+const SILENCE_TIMES: f64 = 3.0;
+/// Silence of a prefill runner, in times of its usual reading, after which it is given up.
+const PREFILL_SILENCE_TIMES: f64 = 3.0;
+/// Shortest silence of a prefill runner after which it is given up.
+const PREFILL_SILENCE_MIN: Duration = Duration::from_millis(350);
+/// Silence before the first event of a stream after which its runner is given up.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(700);
+/// Extra silence before the first event where the runner reads the prompt itself.
+const OWN_READING_SILENCE: Duration = Duration::from_millis(900);
+/// Share of the wanted pause between events after which a silent stream is given up.
+const PAUSE_SHARE: f64 = 1.5;
+/// Base of the advice when to come back.
+const RETRY_BASE: Duration = Duration::from_millis(120);
+/// How long a prefill runner keeps a KV cache, less the time to fetch it.
+const KV_LIFE: Duration = Duration::from_millis(400);
+/// How long before the end of its time to leave a leaving runner gets no work any more.
+const DRAIN_LEAD: Duration = Duration::from_millis(700);
+
+impl Reducer<'_> {
+    pub(super) fn tick_calls(&mut self) {
+        let due: Vec<id::Call> = self
+            .state
+            .calls
+            .iter()
+            .filter(|(_, call)| is_due(call, self.now))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in due {
+            self.call_due(number);
+        }
+    }
+
+    fn call_due(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        if call.until <= self.now {
+            return self.give_final(number, Reason::TimedOut);
+        }
+        if call.step.attempt().is_none() {
+            return self.advance(number);
+        }
+        self.give_up_attempt(number);
+    }
+
+    /// Gives up a silent attempt and goes on elsewhere where that is allowed.
+    fn give_up_attempt(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        let Some((attempt, runner)) = call.step.attempt() else {
+            return;
+        };
+        let runner = runner.clone();
+        let prefill = matches!(call.step, Step::Prefill { .. });
+        let id = call.id.clone();
+        self.note(
+            Note::new(Kind::GivenUp)
+                .request(&id)
+                .runner(&runner)
+                .attempt(attempt)
+                .outcome("silent"),
+        );
+        self.abandon(number);
+        self.judge(&runner, Sign::Silent);
+        if prefill {
+            self.after_no_run(number, &runner);
+        } else {
+            self.after_possible_run(number, &runner, Reason::RunnersFailed);
+        }
+    }
+
+    /// Starts the next attempt of a call, or lets it wait, or refuses it.
+    pub(super) fn advance(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        if call.left(self.now) < ATTEMPT_MIN {
+            return self.give_final(number, Reason::TimedOut);
+        }
+        let kv_fresh = call
+            .kv
+            .as_ref()
+            .is_some_and(|kv| kv.made_at + KV_LIFE > self.now);
+        let is_stream = call.prompt.is_some();
+        if is_stream && !kv_fresh && self.start_prefill(number) {
+            return;
+        }
+        let want = if is_stream { Want::Decode } else { Want::Plain };
+        match self.pick(number, want) {
+            Some(runner) => self.start_run(number, &runner),
+            None => self.wait(number),
+        }
+    }
+
+    fn pick(&mut self, number: id::Call, want: Want) -> Option<Runner> {
+        let state = &mut *self.state;
+        let call = state.calls.get(&number)?;
+        let search = Search {
+            endpoint: &call.endpoint,
+            want,
+            zone: &state.settings.zone,
+            tried: &call.tried,
+            drain: state.settings.drain_timeout.saturating_sub(DRAIN_LEAD),
+        };
+        place::pick(&state.pool, &search, self.now, &mut state.rng).cloned()
+    }
+
+    /// Has the prompt read where a prefill runner takes work; tells whether one does.
+    fn start_prefill(&mut self, number: id::Call) -> bool {
+        let Some(runner) = self.pick(number, Want::Prefill) else {
+            return false;
+        };
+        if runner.judge.rests(self.now) {
+            return false;
+        }
+        let Some(call) = self.state.calls.get(&number) else {
+            return false;
+        };
+        let extra = call.prefills > 0;
+        let endpoint = call.endpoint.clone();
+        if extra && !self.take_retry(&endpoint) {
+            return false;
+        }
+        self.state.counters.prefills += 1;
+        let usual = runner.judge.latency().unwrap_or_default();
+        let silence = usual
+            .mul_f64(PREFILL_SILENCE_TIMES)
+            .max(PREFILL_SILENCE_MIN);
+        let attempt = self.begin(number, &runner, Ask::Prefill);
+        let now = self.now;
+        if let Some(call) = self.state.calls.get_mut(&number) {
+            call.prefills += 1;
+            call.step = Step::Prefill {
+                attempt,
+                runner: runner.card.runner.clone(),
+                since: now,
+                give_up: now + silence,
+            };
+        }
+        true
+    }
+
+    fn start_run(&mut self, number: id::Call, runner: &Runner) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        let endpoint = call.endpoint.clone();
+        if call.sends >= SENDS_MAX {
+            return self.give_final(number, Reason::Full);
+        }
+        if call.sends > 0 && !self.take_retry(&endpoint) {
+            return self.give_final(number, Reason::RunnersFailed);
+        }
+        let now = self.now;
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        let kv = call.kv.take().filter(|kv| kv.made_at + KV_LIFE > now);
+        let ask = if call.prompt.is_some() {
+            Ask::Generate {
+                kv: kv.clone(),
+                after: call.progress.last,
+            }
+        } else {
+            Ask::Plain
+        };
+        call.sends += 1;
+        let give_up = silence(call, runner, kv.is_some()).map(|silence| now + silence);
+        let attempt = self.begin(number, runner, ask);
+        if let Some(call) = self.state.calls.get_mut(&number) {
+            call.step = Step::Run {
+                attempt,
+                runner: runner.card.runner.clone(),
+                since: now,
+                give_up,
+            };
+            // Kept until the runner has it, so that a refusal does not cost the reading.
+            call.kv = kv;
+        }
+    }
+
+    fn begin(&mut self, number: id::Call, runner: &Runner, ask: Ask) -> id::Attempt {
+        self.state.last_attempt += 1;
+        self.state.counters.dispatched += 1;
+        let attempt = self.state.last_attempt;
+        let kind = match &ask {
+            Ask::Plain => "plain",
+            Ask::Prefill => "prefill",
+            Ask::Generate { kv: Some(_), .. } => "generate",
+            Ask::Generate { kv: None, .. } => "read_and_generate",
+        };
+        let name = runner.card.runner.clone();
+        let told_age = runner
+            .told
+            .map_or(Duration::ZERO, |(_, at)| self.now.saturating_sub(at));
+        let tokens = self.prompt_tokens(number);
+        if let Some(known) = self.state.pool.get_mut(&name) {
+            known.own += 1;
+            known.own_tokens += tokens;
+        }
+        let Some(call) = self.state.calls.get(&number) else {
+            return attempt;
+        };
+        let time_limit = call.left(self.now);
+        let note = Note::new(Kind::Dispatched)
+            .request(&call.id)
+            .runner(&name)
+            .attempt(attempt)
+            .outcome(kind)
+            .version(runner.card.revision)
+            .age(told_age);
+        self.note(note);
+        self.state.by_attempt.insert(attempt, number);
+        self.emit(Effect::Dispatch(Dispatch {
+            attempt,
+            call: number,
+            runner: name,
+            address: runner.card.address,
+            ask,
+            time_limit,
+        }));
+        attempt
+    }
+
+    fn prompt_tokens(&self, number: id::Call) -> u64 {
+        let call = self.state.calls.get(&number);
+        call.and_then(|call| call.prompt)
+            .map_or(0, |prompt| prompt.tokens)
+    }
+
+    /// Takes one second try from the allowance.
+    pub(super) fn take_retry(&mut self, endpoint: &id::Endpoint) -> bool {
+        let vms = self.state.roster.most.max(1);
+        let now = self.now;
+        let taken = self.budget(endpoint).take(now, vms);
+        if taken {
+            self.state.counters.retried += 1;
+        } else {
+            self.state.counters.retries_denied += 1;
+        }
+        taken
+    }
+
+    fn wait(&mut self, number: id::Call) {
+        let now = self.now;
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        let longest = match call.route.kind {
+            RouteKind::Streaming => call
+                .until
+                .saturating_sub(call.began)
+                .mul_f64(STREAM_WAIT_SHARE),
+            _ => call.route.objective.mul_f64(WAIT_SHARE),
+        };
+        if now.saturating_sub(call.began) >= longest {
+            let known = self.knows_runners(number);
+            let reason = if known {
+                Reason::Full
+            } else {
+                Reason::NoRunner
+            };
+            return self.give_final(number, reason);
+        }
+        call.step = Step::Waiting {
+            again_at: now + WAIT_STEP,
+        };
+    }
+
+    fn knows_runners(&self, number: id::Call) -> bool {
+        let call = self.state.calls.get(&number);
+        call.is_some_and(|call| self.state.pool.of(&call.endpoint).next().is_some())
+    }
+
+    /// Goes on after an attempt of which nothing ran.
+    pub(super) fn after_no_run(&mut self, number: id::Call, runner: &id::Runner) {
+        if let Some(call) = self.state.calls.get_mut(&number) {
+            call.tried.push(runner.clone());
+            call.step = Step::Waiting { again_at: self.now };
+            if call.gone {
+                return self.end_call(number);
+            }
+        }
+        self.advance(number);
+    }
+
+    /// Goes on after an attempt that may have run, where the route allows that.
+    pub(super) fn after_possible_run(
+        &mut self,
+        number: id::Call,
+        runner: &id::Runner,
+        reason: Reason,
+    ) {
+        let now = self.now;
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        call.exposure = Exposure::MayHaveRun;
+        call.runs += 1;
+        call.kv = None;
+        call.tried.push(runner.clone());
+        call.step = Step::Waiting { again_at: now };
+        if call.gone {
+            return self.end_call(number);
+        }
+        if !call.may_run_again() {
+            return self.give_final(number, reason);
+        }
+        if call.progress.head_passed {
+            self.state.counters.resumed += 1;
+        }
+        self.advance(number);
+    }
+
+    /// Gives a call its final answer from this process.
+    pub(super) fn give_final(&mut self, number: id::Call, reason: Reason) {
+        let in_progress = self
+            .state
+            .calls
+            .get(&number)
+            .is_some_and(|call| matches!(call.step, Step::Run { .. }));
+        self.abandon(number);
+        let jitter = self.state.rng.random_range(0.8..1.4);
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        if in_progress {
+            call.exposure = Exposure::MayHaveRun;
+        }
+        let id = call.id.clone();
+        let lasted = self.now.saturating_sub(call.began);
+        if call.progress.head_passed {
+            self.state.counters.streams_cut += 1;
+            self.note(
+                Note::new(Kind::StreamCut)
+                    .request(&id)
+                    .outcome(reason)
+                    .age(lasted),
+            );
+            self.emit(Effect::BreakStream { call: number });
+        } else {
+            let refusal = Refusal::of_call(call.exposure, reason, RETRY_BASE.mul_f64(jitter));
+            self.count_refusal(refusal);
+            let outcome = format!("{} {}", refusal.claim, refusal.reason);
+            self.note(
+                Note::new(Kind::Refused)
+                    .request(&id)
+                    .outcome(outcome)
+                    .age(lasted),
+            );
+            self.emit(Effect::Refuse {
+                call: number,
+                refusal,
+            });
+        }
+        self.end_call(number);
+    }
+
+    /// Ends the attempt under way, if there is one.
+    pub(super) fn abandon(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        let Some((attempt, runner)) = call.step.attempt() else {
+            return;
+        };
+        let runner = runner.clone();
+        self.release(number, attempt, &runner);
+        self.emit(Effect::Abandon { attempt });
+    }
+
+    /// Takes an attempt out of the books.
+    pub(super) fn release(&mut self, number: id::Call, attempt: id::Attempt, runner: &id::Runner) {
+        let tokens = self.prompt_tokens(number);
+        if self.state.by_attempt.remove(&attempt).is_none() {
+            return;
+        }
+        if let Some(known) = self.state.pool.get_mut(runner) {
+            known.own = known.own.saturating_sub(1);
+            known.own_tokens = known.own_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Drops a call and all that is kept for it.
+    pub(super) fn end_call(&mut self, number: id::Call) {
+        self.abandon(number);
+        let Some(call) = self.state.calls.remove(&number) else {
+            return;
+        };
+        if let Some(kv) = call.kv {
+            self.emit(Effect::FreeKv { kv });
+        }
+        self.emit(Effect::Forget { call: number });
+    }
+
+    pub(super) fn judge(&mut self, runner: &id::Runner, sign: Sign) {
+        let now = self.now;
+        let Some(known) = self.state.pool.get_mut(runner) else {
+            return;
+        };
+        let rested = known.judge.rests(now);
+        known.judge.record(now, sign);
+        if !rested && known.judge.rests(now) {
+            let rest = known.judge.rest_until().saturating_sub(now);
+            self.note(
+                Note::new(Kind::RunnerRests)
+                    .runner(runner)
+                    .outcome(sign)
+                    .age(rest),
+            );
+        }
+    }
+}
+
+fn is_due(call: &Call, now: Duration) -> bool {
+    let step = match &call.step {
+        Step::Waiting { again_at } => *again_at <= now,
+        Step::Prefill { give_up, .. } => *give_up <= now,
+        Step::Run { give_up, .. } => give_up.is_some_and(|at| at <= now),
+    };
+    step || call.until <= now
+}
+
+/// Silence after which an attempt is taken elsewhere, if it may be.
+fn silence(call: &Call, runner: &Runner, imported: bool) -> Option<Duration> {
+    if !call.may_run_again_after_this() {
+        return None;
+    }
+    if call.prompt.is_some() {
+        let reading = if imported {
+            Duration::ZERO
+        } else {
+            OWN_READING_SILENCE
+        };
+        return Some(FIRST_EVENT_SILENCE + reading);
+    }
+    let usual = runner.judge.latency().unwrap_or(call.route.objective);
+    Some(usual.mul_f64(SILENCE_TIMES).max(SILENCE_MIN))
+}
+
+/// Silence between two events after which a stream is taken elsewhere.
+pub(super) fn pause(call: &Call) -> Duration {
+    call.route.pause.mul_f64(PAUSE_SHARE)
+}
--- /dev/null
+++ b/crates/relay/src/reduce/source.rs
@@ -0,0 +1,103 @@
+//! What the configuration service and peers say of manifests and runners.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::id;
+use crate::manifest::Manifest;
+use crate::note::{Kind, Note};
+use crate::pool::{Card, Standing};
+
+use super::Reducer;
+
+/// How long a runner whose entry is gone stays known.
+const GONE_KEPT: Duration = Duration::from_secs(30);
+
+impl Reducer<'_> {
+    /// Takes a manifest if it is newer: versions only go up.
+    pub(super) fn manifest_read(&mut self, manifest: Arc<Manifest>) {
+        let known = self.state.manifest.as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= manifest.version) {
+            return;
+        }
+        let outcome = format!(
+            "{} routes, {} endpoints",
+            manifest.routes(),
+            manifest.endpoints.len()
+        );
+        self.note(
+            Note::new(Kind::ManifestInForce)
+                .version(manifest.version)
+                .outcome(outcome),
+        );
+        self.state.manifest = Some(manifest);
+    }
+
+    pub(super) fn pool_read(&mut self, cards: Vec<Card>, revision: id::Revision) {
+        let count = cards.len();
+        let changed = self.state.pool.replace(cards, revision, self.now);
+        if changed || !self.state.pool_known {
+            self.note(
+                Note::new(Kind::RunnerListed)
+                    .version(revision)
+                    .outcome(format!("{count} runners listed")),
+            );
+        }
+        self.state.pool_known = true;
+    }
+
+    pub(super) fn card_set(&mut self, card: Card) {
+        let runner = card.runner.clone();
+        let revision = card.revision;
+        let state = if card.draining { "draining" } else { "ready" };
+        let role = card.role.map_or("plain".into(), |role| role.to_string());
+        self.state.pool.revision = self.state.pool.revision.max(revision);
+        if self.state.pool.set(card, self.now) {
+            self.note(
+                Note::new(Kind::RunnerListed)
+                    .runner(&runner)
+                    .version(revision)
+                    .outcome(format!("{role}, {state}")),
+            );
+        }
+    }
+
+    pub(super) fn card_ended(&mut self, runner: &id::Runner, revision: id::Revision) {
+        self.state.pool.revision = self.state.pool.revision.max(revision);
+        if self.state.pool.end(runner, revision, self.now) {
+            self.note(
+                Note::new(Kind::RunnerListed)
+                    .runner(runner)
+                    .version(revision)
+                    .outcome("gone"),
+            );
+        }
+    }
+
+    pub(super) fn source_reached(&mut self, reached: bool) {
+        if std::mem::replace(&mut self.state.source_reached, reached) == reached {
+            return;
+        }
+        let outcome = if reached { "regained" } else { "lost" };
+        let version = self
+            .state
+            .manifest
+            .as_ref()
+            .map_or(0, |known| known.version);
+        self.note(Note::new(Kind::Source).outcome(outcome).version(version));
+    }
+
+    pub(super) fn tick_pool(&mut self) {
+        self.state.pool.sweep(self.now, GONE_KEPT);
+    }
+
+    /// The list of runners as it is told to a peer that has an older one.
+    pub(super) fn listed(&self) -> Vec<Card> {
+        self.state
+            .pool
+            .iter()
+            .filter(|runner| runner.standing == Standing::Ready || runner.card.draining)
+            .map(|runner| runner.card.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/reduce/stream.rs
@@ -0,0 +1,49 @@
+//! Streams on their way to callers: each event once, in order, from one run at a time.
+
+use crate::call::Step;
+use crate::event::Effect;
+use crate::id;
+
+use super::dispatch::pause;
+use super::Reducer;
+
+impl Reducer<'_> {
+    /// The head of a stream has come; the caller gets the first one only.
+    pub(super) fn began(&mut self, attempt: id::Attempt) {
+        let Some(&number) = self.state.by_attempt.get(&attempt) else {
+            return;
+        };
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        // The runner has taken the KV cache.
+        call.kv = None;
+        if !std::mem::replace(&mut call.progress.head_passed, true) {
+            self.emit(Effect::PassHead { call: number });
+        }
+    }
+
+    /// An event has come; one that the caller has already is left out.
+    pub(super) fn piece(&mut self, attempt: id::Attempt, position: Option<u64>) {
+        let now = self.now;
+        let Some(&number) = self.state.by_attempt.get(&attempt) else {
+            return;
+        };
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        let silence = pause(call);
+        let may_go_on = call.may_run_again_after_this();
+        if let Step::Run { give_up, .. } = &mut call.step {
+            *give_up = may_go_on.then_some(now + silence);
+        }
+        call.progress.last_at = now;
+        let repeated =
+            matches!((position, call.progress.last), (Some(new), Some(last)) if new <= last);
+        if repeated {
+            return;
+        }
+        call.progress.last = position.or(call.progress.last);
+        self.emit(Effect::PassPiece { call: number });
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/fleet.capnp
@@ -0,0 +1,58 @@
+@0xb7c1a95e4f20d683;
+# What entry VMs tell each other where nobody lists them: who is there, and the newest manifest and
+# list of runners. The network between them is closed to others, so there is no handshake.
+
+interface Fleet {
+  tell @0 (view :View) -> ();
+  # Takes the caller's view. The return says that it was taken; an answer comes as a call the other
+  # way.
+}
+
+enum Standing {
+  joining @0;
+  ready @1;
+  leaving @2;
+  down @3;
+}
+
+struct Member {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt64;
+  zone @3 :Text;
+  callerAddress @4 :Text;
+  peerAddress @5 :Text;
+  standing @6 :Standing;
+}
+
+enum Role {
+  plain @0;
+  prefill @1;
+  decode @2;
+}
+
+struct Runner {
+  name @0 :Text;
+  endpoint @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  role @6 :Role;
+  born @7 :UInt64;
+  revision @8 :UInt64;
+}
+
+struct View {
+  from @0 :Member;
+  members @1 :List(Member);
+  version @2 :UInt64;
+  # Version of the sender's manifest; 0 for none.
+  manifest @3 :Data;
+  # The manifest as the configuration service holds it; empty where the receiver has it.
+  revision @4 :UInt64;
+  # Position of the sender's list of runners.
+  hasRunners @5 :Bool;
+  runners @6 :List(Runner);
+  asks @7 :Bool;
+}
--- /dev/null
+++ b/crates/wire/src/view.rs
@@ -0,0 +1,158 @@
+//! Conversion of fleet views to and from the schema.
+//!
+//! The manifest travels as the bytes that the configuration service holds, so that a VM of another
+//! release reads it as it would have read the service's.
+
+use std::net::AddrParseError;
+use std::str::Utf8Error;
+
+use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::member::{Card, Standing};
+use hornbeamtiller_relay::pool::{self, Role};
+
+use crate::fleet_capnp as schema;
+
+/// A view as it travels.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// The sender.
+    pub from: Card,
+    /// What it knows of the others.
+    pub members: Vec<Card>,
+    /// Version of its manifest; 0 for none.
+    pub version: id::Version,
+    /// The manifest as the configuration service holds it; empty for none.
+    pub manifest: Vec<u8>,
+    /// Position of its list of runners.
+    pub revision: id::Revision,
+    /// The list, if it is told.
+    pub runners: Option<Vec<pool::Card>>,
+    /// Whether an answer is wanted.
+    pub asks: bool,
+}
+
+/// Why a view can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The message is broken.
+    #[error("message: {0}")]
+    Message(#[from] capnp::Error),
+    /// A value is none of the schema's.
+    #[error("value outside the schema")]
+    Value(#[from] capnp::NotInSchema),
+    /// A text is not UTF-8.
+    #[error("text: {0}")]
+    Text(#[from] Utf8Error),
+    /// An address can't be read.
+    #[error("address: {0}")]
+    Address(#[from] AddrParseError),
+}
+
+/// Writes a view.
+pub fn write(view: &View, mut out: schema::view::Builder<'_>) {
+    write_member(&view.from, out.reborrow().init_from());
+    let mut members = out.reborrow().init_members(view.members.len() as u32);
+    for (index, member) in view.members.iter().enumerate() {
+        write_member(member, members.reborrow().get(index as u32));
+    }
+    out.set_version(view.version);
+    out.set_manifest(&view.manifest);
+    out.set_revision(view.revision);
+    out.set_asks(view.asks);
+    let Some(list) = &view.runners else {
+        return;
+    };
+    out.set_has_runners(true);
+    let mut runners = out.init_runners(list.len() as u32);
+    for (index, runner) in list.iter().enumerate() {
+        write_runner(runner, runners.reborrow().get(index as u32));
+    }
+}
+
+fn write_member(card: &Card, mut out: schema::member::Builder<'_>) {
+    out.set_vm(&*card.vm);
+    out.set_incarnation(card.incarnation);
+    out.set_version(card.version);
+    out.set_zone(&*card.zone);
+    out.set_caller_address(card.caller_address.to_string().as_str());
+    out.set_peer_address(card.peer_address.to_string().as_str());
+    out.set_standing(match card.standing {
+        Standing::Joining => schema::Standing::Joining,
+        Standing::Ready => schema::Standing::Ready,
+        Standing::Leaving => schema::Standing::Leaving,
+        Standing::Down => schema::Standing::Down,
+    });
+}
+
+fn write_runner(card: &pool::Card, mut out: schema::runner::Builder<'_>) {
+    out.set_name(&*card.runner);
+    out.set_endpoint(&*card.endpoint);
+    out.set_address(card.address.to_string().as_str());
+    out.set_zone(&*card.zone);
+    out.set_slots(card.slots);
+    out.set_draining(card.draining);
+    out.set_role(match card.role {
+        None => schema::Role::Plain,
+        Some(Role::Prefill) => schema::Role::Prefill,
+        Some(Role::Decode) => schema::Role::Decode,
+    });
+    out.set_born(card.born);
+    out.set_revision(card.revision);
+}
+
+/// Reads a view.
+///
+/// # Errors
+///
+/// [`Error`] where any part can't be read.
+pub fn read(view: schema::view::Reader<'_>) -> Result<View, Error> {
+    let members = view.get_members()?.iter().map(read_member);
+    let runners = view.get_runners()?.iter().map(read_runner);
+    Ok(View {
+        from: read_member(view.get_from()?)?,
+        members: members.collect::<Result<_, _>>()?,
+        version: view.get_version(),
+        manifest: view.get_manifest()?.to_vec(),
+        revision: view.get_revision(),
+        runners: match view.get_has_runners() {
+            true => Some(runners.collect::<Result<_, _>>()?),
+            false => None,
+        },
+        asks: view.get_asks(),
+    })
+}
+
+fn read_member(card: schema::member::Reader<'_>) -> Result<Card, Error> {
+    Ok(Card {
+        vm: card.get_vm()?.to_str()?.into(),
+        incarnation: card.get_incarnation(),
+        version: card.get_version(),
+        zone: card.get_zone()?.to_str()?.into(),
+        caller_address: card.get_caller_address()?.to_str()?.parse()?,
+        peer_address: card.get_peer_address()?.to_str()?.parse()?,
+        standing: match card.get_standing()? {
+            schema::Standing::Joining => Standing::Joining,
+            schema::Standing::Ready => Standing::Ready,
+            schema::Standing::Leaving => Standing::Leaving,
+            schema::Standing::Down => Standing::Down,
+        },
+    })
+}
+
+fn read_runner(card: schema::runner::Reader<'_>) -> Result<pool::Card, Error> {
+    Ok(pool::Card {
+        runner: card.get_name()?.to_str()?.into(),
+        endpoint: card.get_endpoint()?.to_str()?.into(),
+        address: card.get_address()?.to_str()?.parse()?,
+        zone: card.get_zone()?.to_str()?.into(),
+        slots: card.get_slots(),
+        draining: card.get_draining(),
+        role: match card.get_role()? {
+            schema::Role::Plain => None,
+            schema::Role::Prefill => Some(Role::Prefill),
+            schema::Role::Decode => Some(Role::Decode),
+        },
+        born: card.get_born(),
+        revision: card.get_revision(),
+    })
+}
