Share the work under way at engines between VMs

Change: every change of a VM's work at engines is told to all others at once; room is counted with half of the expected answer; a prompt is read at the decode engine where that is sooner.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -141,6 +141,7 @@
             .unwrap_or_default(),
         revision: view.revision,
         runners: view.runners,
+        loads: view.loads,
         asks: view.asks,
     }
 }
@@ -257,6 +258,7 @@
             manifest: manifest.map(std::sync::Arc::new),
             revision: view.revision,
             runners: view.runners,
+            loads: view.loads,
             asks: view.asks,
         }
     }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -16,7 +16,7 @@
 pub struct Prompt {
     /// Tokens of the prompt.
     pub tokens: u64,
-    /// Most tokens to generate.
+    /// Tokens that the answer is expected to have.
     pub output: u64,
 }
 
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -68,6 +68,8 @@
     pub revision: id::Revision,
     /// The list itself, where the receiver is known to have an older one.
     pub runners: Option<Vec<pool::Card>>,
+    /// The sender's work under way at engines.
+    pub loads: Vec<(id::Runner, pool::Load)>,
     /// Whether an answer is wanted.
     pub asks: bool,
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -1,8 +1,9 @@
 //! The choice of a runner: among those that take work, the one expected to answer first.
 //!
-//! It answers loads where every VM sees only its own requests and what runners told of theirs some
-//! time ago: two runners are drawn at random and the better one is taken, so that VMs that believe
-//! the same do not all choose the same.
+//! At engines, VMs tell each other what they have under way, so that each takes the least loaded
+//! one that has memory left. At plain services a VM sees only its own requests and what runners told
+//! of theirs some time ago: two runners are drawn at random and the better one is taken, so that VMs
+//! that believe the same do not all choose the same.
 
 use std::time::Duration;
 
@@ -10,7 +11,8 @@
 use rand::Rng;
 
 use crate::id;
-use crate::pool::{Pool, Role, Runner, Standing};
+use crate::manifest::Engine;
+use crate::pool::{Load, Pool, Role, Runner, Standing};
 
 /// What a runner is wanted for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,8 +43,12 @@
 const FAILURE_COST: Duration = Duration::from_millis(600);
 /// What another availability zone is taken to cost, as a time.
 const ZONE_COST: Duration = Duration::from_millis(4);
+/// What one stream more at an engine costs all of its streams together, as a time.
+const STREAM_COST: Duration = Duration::from_millis(30);
 /// How long a runner is passed over after it refused for lack of room.
 const FULL_REST: Duration = Duration::from_millis(60);
+/// Share of an engine's KV memory that is given out; the rest is for what other VMs just sent.
+const MEMORY_SHARE: f64 = 0.95;
 
 /// Where and for whom a runner is sought.
 #[derive(Debug)]
@@ -57,6 +63,10 @@
     pub tried: &'a [id::Runner],
     /// How long a leaving runner may still be used where no other is left.
     pub drain: Duration,
+    /// Work that the call would add.
+    pub load: Load,
+    /// The engines' bounds, where the runners are engines.
+    pub engine: Option<Engine>,
 }
 
 /// Picks a runner, or none where none takes work.
@@ -69,6 +79,7 @@
     let fits: Vec<&Runner> = pool
         .of(search.endpoint)
         .filter(|runner| search.want.fits(runner.card.role) && !runner.displaced)
+        .filter(|runner| search.want != Want::Decode || has_room(runner, search))
         .collect();
     let ready = |runner: &&&Runner| runner.standing == Standing::Ready;
     let fresh = |runner: &&&Runner| !search.tried.contains(&runner.card.runner);
@@ -91,10 +102,19 @@
         fits.iter().filter(ready).filter(fresh).copied().collect(),
     ];
     let tier = tiers.iter().find(|tier| !tier.is_empty())?;
-    let two: Vec<&&Runner> = tier.choose_multiple(rng, 2).collect();
-    two.into_iter()
-        .min_by_key(|runner| cost(runner, search.zone, now))
-        .copied()
+    match search.want {
+        // Loads of plain services are not shared between VMs.
+        Want::Plain => {
+            let two: Vec<&&Runner> = tier.choose_multiple(rng, 2).collect();
+            two.into_iter()
+                .min_by_key(|runner| cost(runner, search, now))
+                .copied()
+        }
+        Want::Prefill | Want::Decode => tier
+            .iter()
+            .min_by_key(|runner| (cost(runner, search, now), rng.random::<u32>()))
+            .copied(),
+    }
 }
 
 fn is_full(runner: &Runner, now: Duration) -> bool {
@@ -108,25 +128,44 @@
     }
 }
 
-/// Requests at the runner, as far as this VM can tell.
-pub fn ahead(runner: &Runner, now: Duration) -> u32 {
+/// Tells whether an engine has a slot and KV memory for the call, by what all VMs told.
+fn has_room(runner: &Runner, search: &Search<'_>) -> bool {
+    let Some(engine) = search.engine else {
+        return true;
+    };
+    let load = runner.load();
+    let memory = (engine.kv_tokens as f64 * MEMORY_SHARE) as u64;
+    // A request that is larger than an empty engine is left to the engine to refuse.
+    let alone = load.requests == 0;
+    alone || (load.requests < engine.slots && load.tokens + search.load.tokens <= memory)
+}
+
+/// Requests at a plain runner, as far as this VM can tell.
+fn ahead(runner: &Runner, now: Duration) -> u32 {
     let told = runner
         .told
         .filter(|(_, at)| at.saturating_add(TOLD_MAX_AGE) > now);
     let told = told.map_or(0, |(told, _)| told.running + told.waiting);
-    told.max(runner.own)
+    told.max(runner.own.requests)
 }
 
-/// The time that an answer is expected to take.
-pub fn cost(runner: &Runner, zone: &id::Zone, now: Duration) -> Duration {
-    let usual = runner.judge.latency().unwrap_or(LATENCY_UNKNOWN);
-    let slots = f64::from(runner.card.slots.max(1));
-    let load = f64::from(ahead(runner, now)) / slots;
+/// What the call is taken to cost at a runner, as a time.
+pub fn cost(runner: &Runner, search: &Search<'_>, now: Duration) -> Duration {
     let failure = FAILURE_COST.mul_f64(runner.judge.share(now));
-    let away = if runner.card.zone == *zone {
+    let away = if runner.card.zone == *search.zone {
         Duration::ZERO
     } else {
         ZONE_COST
     };
-    usual.mul_f64(1.0 + load) + failure + away
+    let load = runner.load();
+    let work = match search.want {
+        Want::Plain => {
+            let usual = runner.judge.latency().unwrap_or(LATENCY_UNKNOWN);
+            let slots = f64::from(runner.card.slots.max(1));
+            usual.mul_f64(1.0 + f64::from(ahead(runner, now)) / slots)
+        }
+        Want::Prefill => runner.reading_time(load.unread + search.load.unread),
+        Want::Decode => STREAM_COST * load.requests + runner.reading_time(load.unread),
+    };
+    work + failure + away
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -51,6 +51,33 @@
     pub slots: u32,
 }
 
+/// Work under way at a runner, as the VMs that sent it count it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of KV memory that they take at their longest.
+    pub tokens: u64,
+    /// Tokens of their prompts that are still to be read there.
+    pub unread: u64,
+}
+
+impl Load {
+    /// Adds work.
+    pub fn add(&mut self, other: Load) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+        self.unread += other.unread;
+    }
+
+    /// Takes work away.
+    pub fn sub(&mut self, other: Load) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.unread = self.unread.saturating_sub(other.unread);
+    }
+}
+
 /// Whether a runner takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -72,10 +99,12 @@
     pub standing: Standing,
     /// What traffic showed.
     pub judge: Judge,
-    /// Exchanges of this VM under way there.
-    pub own: u32,
-    /// Prompt tokens of this VM that it has yet to read.
-    pub own_tokens: u64,
+    /// Work of this VM under way there.
+    pub own: Load,
+    /// Work of the other VMs there, as they last told it.
+    pub others: Load,
+    /// Tokens that it reads in a millisecond, as far as that was seen.
+    pub speed: Option<f64>,
     /// Its last word on its load, and when it came.
     pub told: Option<(Told, Duration)>,
     /// When it last refused for lack of room.
@@ -84,15 +113,42 @@
     pub displaced: bool,
 }
 
+/// Tokens that a runner is taken to read in a millisecond before one was seen to.
+const SPEED_UNKNOWN: f64 = 40.0;
+/// Weight of one reading in the usual speed.
+const SPEED_WEIGHT: f64 = 0.2;
+
 impl Runner {
+    /// All work that is known to be under way there.
+    pub fn load(&self) -> Load {
+        let mut load = self.own;
+        load.add(self.others);
+        load
+    }
+
+    /// Time in which it reads so many tokens.
+    pub fn reading_time(&self, tokens: u64) -> Duration {
+        let speed = self.speed.unwrap_or(SPEED_UNKNOWN);
+        Duration::from_secs_f64(tokens as f64 / speed / 1e3)
+    }
+
+    /// Takes how long it took to read so many tokens.
+    pub fn read(&mut self, tokens: u64, took: Duration) {
+        let millis = (took.as_secs_f64() * 1e3).max(1.0);
+        let speed = tokens as f64 / millis;
+        let old = self.speed.unwrap_or(speed);
+        self.speed = Some(old + SPEED_WEIGHT * (speed - old));
+    }
+
     fn new(card: Card, now: Duration) -> Self {
         let standing = standing(&card, now);
         Self {
             card,
             standing,
             judge: Judge::default(),
-            own: 0,
-            own_tokens: 0,
+            own: Load::default(),
+            others: Load::default(),
+            speed: None,
             told: None,
             full_at: None,
             displaced: false,
@@ -142,6 +198,24 @@
             .filter_map(|runner| self.runners.get(runner))
     }
 
+    /// Replaces what one VM told of its work by what it tells now.
+    pub fn share<'a>(
+        &mut self,
+        before: impl Iterator<Item = &'a (id::Runner, Load)>,
+        now: impl Iterator<Item = &'a (id::Runner, Load)>,
+    ) {
+        for (runner, load) in before {
+            if let Some(known) = self.runners.get_mut(runner) {
+                known.others.sub(*load);
+            }
+        }
+        for (runner, load) in now {
+            if let Some(known) = self.runners.get_mut(runner) {
+                known.others.add(*load);
+            }
+        }
+    }
+
     /// All runners.
     pub fn iter(&self) -> impl Iterator<Item = &Runner> {
         self.runners.values()
@@ -257,7 +331,7 @@
         let old: Vec<id::Runner> = self
             .runners
             .values()
-            .filter(|runner| runner.own == 0)
+            .filter(|runner| runner.own.requests == 0)
             .filter(|runner| matches!(runner.standing, Standing::Leaving { since } if since + after < now))
             .map(|runner| runner.card.runner.clone())
             .collect();
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -75,12 +75,7 @@
         self.note(
             Note::new(Kind::Refused)
                 .request(&arrival.id)
-                .version(
-                    self.state
-                        .manifest
-                        .as_ref()
-                        .map_or(0, |known| known.version),
-                )
+                .version(self.manifest_version())
                 .outcome(format!(
                     "{} {} {}",
                     refusal.claim, refusal.reason, arrival.path
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::manifest::Kind as RouteKind;
 use crate::note::{Kind, Note};
 use crate::place::{self, Search, Want};
-use crate::pool::Runner;
+use crate::pool::{Load, Runner};
 use crate::refusal::{Reason, Refusal};
 
 use super::Reducer;
@@ -30,16 +30,21 @@
 const SILENCE_MIN: Duration = Duration::from_millis(90);
 /// Silence in times of the usual answer, for the same.
 const SILENCE_TIMES: f64 = 3.0;
-/// Silence of a prefill runner, in times of its usual reading, after which it is given up.
-const PREFILL_SILENCE_TIMES: f64 = 3.0;
-/// Shortest silence of a prefill runner after which it is given up.
-const PREFILL_SILENCE_MIN: Duration = Duration::from_millis(350);
+/// Silence of a runner that reads a prompt, in times of the expected, after which it is given up.
+const READING_SILENCE_TIMES: f64 = 2.0;
+/// What is added to that.
+const READING_SILENCE_MIN: Duration = Duration::from_millis(400);
 /// Silence before the first event of a stream after which its runner is given up.
-const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(700);
-/// Extra silence before the first event where the runner reads the prompt itself.
-const OWN_READING_SILENCE: Duration = Duration::from_millis(900);
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1_200);
 /// Share of the wanted pause between events after which a silent stream is given up.
-const PAUSE_SHARE: f64 = 1.5;
+const PAUSE_SHARE: f64 = 3.0;
+/// Share of its expected answer that a request holds in memory, averaged over its run.
+const OUTPUT_SHARE: f64 = 0.5;
+/// How much slower a decode runner reads a prompt than a prefill runner.
+const OWN_READING_TIMES: f64 = 2.0;
+/// How much longer a prefill must take than reading at the decode runner for the latter to be
+/// taken, since that slows the streams there.
+const OWN_READING_MARGIN: f64 = 1.3;
 /// Base of the advice when to come back.
 const RETRY_BASE: Duration = Duration::from_millis(120);
 /// How long a prefill runner keeps a KV cache, less the time to fetch it.
@@ -109,40 +114,92 @@
         if call.left(self.now) < ATTEMPT_MIN {
             return self.give_final(number, Reason::TimedOut);
         }
-        let kv_fresh = call
-            .kv
-            .as_ref()
-            .is_some_and(|kv| kv.made_at + KV_LIFE > self.now);
-        let is_stream = call.prompt.is_some();
-        if is_stream && !kv_fresh && self.start_prefill(number) {
-            return;
+        if call.prompt.is_none() {
+            return match self.pick(number, Want::Plain) {
+                Some(runner) => self.start_run(number, &runner),
+                None => self.wait(number),
+            };
+        }
+        // Nothing is read before there is room for what follows.
+        let Some(decode) = self.pick(number, Want::Decode) else {
+            return self.wait(number);
+        };
+        if self.has_kv(number) || !self.start_prefill(number, &decode) {
+            self.start_run(number, &decode);
         }
-        let want = if is_stream { Want::Decode } else { Want::Plain };
-        match self.pick(number, want) {
-            Some(runner) => self.start_run(number, &runner),
-            None => self.wait(number),
+    }
+
+    fn has_kv(&self, number: id::Call) -> bool {
+        let kv = self
+            .state
+            .calls
+            .get(&number)
+            .and_then(|call| call.kv.as_ref());
+        kv.is_some_and(|kv| kv.made_at + KV_LIFE > self.now)
+    }
+
+    /// Work that a call puts on the runner that it is sent to next.
+    fn load(&self, number: id::Call, want: Want) -> Load {
+        let one = Load {
+            requests: 1,
+            ..Load::default()
+        };
+        let prompt = self.state.calls.get(&number).and_then(|call| call.prompt);
+        let Some(prompt) = prompt else {
+            return one;
+        };
+        match want {
+            Want::Plain => one,
+            Want::Prefill => Load {
+                tokens: prompt.tokens,
+                unread: prompt.tokens,
+                ..one
+            },
+            Want::Decode => Load {
+                tokens: prompt.tokens + (prompt.output as f64 * OUTPUT_SHARE) as u64,
+                unread: if self.has_kv(number) {
+                    0
+                } else {
+                    prompt.tokens
+                },
+                ..one
+            },
         }
     }
 
     fn pick(&mut self, number: id::Call, want: Want) -> Option<Runner> {
+        let load = self.load(number, want);
         let state = &mut *self.state;
         let call = state.calls.get(&number)?;
+        let manifest = state.manifest.as_ref()?;
+        let engine = manifest
+            .endpoints
+            .get(&call.endpoint)
+            .and_then(|endpoint| endpoint.engine);
         let search = Search {
             endpoint: &call.endpoint,
             want,
             zone: &state.settings.zone,
             tried: &call.tried,
             drain: state.settings.drain_timeout.saturating_sub(DRAIN_LEAD),
+            load,
+            engine,
         };
         place::pick(&state.pool, &search, self.now, &mut state.rng).cloned()
     }
 
-    /// Has the prompt read where a prefill runner takes work; tells whether one does.
-    fn start_prefill(&mut self, number: id::Call) -> bool {
+    /// Has the prompt read at a prefill runner, unless the decode runner is done with it sooner;
+    /// tells whether a prefill was started.
+    fn start_prefill(&mut self, number: id::Call, decode: &Runner) -> bool {
         let Some(runner) = self.pick(number, Want::Prefill) else {
             return false;
         };
-        if runner.judge.rests(self.now) {
+        let tokens = self.prompt_tokens(number);
+        let expected = runner.reading_time(runner.load().unread + tokens);
+        let own = decode
+            .reading_time(decode.load().unread + tokens)
+            .mul_f64(OWN_READING_TIMES);
+        if runner.judge.rests(self.now) || expected > own.mul_f64(OWN_READING_MARGIN) {
             return false;
         }
         let Some(call) = self.state.calls.get(&number) else {
@@ -154,10 +211,7 @@
             return false;
         }
         self.state.counters.prefills += 1;
-        let usual = runner.judge.latency().unwrap_or_default();
-        let silence = usual
-            .mul_f64(PREFILL_SILENCE_TIMES)
-            .max(PREFILL_SILENCE_MIN);
+        let silence = reading_silence(expected);
         let attempt = self.begin(number, &runner, Ask::Prefill);
         let now = self.now;
         if let Some(call) = self.state.calls.get_mut(&number) {
@@ -197,7 +251,7 @@
             Ask::Plain
         };
         call.sends += 1;
-        let give_up = silence(call, runner, kv.is_some()).map(|silence| now + silence);
+        let give_up = silence(call, runner, kv.is_none()).map(|silence| now + silence);
         let attempt = self.begin(number, runner, ask);
         if let Some(call) = self.state.calls.get_mut(&number) {
             call.step = Step::Run {
@@ -215,21 +269,21 @@
         self.state.last_attempt += 1;
         self.state.counters.dispatched += 1;
         let attempt = self.state.last_attempt;
-        let kind = match &ask {
-            Ask::Plain => "plain",
-            Ask::Prefill => "prefill",
-            Ask::Generate { kv: Some(_), .. } => "generate",
-            Ask::Generate { kv: None, .. } => "read_and_generate",
+        let (kind, want) = match &ask {
+            Ask::Plain => ("plain", Want::Plain),
+            Ask::Prefill => ("prefill", Want::Prefill),
+            Ask::Generate { kv: Some(_), .. } => ("generate", Want::Decode),
+            Ask::Generate { kv: None, .. } => ("read_and_generate", Want::Decode),
         };
         let name = runner.card.runner.clone();
         let told_age = runner
             .told
             .map_or(Duration::ZERO, |(_, at)| self.now.saturating_sub(at));
-        let tokens = self.prompt_tokens(number);
-        if let Some(known) = self.state.pool.get_mut(&name) {
-            known.own += 1;
-            known.own_tokens += tokens;
+        let mut load = self.load(number, want);
+        if matches!(&ask, Ask::Generate { kv: Some(_), .. }) {
+            load.unread = 0;
         }
+        self.charge(attempt, &name, load);
         let Some(call) = self.state.calls.get(&number) else {
             return attempt;
         };
@@ -254,7 +308,7 @@
         attempt
     }
 
-    fn prompt_tokens(&self, number: id::Call) -> u64 {
+    pub(super) fn prompt_tokens(&self, number: id::Call) -> u64 {
         let call = self.state.calls.get(&number);
         call.and_then(|call| call.prompt)
             .map_or(0, |prompt| prompt.tokens)
@@ -294,9 +348,14 @@
             };
             return self.give_final(number, reason);
         }
+        let first = matches!(call.step, Step::Waiting { again_at } if again_at == call.began);
         call.step = Step::Waiting {
             again_at: now + WAIT_STEP,
         };
+        if first {
+            let id = call.id.clone();
+            self.note(Note::new(Kind::Waits).request(&id));
+        }
     }
 
     fn knows_runners(&self, number: id::Call) -> bool {
@@ -393,24 +452,17 @@
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
-        let Some((attempt, runner)) = call.step.attempt() else {
+        let Some((attempt, _)) = call.step.attempt() else {
             return;
         };
-        let runner = runner.clone();
-        self.release(number, attempt, &runner);
+        self.release(attempt);
         self.emit(Effect::Abandon { attempt });
     }
 
     /// Takes an attempt out of the books.
-    pub(super) fn release(&mut self, number: id::Call, attempt: id::Attempt, runner: &id::Runner) {
-        let tokens = self.prompt_tokens(number);
-        if self.state.by_attempt.remove(&attempt).is_none() {
-            return;
-        }
-        if let Some(known) = self.state.pool.get_mut(runner) {
-            known.own = known.own.saturating_sub(1);
-            known.own_tokens = known.own_tokens.saturating_sub(tokens);
-        }
+    pub(super) fn release(&mut self, attempt: id::Attempt) {
+        self.state.by_attempt.remove(&attempt);
+        self.discharge(attempt);
     }
 
     /// Drops a call and all that is kept for it.
@@ -453,23 +505,28 @@
     step || call.until <= now
 }
 
-/// Silence after which an attempt is taken elsewhere, if it may be.
-fn silence(call: &Call, runner: &Runner, imported: bool) -> Option<Duration> {
+/// Silence after which an attempt is taken elsewhere, if it may be. `reads` tells whether the
+/// runner reads the prompt itself.
+fn silence(call: &Call, runner: &Runner, reads: bool) -> Option<Duration> {
     if !call.may_run_again_after_this() {
         return None;
     }
-    if call.prompt.is_some() {
-        let reading = if imported {
-            Duration::ZERO
-        } else {
-            OWN_READING_SILENCE
-        };
-        return Some(FIRST_EVENT_SILENCE + reading);
+    if let Some(prompt) = call.prompt {
+        let unread = if reads { prompt.tokens } else { 0 };
+        let reading = runner
+            .reading_time(runner.load().unread + unread)
+            .mul_f64(OWN_READING_TIMES);
+        return Some(FIRST_EVENT_SILENCE + reading_silence(reading));
     }
     let usual = runner.judge.latency().unwrap_or(call.route.objective);
     Some(usual.mul_f64(SILENCE_TIMES).max(SILENCE_MIN))
 }
 
+/// Silence of a runner that is expected to read for so long after which it is given up.
+fn reading_silence(expected: Duration) -> Duration {
+    expected.mul_f64(READING_SILENCE_TIMES) + READING_SILENCE_MIN
+}
+
 /// Silence between two events after which a stream is taken elsewhere.
 pub(super) fn pause(call: &Call) -> Duration {
     call.route.pause.mul_f64(PAUSE_SHARE)
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -118,7 +118,7 @@
                 .choose_multiple(&mut self.state.rng, CARDS_BESIDES),
         );
         let manifest = self.state.manifest.clone();
-        let mine = manifest.as_ref().map_or(0, |manifest| manifest.version);
+        let mine = self.manifest_version();
         let runners = self.state.pool_known && self.state.pool.revision > revision;
         View {
             from: self.state.me.clone(),
@@ -127,6 +127,7 @@
             manifest: manifest.filter(|_| mine > version),
             revision: self.state.pool.revision,
             runners: runners.then(|| self.listed()),
+            loads: self.own_loads(),
             asks,
         }
     }
@@ -139,6 +140,7 @@
             manifest,
             revision,
             runners,
+            loads,
             asks,
         } = view;
         if from.vm == self.state.me.vm {
@@ -146,6 +148,7 @@
         }
         let peer = from.vm.clone();
         self.learn(from);
+        self.load_told(&peer, loads);
         for card in members {
             self.learn(card);
         }
--- /dev/null
+++ b/crates/relay/src/reduce/load.rs
@@ -0,0 +1,128 @@
+//! Work under way at engines: this VM's own, told to all others at once, and theirs.
+
+use std::time::Duration;
+
+use crate::event::Effect;
+use crate::id;
+use crate::member::{Standing, View};
+use crate::pool::Load;
+
+use super::Reducer;
+
+/// Shortest time between two tellings.
+const TELL_INTERVAL: Duration = Duration::from_millis(10);
+/// Most VMs that tell each other their work; in a larger fleet the sum of messages would be too
+/// much, and each goes by its own counts and what runners tell.
+const FLEET_MAX: usize = 40;
+/// How long the word of a VM that is not heard again counts.
+const TOLD_KEPT: Duration = Duration::from_secs(4);
+
+impl Reducer<'_> {
+    /// Counts the work that an attempt puts on an engine.
+    pub(super) fn charge(&mut self, attempt: id::Attempt, runner: &id::Runner, load: Load) {
+        if let Some(known) = self.state.pool.get_mut(runner) {
+            known.own.add(load);
+        }
+        self.state.charges.insert(attempt, (runner.clone(), load));
+        self.state.load_changed |= load.tokens > 0;
+    }
+
+    /// Takes the work of an attempt that has ended out of the count.
+    pub(super) fn discharge(&mut self, attempt: id::Attempt) {
+        let Some((runner, load)) = self.state.charges.remove(&attempt) else {
+            return;
+        };
+        if let Some(known) = self.state.pool.get_mut(&runner) {
+            known.own.sub(load);
+        }
+        self.state.load_changed |= load.tokens > 0;
+    }
+
+    /// Counts the prompt of an attempt as read.
+    pub(super) fn charge_read(&mut self, attempt: id::Attempt) {
+        let Some((runner, load)) = self.state.charges.get_mut(&attempt) else {
+            return;
+        };
+        let read = Load {
+            unread: std::mem::take(&mut load.unread),
+            ..Load::default()
+        };
+        if read.unread == 0 {
+            return;
+        }
+        let runner = runner.clone();
+        if let Some(known) = self.state.pool.get_mut(&runner) {
+            known.own.sub(read);
+        }
+        self.state.load_changed = true;
+    }
+
+    /// This VM's work at engines.
+    pub(super) fn own_loads(&self) -> Vec<(id::Runner, Load)> {
+        self.state
+            .pool
+            .iter()
+            .filter(|runner| runner.own.tokens > 0)
+            .map(|runner| (runner.card.runner.clone(), runner.own))
+            .collect()
+    }
+
+    /// Tells the others this VM's work, where it has changed.
+    pub(super) fn tell_load(&mut self) {
+        let due = self.state.load_told_at + TELL_INTERVAL <= self.now;
+        if !self.state.load_changed || !due {
+            return;
+        }
+        self.state.load_changed = false;
+        self.state.load_told_at = self.now;
+        let peers: Vec<_> = self
+            .state
+            .roster
+            .iter()
+            .filter(|member| member.card.standing < Standing::Down && member.silent == 0)
+            .map(|member| member.card.peer_address)
+            .collect();
+        if peers.len() >= FLEET_MAX {
+            return;
+        }
+        let view = View {
+            from: self.state.me.clone(),
+            members: Vec::new(),
+            version: self.manifest_version(),
+            manifest: None,
+            revision: self.state.pool.revision,
+            runners: None,
+            loads: self.own_loads(),
+            asks: false,
+        };
+        for address in peers {
+            let view = view.clone();
+            self.emit(Effect::Tell { address, view });
+        }
+    }
+
+    /// Takes what another VM told of its work.
+    pub(super) fn load_told(&mut self, vm: &id::Vm, loads: Vec<(id::Runner, Load)>) {
+        let before = self.state.shared.remove(vm);
+        let before = before.map(|(loads, _)| loads).unwrap_or_default();
+        self.state.pool.share(before.iter(), loads.iter());
+        if !loads.is_empty() {
+            self.state.shared.insert(vm.clone(), (loads, self.now));
+        }
+    }
+
+    /// Drops the word of VMs that have not been heard for long.
+    pub(super) fn tick_load(&mut self) {
+        let now = self.now;
+        let old: Vec<id::Vm> = self
+            .state
+            .shared
+            .iter()
+            .filter(|(_, (_, at))| *at + TOLD_KEPT < now)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in old {
+            self.load_told(&vm, Vec::new());
+        }
+    }
+}
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod fleet;
 mod leave;
+mod load;
 mod outcome;
 mod source;
 mod stream;
@@ -42,6 +43,7 @@
         Event::Leave => step.leave(),
     }
     step.announce();
+    step.tell_load();
 }
 
 /// One event's work: the state, the time, and the effects so far.
@@ -67,6 +69,7 @@
         self.tick_calls();
         self.tick_fleet();
         self.tick_pool();
+        self.tick_load();
         self.tick_leave();
     }
 }
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -33,11 +33,12 @@
         let Some(ended) = self.ended(attempt) else {
             return;
         };
-        self.release(ended.number, attempt, &ended.runner);
+        let ahead = self.unread_at(&ended.runner);
+        self.release(attempt);
         self.take_told(&ended.runner, told);
         match outcome {
             Outcome::Answered { status } => self.answered(&ended, status),
-            Outcome::Prefilled { handle } => self.prefilled(&ended, handle),
+            Outcome::Prefilled { handle } => self.prefilled(&ended, handle, ahead),
             Outcome::Ended => self.stream_ended(&ended),
             failure => self.failed(&ended, &failure),
         }
@@ -101,9 +102,20 @@
         self.done(ended.number);
     }
 
-    fn prefilled(&mut self, ended: &Ended, handle: Arc<str>) {
+    /// Prompt tokens that a runner has yet to read.
+    fn unread_at(&self, runner: &id::Runner) -> u64 {
+        let runner = self.state.pool.get(runner);
+        runner.map_or(0, |runner| runner.load().unread)
+    }
+
+    fn prefilled(&mut self, ended: &Ended, handle: Arc<str>, ahead: u64) {
         self.judge(&ended.runner, Sign::Good);
-        self.took(ended);
+        let tokens = self.prompt_tokens(ended.number);
+        if let Some(known) = self.state.pool.get_mut(&ended.runner) {
+            // What is still to be read came later or shares its time; half of it is a fair part.
+            let behind = ahead.saturating_sub(tokens) / 2;
+            known.read(tokens + behind, ended.took);
+        }
         let address = self
             .state
             .pool
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -87,6 +87,12 @@
         self.note(Note::new(Kind::Source).outcome(outcome).version(version));
     }
 
+    /// Version of the manifest in force; 0 for none.
+    pub(super) fn manifest_version(&self) -> id::Version {
+        let manifest = self.state.manifest.as_ref();
+        manifest.map_or(0, |manifest| manifest.version)
+    }
+
     pub(super) fn tick_pool(&mut self) {
         self.state.pool.sweep(self.now, GONE_KEPT);
     }
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -29,6 +29,7 @@
         let Some(&number) = self.state.by_attempt.get(&attempt) else {
             return;
         };
+        self.charge_read(attempt);
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
         };
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,7 +13,7 @@
 use crate::id;
 use crate::manifest::Manifest;
 use crate::member::{Card, Roster, Standing};
-use crate::pool::Pool;
+use crate::pool::{Load, Pool};
 use crate::settings::Settings;
 
 /// Counts of what happened, for metrics.
@@ -74,6 +74,14 @@
     pub calls: BTreeMap<id::Call, Call>,
     /// Calls by attempt under way.
     pub by_attempt: HashMap<id::Attempt, id::Call>,
+    /// Work that attempts under way put on engines.
+    pub charges: HashMap<id::Attempt, (id::Runner, Load)>,
+    /// What other VMs told of their work, and when.
+    pub shared: HashMap<id::Vm, (Vec<(id::Runner, Load)>, Duration)>,
+    /// Whether this VM's work has changed since it was last told.
+    pub load_changed: bool,
+    /// When this VM's work was last told.
+    pub load_told_at: Duration,
     /// Allowances for second tries by endpoint.
     pub budgets: HashMap<id::Endpoint, Budget>,
     /// Since when this process leaves.
@@ -104,6 +112,10 @@
             probes: 0,
             calls: BTreeMap::new(),
             by_attempt: HashMap::new(),
+            charges: HashMap::new(),
+            shared: HashMap::new(),
+            load_changed: false,
+            load_told_at: Duration::ZERO,
             budgets: HashMap::new(),
             leaving_since: None,
             left: false,
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -43,6 +43,14 @@
   revision @8 :UInt64;
 }
 
+struct Load {
+  # Work under way at a runner.
+  runner @0 :Text;
+  requests @1 :UInt32;
+  tokens @2 :UInt64;
+  unread @3 :UInt64;
+}
+
 struct View {
   from @0 :Member;
   members @1 :List(Member);
@@ -55,4 +63,6 @@
   hasRunners @5 :Bool;
   runners @6 :List(Runner);
   asks @7 :Bool;
+  loads @8 :List(Load);
+  # All work of the sender at engines.
 }
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -8,7 +8,7 @@
 
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::member::{Card, Standing};
-use hornbeamtiller_relay::pool::{self, Role};
+use hornbeamtiller_relay::pool::{self, Load, Role};
 
 use crate::fleet_capnp as schema;
 
@@ -27,6 +27,8 @@
     pub revision: id::Revision,
     /// The list, if it is told.
     pub runners: Option<Vec<pool::Card>>,
+    /// The sender's work under way at engines.
+    pub loads: Vec<(id::Runner, Load)>,
     /// Whether an answer is wanted.
     pub asks: bool,
 }
@@ -59,6 +61,14 @@
     out.set_manifest(&view.manifest);
     out.set_revision(view.revision);
     out.set_asks(view.asks);
+    let mut loads = out.reborrow().init_loads(view.loads.len() as u32);
+    for (index, (runner, load)) in view.loads.iter().enumerate() {
+        let mut out = loads.reborrow().get(index as u32);
+        out.set_runner(&**runner);
+        out.set_requests(load.requests);
+        out.set_tokens(load.tokens);
+        out.set_unread(load.unread);
+    }
     let Some(list) = &view.runners else {
         return;
     };
@@ -118,10 +128,25 @@
             true => Some(runners.collect::<Result<_, _>>()?),
             false => None,
         },
+        loads: view
+            .get_loads()?
+            .iter()
+            .map(read_load)
+            .collect::<Result<_, _>>()?,
         asks: view.get_asks(),
     })
 }
 
+fn read_load(load: schema::load::Reader<'_>) -> Result<(id::Runner, Load), Error> {
+    let runner = load.get_runner()?.to_str()?.into();
+    let load = Load {
+        requests: load.get_requests(),
+        tokens: load.get_tokens(),
+        unread: load.get_unread(),
+    };
+    Ok((runner, load))
+}
+
 fn read_member(card: schema::member::Reader<'_>) -> Result<Card, Error> {
     Ok(Card {
         vm: card.get_vm()?.to_str()?.into(),
