Set room aside at a decode engine before a prompt is read; reload settings

Ruled out: lack of prefill runners (4 of 9 idle half the time). Change: the decode engine is chosen, and its room counted, when the prefill begins; calls that can't be on time leave room to others; a cache that a roomy engine refuses has lapsed, and the decode engine reads the prompt; settings are read again at SIGHUP and when the file changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,6 +100,14 @@
         &self.shell
     }
 
+    /// Takes settings that were read again.
+    pub fn reload(&self, settings: Settings) {
+        self.shell.apply(Event::SettingsRead {
+            settings: settings.relay,
+            seeds: settings.seeds,
+        });
+    }
+
     /// Begins a graceful leave.
     pub fn leave(&self) {
         self.shell.apply(Event::Leave);
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -10,7 +10,7 @@
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
 use error_stack::{Report, ResultExt as _};
@@ -24,6 +24,8 @@
 const EXIT_START: u8 = 4;
 /// Interval at which signals are looked at.
 const SIGNAL_CHECK: Duration = Duration::from_millis(50);
+/// Interval at which the settings file is looked at, since it may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(3);
 /// Time for the last bytes of replies to go out after all work has ended.
 const LAST_WRITES: Duration = Duration::from_millis(300);
 
@@ -113,15 +115,30 @@
 fn run_gateway(settings: &Path) -> Result<(), Report<Error>> {
     logging::open(Output::Stdout).change_context(Error::Logging)?;
     let stop = receive_signals().change_context(Error::Signals)?;
-    hornbeamtiller_http::runtime::block_on(serve_gateway(settings, stop))
+    let reload = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, reload.clone())
+        .change_context(Error::Signals)?;
+    hornbeamtiller_http::runtime::block_on(serve_gateway(settings, stop, reload))
         .change_context(Error::Runtime)?
 }
 
-async fn serve_gateway(settings: &Path, stop: Arc<AtomicBool>) -> Result<(), Report<Error>> {
+async fn serve_gateway(
+    settings: &Path,
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+) -> Result<(), Report<Error>> {
     let process = Process::open(settings).change_context(Error::Start)?;
     log::info!("started");
+    let mut looked = Instant::now();
     while !stop.load(Ordering::Relaxed) {
         monoio::time::sleep(SIGNAL_CHECK).await;
+        let due = looked.elapsed() >= SETTINGS_CHECK;
+        if due {
+            looked = Instant::now();
+        }
+        if reload.swap(false, Ordering::Relaxed) || (due && process.settings_changed()) {
+            process.reload();
+        }
     }
     process.leave();
     while !process.has_left() {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -106,10 +106,12 @@
     pub tried: Vec<id::Runner>,
     /// Its KV cache at a prefill runner.
     pub kv: Option<Kv>,
+    /// The decode runner that has room set aside for it.
+    pub planned: Option<id::Runner>,
+    /// Whether a KV cache of it was not to be had, so that the decode runner is to read the prompt.
+    pub kv_lost: bool,
     /// How far its answer got.
     pub progress: Progress,
-    /// The last failure of a runner's own that may be passed on when nothing better comes.
-    pub spoiled: bool,
     /// Whether its caller is gone.
     pub gone: bool,
 }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -10,6 +10,7 @@
 use crate::note::Note;
 use crate::pool::{Card, Told};
 use crate::refusal::Refusal;
+use crate::settings::Settings;
 
 /// Size of a model request, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -160,6 +161,13 @@
         /// Where it was asked.
         address: SocketAddr,
     },
+    /// The settings were read again.
+    SettingsRead {
+        /// Bounds and intervals.
+        settings: Settings,
+        /// Addresses at which to look for peers.
+        seeds: Vec<SocketAddr>,
+    },
     /// The process was asked to leave.
     Leave,
 }
--- a/crates/relay/src/note.rs
+++ b/crates/relay/src/note.rs
@@ -41,6 +41,8 @@
     Source,
     /// A VM's state changed.
     Member,
+    /// The settings were read again.
+    Reloaded,
     /// The process leaves.
     Leaving,
     /// The process has left.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -47,8 +47,22 @@
 const STREAM_COST: Duration = Duration::from_millis(30);
 /// How long a runner is passed over after it refused for lack of room.
 const FULL_REST: Duration = Duration::from_millis(60);
-/// Share of an engine's KV memory that is given out; the rest is for what other VMs just sent.
-const MEMORY_SHARE: f64 = 0.95;
+/// Share of an engine's KV memory that is given out; the rest is for answers that grow longer than
+/// expected, since an engine without memory drops what it has read.
+const MEMORY_SHARE: f64 = 0.88;
+/// The same for a call that can't be on time any more: it takes what others leave.
+const MEMORY_SHARE_LATE: f64 = 0.7;
+
+/// How much room an engine must have for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Room {
+    /// As much as it needs.
+    Needed,
+    /// As much as it needs, and some that is left to others.
+    Spare,
+    /// None: the engine itself decides.
+    Any,
+}
 
 /// Where and for whom a runner is sought.
 #[derive(Debug)]
@@ -65,6 +79,8 @@
     pub drain: Duration,
     /// Work that the call would add.
     pub load: Load,
+    /// Whether room is needed; not where what was read already would be lost.
+    pub room: Room,
     /// The engines' bounds, where the runners are engines.
     pub engine: Option<Engine>,
 }
@@ -83,7 +99,7 @@
         .collect();
     let ready = |runner: &&&Runner| runner.standing == Standing::Ready;
     let fresh = |runner: &&&Runner| !search.tried.contains(&runner.card.runner);
-    let awake = |runner: &&&Runner| !runner.judge.rests(now) && !is_full(runner, now);
+    let awake = |runner: &&&Runner| !rests(runner, search.want, now);
     let usable = |runner: &&&Runner| is_usable(runner, search.drain, now);
     let tiers: [Vec<&Runner>; 4] = [
         fits.iter()
@@ -117,8 +133,11 @@
     }
 }
 
-fn is_full(runner: &Runner, now: Duration) -> bool {
-    runner.full_at.is_some_and(|at| at + FULL_REST > now)
+/// Tells whether a runner is to be left alone for now.
+pub fn rests(runner: &Runner, want: Want, now: Duration) -> bool {
+    let full = runner.full_at.is_some_and(|at| at + FULL_REST > now);
+    let kv = want == Want::Prefill && runner.kv_rest_until > now;
+    full || kv || runner.judge.rests(now)
 }
 
 fn is_usable(runner: &Runner, drain: Duration, now: Duration) -> bool {
@@ -133,8 +152,13 @@
     let Some(engine) = search.engine else {
         return true;
     };
+    let share = match search.room {
+        Room::Needed => MEMORY_SHARE,
+        Room::Spare => MEMORY_SHARE_LATE,
+        Room::Any => return true,
+    };
     let load = runner.load();
-    let memory = (engine.kv_tokens as f64 * MEMORY_SHARE) as u64;
+    let memory = (engine.kv_tokens as f64 * share) as u64;
     // A request that is larger than an empty engine is left to the engine to refuse.
     let alone = load.requests == 0;
     alone || (load.requests < engine.slots && load.tokens + search.load.tokens <= memory)
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -53,11 +53,12 @@
             prefills: 0,
             tried: Vec::new(),
             kv: None,
+            planned: None,
+            kv_lost: false,
             progress: Progress {
                 last: arrival.after,
                 ..Progress::default()
             },
-            spoiled: false,
             gone: false,
         };
         self.note(
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -10,8 +10,8 @@
 use crate::judge::Sign;
 use crate::manifest::Kind as RouteKind;
 use crate::note::{Kind, Note};
-use crate::place::{self, Search, Want};
-use crate::pool::{Load, Runner};
+use crate::place::{self, Room, Search, Want};
+use crate::pool::{Load, Runner, Standing};
 use crate::refusal::{Reason, Refusal};
 
 use super::Reducer;
@@ -22,8 +22,10 @@
 const SENDS_MAX: u32 = 6;
 /// Share of its objective that a plain call waits for room.
 const WAIT_SHARE: f64 = 0.6;
-/// Share of its time that a stream waits for room.
-const STREAM_WAIT_SHARE: f64 = 0.5;
+/// How long a stream waits for room, in times of its objective; callers give up soon after.
+const STREAM_WAIT_TIMES: f64 = 3.5;
+/// Share of its objective after which a stream that has not begun can't be on time.
+const ON_TIME_SHARE: f64 = 0.8;
 /// Least time that an attempt needs to be worth its start.
 const ATTEMPT_MIN: Duration = Duration::from_millis(20);
 /// Shortest silence after which a repeatable call is taken elsewhere.
@@ -44,7 +46,7 @@
 const OWN_READING_TIMES: f64 = 2.0;
 /// How much longer a prefill must take than reading at the decode runner for the latter to be
 /// taken, since that slows the streams there.
-const OWN_READING_MARGIN: f64 = 1.3;
+const OWN_READING_MARGIN: f64 = 1.6;
 /// Base of the advice when to come back.
 const RETRY_BASE: Duration = Duration::from_millis(120);
 /// How long a prefill runner keeps a KV cache, less the time to fetch it.
@@ -121,7 +123,7 @@
             };
         }
         // Nothing is read before there is room for what follows.
-        let Some(decode) = self.pick(number, Want::Decode) else {
+        let Some(decode) = self.pick_decode(number) else {
             return self.wait(number);
         };
         if self.has_kv(number) || !self.start_prefill(number, &decode) {
@@ -129,6 +131,35 @@
         }
     }
 
+    /// Picks a decode runner: the one with room set aside, or else one that has room.
+    fn pick_decode(&mut self, number: id::Call) -> Option<Runner> {
+        let planned = self.state.calls.get_mut(&number)?.planned.take();
+        let planned = planned.and_then(|runner| self.state.pool.get(&runner));
+        let usable = |runner: &&Runner| {
+            runner.standing == Standing::Ready && !place::rests(runner, Want::Decode, self.now)
+        };
+        if let Some(runner) = planned.filter(usable) {
+            return Some(runner.clone());
+        }
+        self.pick(number, Want::Decode)
+    }
+
+    /// How much room a call is given: what was read already is not thrown away for lack of it, and
+    /// a call that can't be on time leaves room for those that can.
+    fn room(&self, number: id::Call) -> Room {
+        let Some(call) = self.state.calls.get(&number) else {
+            return Room::Needed;
+        };
+        let lasted = self.now.saturating_sub(call.began);
+        if self.has_kv(number) || call.progress.head_passed {
+            Room::Any
+        } else if lasted > call.route.objective.mul_f64(ON_TIME_SHARE) {
+            Room::Spare
+        } else {
+            Room::Needed
+        }
+    }
+
     fn has_kv(&self, number: id::Call) -> bool {
         let kv = self
             .state
@@ -169,6 +200,7 @@
 
     fn pick(&mut self, number: id::Call, want: Want) -> Option<Runner> {
         let load = self.load(number, want);
+        let room = self.room(number);
         let state = &mut *self.state;
         let call = state.calls.get(&number)?;
         let manifest = state.manifest.as_ref()?;
@@ -183,6 +215,7 @@
             tried: &call.tried,
             drain: state.settings.drain_timeout.saturating_sub(DRAIN_LEAD),
             load,
+            room,
             engine,
         };
         place::pick(&state.pool, &search, self.now, &mut state.rng).cloned()
@@ -191,6 +224,14 @@
     /// Has the prompt read at a prefill runner, unless the decode runner is done with it sooner;
     /// tells whether a prefill was started.
     fn start_prefill(&mut self, number: id::Call, decode: &Runner) -> bool {
+        let kv_lost = self
+            .state
+            .calls
+            .get(&number)
+            .is_none_or(|call| call.kv_lost);
+        if kv_lost {
+            return false;
+        }
         let Some(runner) = self.pick(number, Want::Prefill) else {
             return false;
         };
@@ -199,7 +240,9 @@
         let own = decode
             .reading_time(decode.load().unread + tokens)
             .mul_f64(OWN_READING_TIMES);
-        if runner.judge.rests(self.now) || expected > own.mul_f64(OWN_READING_MARGIN) {
+        if place::rests(&runner, Want::Prefill, self.now)
+            || expected > own.mul_f64(OWN_READING_MARGIN)
+        {
             return false;
         }
         let Some(call) = self.state.calls.get(&number) else {
@@ -213,8 +256,14 @@
         self.state.counters.prefills += 1;
         let silence = reading_silence(expected);
         let attempt = self.begin(number, &runner, Ask::Prefill);
+        let ahead = Load {
+            unread: 0,
+            ..self.load(number, Want::Decode)
+        };
+        self.charge(attempt, &decode.card.runner, ahead);
         let now = self.now;
         if let Some(call) = self.state.calls.get_mut(&number) {
+            call.planned = Some(decode.card.runner.clone());
             call.prefills += 1;
             call.step = Step::Prefill {
                 attempt,
@@ -333,10 +382,7 @@
             return;
         };
         let longest = match call.route.kind {
-            RouteKind::Streaming => call
-                .until
-                .saturating_sub(call.began)
-                .mul_f64(STREAM_WAIT_SHARE),
+            RouteKind::Streaming => call.route.objective.mul_f64(STREAM_WAIT_TIMES),
             _ => call.route.objective.mul_f64(WAIT_SHARE),
         };
         if now.saturating_sub(call.began) >= longest {
--- a/crates/relay/src/reduce/load.rs
+++ b/crates/relay/src/reduce/load.rs
@@ -18,43 +18,44 @@
 const TOLD_KEPT: Duration = Duration::from_secs(4);
 
 impl Reducer<'_> {
-    /// Counts the work that an attempt puts on an engine.
+    /// Counts work that an attempt puts on a runner, now or when it has succeeded.
     pub(super) fn charge(&mut self, attempt: id::Attempt, runner: &id::Runner, load: Load) {
         if let Some(known) = self.state.pool.get_mut(runner) {
             known.own.add(load);
         }
-        self.state.charges.insert(attempt, (runner.clone(), load));
+        let charges = self.state.charges.entry(attempt).or_default();
+        charges.push((runner.clone(), load));
         self.state.load_changed |= load.tokens > 0;
     }
 
     /// Takes the work of an attempt that has ended out of the count.
     pub(super) fn discharge(&mut self, attempt: id::Attempt) {
-        let Some((runner, load)) = self.state.charges.remove(&attempt) else {
-            return;
-        };
-        if let Some(known) = self.state.pool.get_mut(&runner) {
-            known.own.sub(load);
+        for (runner, load) in self.state.charges.remove(&attempt).unwrap_or_default() {
+            if let Some(known) = self.state.pool.get_mut(&runner) {
+                known.own.sub(load);
+            }
+            self.state.load_changed |= load.tokens > 0;
         }
-        self.state.load_changed |= load.tokens > 0;
     }
 
     /// Counts the prompt of an attempt as read.
     pub(super) fn charge_read(&mut self, attempt: id::Attempt) {
-        let Some((runner, load)) = self.state.charges.get_mut(&attempt) else {
+        let Some(charges) = self.state.charges.get_mut(&attempt) else {
             return;
         };
-        let read = Load {
-            unread: std::mem::take(&mut load.unread),
-            ..Load::default()
-        };
-        if read.unread == 0 {
-            return;
-        }
-        let runner = runner.clone();
-        if let Some(known) = self.state.pool.get_mut(&runner) {
-            known.own.sub(read);
+        for (runner, load) in charges {
+            let read = Load {
+                unread: std::mem::take(&mut load.unread),
+                ..Load::default()
+            };
+            if read.unread == 0 {
+                continue;
+            }
+            if let Some(known) = self.state.pool.get_mut(runner) {
+                known.own.sub(read);
+            }
+            self.state.load_changed = true;
         }
-        self.state.load_changed = true;
     }
 
     /// This VM's work at engines.
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -40,6 +40,7 @@
         } => step.closed(attempt, outcome, told),
         Event::PeerTold { view } => step.peer_told(view),
         Event::PeerSilent { address } => step.peer_silent(address),
+        Event::SettingsRead { settings, seeds } => step.settings_read(settings, seeds),
         Event::Leave => step.leave(),
     }
     step.announce();
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -18,6 +18,11 @@
 /// A runner's answer at the end of the time that it was given.
 const TIMEOUT_STATUS: u16 = 504;
 
+/// Share of an engine's memory up to which it is taken to have room for one more.
+const ROOMY_SHARE: f64 = 0.75;
+/// How long a prefill runner whose KV cache had lapsed is left alone.
+const KV_REST: Duration = Duration::from_millis(1_500);
+
 /// An attempt that has just ended.
 struct Ended {
     number: id::Call,
@@ -194,6 +199,9 @@
 
     fn declined(&mut self, ended: &Ended, decline: Decline) {
         let now = self.now;
+        if decline == Decline::Full && self.blame_kv(ended) {
+            return self.after_no_run(ended.number, &ended.runner);
+        }
         if let Some(known) = self.state.pool.get_mut(&ended.runner) {
             match decline {
                 Decline::Full => known.full_at = Some(now),
@@ -203,6 +211,42 @@
         self.after_no_run(ended.number, &ended.runner);
     }
 
+    /// Where a decode runner that should have room refuses a call with a KV cache, the cache is
+    /// taken to have lapsed: the decode runner reads the prompt itself then, and the prefill runner
+    /// is left alone for a while. Tells whether that is so.
+    fn blame_kv(&mut self, ended: &Ended) -> bool {
+        let Some(call) = self.state.calls.get_mut(&ended.number) else {
+            return false;
+        };
+        let engine = self.state.manifest.as_ref().and_then(|manifest| {
+            let endpoint = manifest.endpoints.get(&call.endpoint)?;
+            endpoint.engine
+        });
+        let used = self
+            .state
+            .pool
+            .get(&ended.runner)
+            .map(|known| known.load().tokens);
+        let (Some(engine), Some(used), false) = (engine, used, ended.prefill) else {
+            return false;
+        };
+        let roomy = (used as f64) < engine.kv_tokens as f64 * ROOMY_SHARE;
+        let Some(kv) = call.kv.take().filter(|_| roomy) else {
+            return false;
+        };
+        call.kv_lost = true;
+        if let Some(known) = self.state.pool.get_mut(&kv.runner) {
+            known.kv_rest_until = self.now + KV_REST;
+            self.note(
+                Note::new(Kind::RunnerRests)
+                    .runner(&kv.runner)
+                    .outcome("kv caches lapse")
+                    .age(KV_REST),
+            );
+        }
+        true
+    }
+
     fn note_failure(&mut self, ended: &Ended, outcome: &str) {
         self.note(
             Note::new(Kind::AttemptFailed)
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -1,5 +1,6 @@
 //! What the configuration service and peers say of manifests and runners.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use crate::manifest::Manifest;
 use crate::note::{Kind, Note};
 use crate::pool::{Card, Standing};
+use crate::settings::Settings;
 
 use super::Reducer;
 
@@ -87,6 +89,29 @@
         self.note(Note::new(Kind::Source).outcome(outcome).version(version));
     }
 
+    /// Takes new settings. Where this process listens, and in which zone, stays as it started.
+    pub(super) fn settings_read(&mut self, settings: Settings, seeds: Vec<SocketAddr>) {
+        let settings = Settings {
+            vm: self.state.settings.vm.clone(),
+            zone: self.state.settings.zone.clone(),
+            ..settings
+        };
+        let mut changed = Vec::new();
+        if self.state.settings != settings {
+            changed.push("bounds");
+        }
+        if self.state.seeds != seeds {
+            changed.push("seeds");
+        }
+        let outcome = match changed.as_slice() {
+            [] => "nothing changed".to_owned(),
+            changed => format!("changed: {}", changed.join(", ")),
+        };
+        self.note(Note::new(Kind::Reloaded).outcome(outcome));
+        self.state.settings = settings;
+        self.state.seeds = seeds;
+    }
+
     /// Version of the manifest in force; 0 for none.
     pub(super) fn manifest_version(&self) -> id::Version {
         let manifest = self.state.manifest.as_ref();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,7 +5,7 @@
 use crate::id;
 
 /// Bounds and intervals.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// This VM.
     pub vm: id::Vm,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -75,7 +75,7 @@
     /// Calls by attempt under way.
     pub by_attempt: HashMap<id::Attempt, id::Call>,
     /// Work that attempts under way put on engines.
-    pub charges: HashMap<id::Attempt, (id::Runner, Load)>,
+    pub charges: HashMap<id::Attempt, Vec<(id::Runner, Load)>>,
     /// What other VMs told of their work, and when.
     pub shared: HashMap<id::Vm, (Vec<(id::Runner, Load)>, Duration)>,
     /// Whether this VM's work has changed since it was last told.
