Prove the relay's decisions over reducers

Found by them: a new runner was held to be slower than one that had answered, and a first silence of a read lasted longer than its time limit.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -75,7 +75,7 @@
     /// Tells a peer a view; a peer that does not take it in time is reported to the reducer.
     pub fn tell<D: Dialect>(&self, shell: &Shell<D>, address: SocketAddr, view: member::View) {
         let shell = shell.clone();
-        let view = to_wire(view);
+        let view = encode(view);
         monoio::spawn(async move {
             let told = monoio::time::timeout(CALL_TIMEOUT, tell(&shell, address, &view)).await;
             let Err(error) = told.unwrap_or(Err(Error::TimedOut)) else {
@@ -130,7 +130,7 @@
     })
 }
 
-fn to_wire(view: member::View) -> view::View {
+fn encode(view: member::View) -> view::View {
     view::View {
         from: view.from,
         members: view.members,
@@ -237,14 +237,14 @@
         self.calls.set(self.calls.get() + 1);
         let view = view::read(params.get()?.get_view()?)
             .map_err(|error| capnp::Error::failed(error.to_string()))?;
-        let view = self.from_wire(view);
+        let view = self.decode(view);
         self.shell.apply(Event::PeerTold { view });
         Ok(())
     }
 }
 
 impl<D: Dialect> Inbox<D> {
-    fn from_wire(&self, view: view::View) -> member::View {
+    fn decode(&self, view: view::View) -> member::View {
         let manifest = (!view.manifest.is_empty())
             .then(|| self.shell.dialect().manifest(&view.manifest))
             .flatten();
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -16,7 +16,6 @@
 /// What a VM is said to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
-
 pub enum Standing {
     /// It runs but takes no callers yet.
     Joining,
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -37,8 +37,8 @@
 
 /// Age after which a runner's word on its load counts nothing.
 const TOLD_MAX_AGE: Duration = Duration::from_millis(400);
-/// Time of an answer where none has come yet.
-const LATENCY_UNKNOWN: Duration = Duration::from_millis(50);
+/// Time of an answer where none has come yet: short, so that a new runner is tried soon.
+const LATENCY_UNKNOWN: Duration = Duration::from_millis(10);
 /// What a certain failure is taken to cost, as a time.
 const FAILURE_COST: Duration = Duration::from_millis(600);
 /// What another availability zone is taken to cost, as a time.
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -564,7 +564,7 @@
             .mul_f64(OWN_READING_TIMES);
         return Some(FIRST_EVENT_SILENCE + reading_silence(reading));
     }
-    let usual = runner.judge.latency().unwrap_or(call.route.objective);
+    let usual = runner.judge.latency().unwrap_or(call.route.objective / 4);
     Some(usual.mul_f64(SILENCE_TIMES).max(SILENCE_MIN))
 }
 
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -58,7 +58,7 @@
 
     fn probe(&mut self) {
         self.state.probes += 1;
-        let want_down = self.state.probes.is_multiple_of(DOWN_EVERY);
+        let want_down = self.state.probes % DOWN_EVERY == 0;
         let members = || self.state.roster.iter();
         let down = |card: &Card| card.standing == Standing::Down;
         let fitting = members()
--- /dev/null
+++ b/crates/relay/tests/fleet.rs
@@ -0,0 +1,191 @@
+//! The fleet: who takes callers, who leaves, who is silent; and leaving itself.
+
+mod support;
+
+use hornbeamtiller_relay::event::{Effect, Event};
+use hornbeamtiller_relay::member::{Standing, View};
+use support::{dispatch, manifest, member, ms, routes, view, World, ONCE};
+
+fn told(effects: &[Effect]) -> Vec<View> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Tell { view, .. } => Some(view.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn listed(world: &World) -> Vec<String> {
+    let directory = world.state.directory(Some("a"));
+    directory
+        .members
+        .iter()
+        .map(|card| card.vm.to_string())
+        .collect()
+}
+
+#[test]
+fn directory_lists_ready() {
+    let mut world = World::open(1);
+    assert_eq!(listed(&world), ["vm-1"]);
+    world.hear(member("vm-2", 2, 7), false);
+    assert_eq!(listed(&world), ["vm-1", "vm-2"]);
+}
+
+#[test]
+fn directory_empty_before_manifest() {
+    let world = World::empty(1);
+    assert!(listed(&world).is_empty());
+    assert!(!world.state.ready());
+}
+
+#[test]
+fn leave_is_told_at_once() {
+    let mut world = World::open(1);
+    world.hear(member("vm-2", 2, 7), false);
+    let effects = world.apply(Event::Leave);
+    let standing: Vec<Standing> = told(&effects)
+        .iter()
+        .map(|view| view.from.standing)
+        .collect();
+    assert!(standing.contains(&Standing::Leaving));
+    assert_eq!(listed(&world), ["vm-2"]);
+    assert!(!world.state.ready());
+}
+
+#[test]
+fn leaving_still_serves_kept_answers() {
+    let mut world = World::open(1);
+    world.apply(Event::Leave);
+    world.now += ms(2_000);
+    dispatch(&world.arrive(ONCE));
+}
+
+#[test]
+fn leaving_exits_when_idle() {
+    let mut world = World::open(1);
+    world.apply(Event::Leave);
+    let exits = |effects: &[Effect]| effects.iter().any(|effect| matches!(effect, Effect::Exit));
+    assert!(!exits(&world.pass(ms(3_000))));
+    assert!(exits(&world.pass(ms(1_000))));
+}
+
+#[test]
+fn leaving_exits_before_grace_ends() {
+    let mut world = World::open(1);
+    world.apply(Event::Leave);
+    let mut left_at = None;
+    while world.now < ms(9_000) && left_at.is_none() {
+        // A caller that does not stop.
+        world.arrive(ONCE);
+        let effects = world.pass(ms(50));
+        if effects.iter().any(|effect| matches!(effect, Effect::Exit)) {
+            left_at = Some(world.now);
+        }
+    }
+    assert!(left_at.is_some_and(|at| at < ms(8_000)), "{left_at:?}");
+}
+
+#[test]
+fn silent_twice_is_down() {
+    let mut world = World::open(1);
+    let peer = member("vm-2", 2, 7);
+    world.hear(peer.clone(), false);
+    world.apply(Event::PeerSilent {
+        address: peer.peer_address,
+    });
+    assert_eq!(listed(&world), ["vm-1"], "a silent VM is not offered");
+    world.apply(Event::PeerSilent {
+        address: peer.peer_address,
+    });
+    let known = world.state.roster.get(&"vm-2".into()).expect("known");
+    assert_eq!(known.card.standing, Standing::Down);
+}
+
+#[test]
+fn down_is_refuted() {
+    let mut world = World::open(1);
+    let mut said = view(member("vm-2", 2, 7), false);
+    let mut me = world.state.me.clone();
+    me.standing = Standing::Down;
+    said.members = vec![me.clone()];
+    world.apply(Event::PeerTold { view: said });
+    assert!(world.state.me.version > me.version);
+}
+
+#[test]
+fn restart_with_clock_behind_is_heard() {
+    let mut world = World::open(1);
+    let mut said = view(member("vm-2", 2, 7), false);
+    let mut earlier = world.state.me.clone();
+    earlier.incarnation += 5_000;
+    said.members = vec![earlier.clone()];
+    world.apply(Event::PeerTold { view: said });
+    assert!(world.state.me.incarnation > earlier.incarnation);
+}
+
+#[test]
+fn silent_seed_is_asked_again() {
+    let mut world = World::empty(1);
+    world.state.seeds = vec![member("vm-9", 9, 1).peer_address];
+    assert_eq!(told(&world.pass(ms(10))).len(), 1);
+    assert_eq!(told(&world.pass(ms(600))).len(), 1);
+}
+
+#[test]
+fn peer_without_manifest_is_given_it() {
+    let mut world = World::open(1);
+    let mut asked = view(member("vm-2", 2, 7), true);
+    asked.version = 0;
+    asked.revision = 0;
+    let answers = told(&world.apply(Event::PeerTold { view: asked }));
+    let given = answers.iter().find_map(|view| view.manifest.clone());
+    assert_eq!(given.map(|manifest| manifest.version), Some(2));
+    assert!(answers.iter().any(|view| view.runners.is_some()));
+}
+
+#[test]
+fn manifest_of_peer_is_taken() {
+    let mut world = World::empty(1);
+    let mut said = view(member("vm-2", 2, 7), false);
+    said.manifest = Some(manifest(6, routes()));
+    said.version = 6;
+    said.runners = Some(support::cards());
+    world.apply(Event::PeerTold { view: said });
+    assert!(world.state.ready());
+    dispatch(&world.arrive(ONCE));
+}
+
+/// A call with its own id costs no message: at engines alone is work told to others.
+#[test]
+fn plain_call_costs_no_message() {
+    let mut world = World::open(1);
+    world.hear(member("vm-2", 2, 7), false);
+    world.now += ms(50);
+    let effects = world.arrive(ONCE);
+    assert!(told(&effects).is_empty());
+    let run = dispatch(&effects);
+    let outcome = hornbeamtiller_relay::event::Outcome::Answered { status: 200 };
+    assert!(told(&world.close(run.attempt, outcome)).is_empty());
+}
+
+#[test]
+fn load_of_silent_vm_lapses() {
+    let mut world = World::open(1);
+    let mut said = view(member("vm-2", 2, 7), false);
+    let load = hornbeamtiller_relay::pool::Load {
+        requests: 3,
+        tokens: 9_000,
+        unread: 0,
+    };
+    said.loads = vec![("make-1".into(), load)];
+    world.apply(Event::PeerTold { view: said });
+    let others = |world: &World| {
+        let runner = world.state.pool.get(&"make-1".into()).expect("known");
+        runner.others.requests
+    };
+    assert_eq!(others(&world), 3);
+    world.pass(ms(6_000));
+    assert_eq!(others(&world), 0);
+}
--- /dev/null
+++ b/crates/relay/tests/runners.rs
@@ -0,0 +1,221 @@
+//! Runners: which one is picked, how one is judged, and what the list says of it.
+
+mod support;
+
+use std::time::Duration;
+
+use hornbeamtiller_relay::event::{Event, Outcome};
+use hornbeamtiller_relay::judge::{Judge, Sign};
+use hornbeamtiller_relay::pool::{Card, Standing};
+use support::{card, cards, dispatch, dispatches, manifest, ms, routes, World, ONCE, READ};
+
+fn runners_used(world: &mut World, count: usize) -> Vec<String> {
+    let mut used: Vec<String> = Vec::new();
+    for _ in 0..count {
+        let run = dispatch(&world.arrive(READ));
+        used.push(run.runner.to_string());
+        world.now += ms(30);
+        world.close(run.attempt, Outcome::Answered { status: 200 });
+    }
+    used.sort();
+    used.dedup();
+    used
+}
+
+fn draining(name: &str, host: u8) -> Card {
+    Card {
+        draining: true,
+        revision: 20,
+        ..card(name, "pay", host, None)
+    }
+}
+
+#[test]
+fn pick_leaving_runner() {
+    let mut world = World::open(1);
+    world.apply(Event::CardSet {
+        card: draining("pay-1", 11),
+    });
+    assert_eq!(runners_used(&mut world, 60), ["pay-2", "pay-3"]);
+}
+
+#[test]
+fn pick_gone_runner() {
+    let mut world = World::open(1);
+    world.apply(Event::CardEnded {
+        runner: "pay-2".into(),
+        revision: 20,
+    });
+    assert_eq!(runners_used(&mut world, 60), ["pay-1", "pay-3"]);
+}
+
+#[test]
+fn pick_leaving_runner_where_no_other_is_left() {
+    let mut world = World::open(1);
+    for (name, host) in [("pay-1", 11), ("pay-2", 12), ("pay-3", 13)] {
+        world.apply(Event::CardSet {
+            card: draining(name, host),
+        });
+    }
+    assert_eq!(dispatches(&world.arrive(ONCE)).len(), 1);
+    // Well before the time is up in which leaving runners may get work, they get none.
+    world.now += ms(1_500);
+    assert!(dispatches(&world.arrive(ONCE)).is_empty());
+}
+
+#[test]
+fn pick_resting_runner() {
+    let mut world = World::open(1);
+    let first = dispatch(&world.arrive(ONCE));
+    world.close(first.attempt, Outcome::Unwritten);
+    assert!(!runners_used(&mut world, 60).contains(&first.runner.to_string()));
+    world.now += Duration::from_secs(5);
+    assert_eq!(runners_used(&mut world, 60).len(), 3);
+}
+
+/// A runner that could not be reached is left alone even where the others fail more often.
+#[test]
+fn pick_resting_runner_among_failing() {
+    let mut world = World::open(1);
+    let broken: hornbeamtiller_relay::id::Runner = "pay-1".into();
+    for (name, sign, times) in [
+        ("pay-1", Sign::Broken, 1),
+        ("pay-2", Sign::Failed, 30),
+        ("pay-3", Sign::Failed, 30),
+    ] {
+        let runner = world.state.pool.get_mut(&name.into()).expect("known");
+        for _ in 0..times {
+            runner.judge.record(ms(0), sign);
+        }
+    }
+    for _ in 0..40 {
+        assert_ne!(dispatch(&world.arrive(ONCE)).runner, broken);
+    }
+    world.now += ms(200);
+    let used: Vec<_> = (0..40)
+        .map(|_| dispatch(&world.arrive(ONCE)).runner)
+        .collect();
+    assert!(used.contains(&broken));
+}
+
+#[test]
+fn pick_displaced_runner() {
+    let mut world = World::open(1);
+    let first = dispatch(&world.arrive(ONCE));
+    let displaced = Outcome::Declined(hornbeamtiller_relay::event::Decline::Displaced);
+    world.close(first.attempt, displaced);
+    world.now += Duration::from_secs(30);
+    assert!(!runners_used(&mut world, 60).contains(&first.runner.to_string()));
+}
+
+#[test]
+fn judge_silent_rests_longer() {
+    let mut broken = Judge::default();
+    broken.record(ms(0), Sign::Broken);
+    let mut silent = Judge::default();
+    silent.record(ms(0), Sign::Silent);
+    assert!(silent.rest_until() > broken.rest_until());
+    silent.record(ms(10), Sign::Good);
+    assert!(!silent.rests(ms(10)));
+}
+
+#[test]
+fn judge_share_fades() {
+    let mut judge = Judge::default();
+    for _ in 0..20 {
+        judge.record(ms(0), Sign::Failed);
+    }
+    assert!(judge.share(ms(0)) > 0.9);
+    assert!(judge.share(ms(30_000)) < 0.01);
+}
+
+#[test]
+fn pick_failing_runner_gets_less() {
+    let mut world = World::open(1);
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..300 {
+        world.now += ms(10);
+        let run = dispatch(&world.arrive(ONCE));
+        let status = if &*run.runner == "pay-1" { 500 } else { 200 };
+        *counts.entry(run.runner.to_string()).or_insert(0) += 1;
+        world.now += ms(30);
+        world.close(run.attempt, Outcome::Answered { status });
+    }
+    assert!(counts["pay-1"] < 40, "{counts:?}");
+}
+
+#[test]
+fn set_older_entry() {
+    let mut world = World::open(1);
+    world.apply(Event::CardEnded {
+        runner: "pay-2".into(),
+        revision: 20,
+    });
+    // A stale read brings the entry back as it was.
+    world.apply(Event::CardSet {
+        card: card("pay-2", "pay", 12, None),
+    });
+    let runner = world.state.pool.get(&"pay-2".into()).expect("known");
+    assert!(matches!(runner.standing, Standing::Leaving { .. }));
+}
+
+#[test]
+fn set_entry_that_came_back() {
+    let mut world = World::open(1);
+    world.apply(Event::CardEnded {
+        runner: "pay-2".into(),
+        revision: 20,
+    });
+    world.apply(Event::CardSet {
+        card: Card {
+            revision: 21,
+            ..card("pay-2", "pay", 12, None)
+        },
+    });
+    let runner = world.state.pool.get(&"pay-2".into()).expect("known");
+    assert_eq!(runner.standing, Standing::Ready);
+}
+
+#[test]
+fn read_list_without_entry() {
+    let mut world = World::open(1);
+    let cards = cards().into_iter().filter(|card| &*card.runner != "pay-3");
+    world.apply(Event::PoolRead {
+        cards: cards.collect(),
+        revision: 30,
+    });
+    let runner = world.state.pool.get(&"pay-3".into()).expect("known");
+    assert!(matches!(runner.standing, Standing::Leaving { .. }));
+}
+
+#[test]
+fn read_older_manifest() {
+    let mut world = World::open(1);
+    world.apply(Event::ManifestRead {
+        manifest: manifest(9, routes()),
+    });
+    world.apply(Event::ManifestRead {
+        manifest: manifest(4, Vec::new()),
+    });
+    let version = world.state.manifest.as_ref().map(|known| known.version);
+    assert_eq!(version, Some(9));
+    assert_eq!(dispatches(&world.arrive(ONCE)).len(), 1);
+}
+
+#[test]
+fn route_longest_prefix() {
+    let mut routes = routes();
+    let mut longer = routes[0].clone();
+    longer.prefix = "/once/special/".into();
+    longer.name = "longer".into();
+    routes.push(longer);
+    let manifest = manifest(3, routes);
+    let name = |path: &str| {
+        let route = manifest.route(support::HOST, path);
+        route.map(|route| route.name.to_string())
+    };
+    assert_eq!(name("/once/special/x").as_deref(), Some("longer"));
+    assert_eq!(name("/once/specialx").as_deref(), Some("/once/"));
+    assert_eq!(name("/once"), None);
+    assert_eq!(name("/"), None);
+}
--- /dev/null
+++ b/crates/relay/tests/stream.rs
@@ -0,0 +1,259 @@
+//! Streams: read at one runner, generated at another, and gone on with where the route allows.
+
+mod support;
+
+use hornbeamtiller_relay::event::{Ask, Decline, Effect, Event, Outcome};
+use hornbeamtiller_relay::pool::{Card, Role};
+use hornbeamtiller_relay::refusal::Claim;
+use support::{
+    card, cards, dispatch, dispatches, has, ms, prefilled, refusal, World, STREAM, STREAM_ONCE,
+};
+
+fn is_head(effect: &Effect) -> bool {
+    matches!(effect, Effect::PassHead { .. })
+}
+
+fn is_piece(effect: &Effect) -> bool {
+    matches!(effect, Effect::PassPiece { .. })
+}
+
+#[test]
+fn prefilled_generates_with_kv() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM);
+    let Ask::Generate {
+        kv: Some(kv),
+        after,
+    } = &run.ask
+    else {
+        panic!("a generation with the KV cache: {run:?}");
+    };
+    assert_eq!((&*kv.handle, *after), ("kv-1", None));
+    assert!(run.runner.starts_with("make-"));
+}
+
+#[test]
+fn closed_lost_resumes_after_last_event() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM);
+    assert!(has(
+        &world.apply(Event::Began {
+            attempt: run.attempt
+        }),
+        is_head
+    ));
+    for position in 1..=3 {
+        assert!(has(&world.piece(run.attempt, position), is_piece));
+    }
+    let read = dispatch(&world.close(run.attempt, Outcome::Lost));
+    let again = dispatch(&world.close(read.attempt, prefilled()));
+    let Ask::Generate { after, .. } = &again.ask else {
+        panic!("a generation: {again:?}");
+    };
+    assert_eq!(*after, Some(3));
+    assert_ne!(again.runner, run.runner);
+    // The caller has its head already, and events that it has are left out.
+    let began = world.apply(Event::Began {
+        attempt: again.attempt,
+    });
+    assert!(!has(&began, is_head));
+    assert!(!has(&world.piece(again.attempt, 3), is_piece));
+    assert!(has(&world.piece(again.attempt, 4), is_piece));
+    let effects = world.close(again.attempt, Outcome::Ended);
+    assert!(has(&effects, |effect| matches!(
+        effect,
+        Effect::EndStream { .. }
+    )));
+}
+
+#[test]
+fn closed_lost_once_breaks() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM_ONCE);
+    world.apply(Event::Began {
+        attempt: run.attempt,
+    });
+    world.piece(run.attempt, 1);
+    let effects = world.close(run.attempt, Outcome::Lost);
+    assert!(dispatches(&effects).is_empty());
+    assert!(has(&effects, |effect| matches!(
+        effect,
+        Effect::BreakStream { .. }
+    )));
+}
+
+#[test]
+fn closed_lost_once_before_head() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM_ONCE);
+    let effects = world.close(run.attempt, Outcome::Lost);
+    assert_eq!(
+        refusal(&effects).map(|refused| refused.claim),
+        Some(Claim::Unknown)
+    );
+}
+
+#[test]
+fn closed_lost_prefill_is_repeated() {
+    let mut world = World::open(1);
+    let read = dispatch(&world.arrive(STREAM_ONCE));
+    let again = dispatch(&world.close(read.attempt, Outcome::Lost));
+    assert_ne!(read.runner, again.runner);
+}
+
+#[test]
+fn arrived_after_goes_on() {
+    let mut world = World::open(1);
+    let read = dispatch(&world.arrive_with(STREAM, None, Some(12)));
+    let run = dispatch(&world.close(read.attempt, prefilled()));
+    assert!(matches!(
+        run.ask,
+        Ask::Generate {
+            after: Some(12),
+            ..
+        }
+    ));
+}
+
+#[test]
+fn silent_stream_is_left_before_it_goes_on() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM);
+    world.apply(Event::Began {
+        attempt: run.attempt,
+    });
+    world.piece(run.attempt, 1);
+    let mut effects = Vec::new();
+    while dispatches(&effects).is_empty() && world.now < ms(5_000) {
+        effects = world.pass(ms(15));
+    }
+    let order: Vec<&str> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Abandon { attempt } if *attempt == run.attempt => Some("abandon"),
+            Effect::Dispatch(_) => Some("dispatch"),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(order, ["abandon", "dispatch"]);
+}
+
+#[test]
+fn declined_roomy_engine_blames_kv() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM);
+    let Ask::Generate { kv: Some(kv), .. } = run.ask.clone() else {
+        panic!("a KV cache");
+    };
+    let effects = world.close(run.attempt, Outcome::Declined(Decline::Full));
+    let again = dispatch(&effects);
+    assert!(matches!(again.ask, Ask::Generate { kv: None, .. }));
+    // The next prompt is read elsewhere.
+    let next = dispatch(&world.arrive(STREAM));
+    assert_eq!(next.ask, Ask::Prefill);
+    assert_ne!(next.runner, kv.runner);
+}
+
+#[test]
+fn arrived_no_prefill_runner() {
+    let mut world = World::open(1);
+    for name in ["read-1", "read-2"] {
+        world.apply(Event::CardEnded {
+            runner: name.into(),
+            revision: 20,
+        });
+    }
+    world.now += ms(1_500);
+    let run = dispatch(&world.arrive(STREAM));
+    assert!(matches!(run.ask, Ask::Generate { kv: None, .. }));
+}
+
+#[test]
+fn arrived_full_engines_wait() {
+    let mut world = World::open(1);
+    let mut begun = 0;
+    for _ in 0..60 {
+        begun += dispatches(&world.arrive(STREAM)).len();
+    }
+    // Two engines of 100,000 tokens, 7,000 tokens a stream.
+    assert!((20..=25).contains(&begun), "{begun} streams were begun");
+    assert_eq!(world.state.calls.len(), 60);
+}
+
+#[test]
+fn waiting_late_call_leaves_room() {
+    let mut world = World::open(1);
+    let mut reads: Vec<_> = Vec::new();
+    for _ in 0..40 {
+        reads.extend(dispatches(&world.arrive(STREAM)));
+    }
+    let waiting = world.state.calls.len() - reads.len();
+    assert!(waiting > 0);
+    // All that waits is late now; one stream ends, and its room goes to a new call.
+    world.now += ms(1_000);
+    let runs: Vec<_> = reads
+        .iter()
+        .map(|read| dispatch(&world.close(read.attempt, prefilled())))
+        .collect();
+    world.apply(Event::Began {
+        attempt: runs[0].attempt,
+    });
+    world.piece(runs[0].attempt, 1);
+    world.close(runs[0].attempt, Outcome::Ended);
+    let late = dispatches(&world.pass(ms(30)));
+    assert!(late.is_empty(), "late calls wait: {late:?}");
+    assert_eq!(dispatches(&world.arrive(STREAM)).len(), 1);
+}
+
+#[test]
+fn waiting_call_is_refused_in_time() {
+    let mut world = World::open(1);
+    let mut begun = Vec::new();
+    for _ in 0..60 {
+        let effects = world.arrive(STREAM);
+        begun.extend(dispatches(&effects).iter().map(|dispatch| dispatch.call));
+    }
+    let mut refused = Vec::new();
+    while world.now < ms(3_600) {
+        for effect in world.pass(ms(15)) {
+            match effect {
+                Effect::Dispatch(dispatch) => begun.push(dispatch.call),
+                Effect::Refuse { call, refusal } if !begun.contains(&call) => refused.push(refusal),
+                _ => {}
+            }
+        }
+    }
+    assert!(!refused.is_empty());
+    assert!(refused.iter().all(|refused| refused.claim == Claim::NotRun));
+    assert!(refused.iter().all(|refused| refused.retry_after.is_some()));
+}
+
+/// An engine that is told to be loaded gets no more.
+#[test]
+fn shared_load_decides() {
+    let mut world = World::open(1);
+    let load = hornbeamtiller_relay::pool::Load {
+        requests: 12,
+        tokens: 80_000,
+        unread: 0,
+    };
+    let mut view = support::view(support::member("vm-2", 2, 7), false);
+    view.loads = vec![("make-1".into(), load)];
+    world.apply(Event::PeerTold { view });
+    for _ in 0..4 {
+        let run = world.start_stream(STREAM);
+        assert_eq!(&*run.runner, "make-2");
+    }
+}
+
+#[test]
+fn replaced_card_is_another_runner() {
+    let mut world = World::open(1);
+    let reborn = Card {
+        born: 2,
+        revision: 30,
+        ..card("make-1", "llm", 31, Some(Role::Decode))
+    };
+    world.apply(Event::CardSet { card: reborn });
+    assert_eq!(world.state.pool.iter().count(), cards().len());
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,305 @@
+//! One VM's reducer with a small fleet of runners, driven by hand.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hornbeamtiller_relay::event::{Arrival, Ask, Dispatch, Effect, Event, Outcome, Prompt};
+use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::manifest::{Endpoint, Engine, Kind, Limits, Manifest, Route};
+use hornbeamtiller_relay::member::{Card as MemberCard, Standing, View};
+use hornbeamtiller_relay::pool::{Card, Role};
+use hornbeamtiller_relay::reduce::reduce;
+use hornbeamtiller_relay::refusal::Refusal;
+use hornbeamtiller_relay::settings::Settings;
+use hornbeamtiller_relay::state::State;
+
+/// Host of all routes.
+pub const HOST: &str = "pay.example";
+/// Path of calls that may run once.
+pub const ONCE: &str = "/once/1";
+/// Path of calls that may be repeated.
+pub const READ: &str = "/read/1";
+/// Path of streams that may go on at another runner.
+pub const STREAM: &str = "/stream/1";
+/// Path of streams that may not.
+pub const STREAM_ONCE: &str = "/stream-once/1";
+/// KV memory of an engine, in tokens.
+pub const KV_TOKENS: u64 = 100_000;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, host], 8080))
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        vm: "vm-1".into(),
+        zone: "a".into(),
+        retry_ratio: 0.2,
+        retry_slack: 50.0,
+        retry_window: Duration::from_secs(10),
+        directory_ttl: Duration::from_secs(1),
+        grace: Duration::from_secs(8),
+        drain_timeout: Duration::from_secs(2),
+    }
+}
+
+pub fn member(vm: &str, host: u8, incarnation: u64) -> MemberCard {
+    MemberCard {
+        vm: vm.into(),
+        incarnation,
+        version: 1,
+        zone: "a".into(),
+        caller_address: address(host),
+        peer_address: SocketAddr::from(([127, 0, 0, host], 8081)),
+        standing: Standing::Ready,
+    }
+}
+
+pub fn card(runner: &str, endpoint: &str, host: u8, role: Option<Role>) -> Card {
+    Card {
+        runner: runner.into(),
+        endpoint: endpoint.into(),
+        address: address(host),
+        zone: "a".into(),
+        slots: 6,
+        draining: false,
+        role,
+        born: 1,
+        revision: 5,
+    }
+}
+
+fn route(prefix: &str, kind: Kind, endpoint: &str, resumable: bool) -> Route {
+    Route {
+        name: prefix.into(),
+        host: HOST.into(),
+        prefix: prefix.into(),
+        kind,
+        targets: vec![(endpoint.into(), 1)],
+        timeout: if kind == Kind::Streaming {
+            ms(14_000)
+        } else {
+            ms(800)
+        },
+        objective: if kind == Kind::Streaming {
+            ms(900)
+        } else {
+            ms(300)
+        },
+        priority: 1,
+        attempts: 2,
+        resumable,
+        pause: ms(300),
+    }
+}
+
+pub fn routes() -> Vec<Route> {
+    vec![
+        route("/once/", Kind::NonIdempotent, "pay", false),
+        route("/read/", Kind::Idempotent, "pay", false),
+        route("/stream/", Kind::Streaming, "llm", true),
+        route("/stream-once/", Kind::Streaming, "llm", false),
+    ]
+}
+
+pub fn manifest(version: id::Version, routes: Vec<Route>) -> Arc<Manifest> {
+    let engine = Engine {
+        slots: 16,
+        kv_tokens: KV_TOKENS,
+    };
+    let endpoints = BTreeMap::from([
+        (Arc::from("pay"), Endpoint { engine: None }),
+        (
+            Arc::from("llm"),
+            Endpoint {
+                engine: Some(engine),
+            },
+        ),
+    ]);
+    let limits = Limits {
+        head_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        head_timeout: ms(3_000),
+        idle_timeout: ms(15_000),
+    };
+    Arc::new(Manifest::new(
+        version,
+        routes,
+        endpoints,
+        limits,
+        Arc::from([]),
+    ))
+}
+
+/// Three plain runners, two prefill runners and two decode runners.
+pub fn cards() -> Vec<Card> {
+    vec![
+        card("pay-1", "pay", 11, None),
+        card("pay-2", "pay", 12, None),
+        card("pay-3", "pay", 13, None),
+        card("read-1", "llm", 21, Some(Role::Prefill)),
+        card("read-2", "llm", 22, Some(Role::Prefill)),
+        card("make-1", "llm", 31, Some(Role::Decode)),
+        card("make-2", "llm", 32, Some(Role::Decode)),
+    ]
+}
+
+/// A reducer and its clock.
+pub struct World {
+    pub state: State,
+    pub now: Duration,
+    pub last_call: id::Call,
+}
+
+impl World {
+    /// A process that has read nothing yet.
+    pub fn empty(seed: u64) -> Self {
+        let state = State::open(settings(), member("vm-1", 1, 100), Vec::new(), seed);
+        Self {
+            state,
+            now: Duration::ZERO,
+            last_call: 0,
+        }
+    }
+
+    /// A process with a manifest and runners.
+    pub fn open(seed: u64) -> Self {
+        let mut world = Self::empty(seed);
+        world.apply(Event::ManifestRead {
+            manifest: manifest(2, routes()),
+        });
+        world.apply(Event::PoolRead {
+            cards: cards(),
+            revision: 10,
+        });
+        world
+    }
+
+    pub fn apply(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        reduce(&mut self.state, self.now, event, &mut effects);
+        effects
+    }
+
+    /// Lets time pass, then ticks.
+    pub fn pass(&mut self, time: Duration) -> Vec<Effect> {
+        self.now += time;
+        self.apply(Event::Tick)
+    }
+
+    /// Has a request come in.
+    pub fn arrive(&mut self, path: &str) -> Vec<Effect> {
+        self.arrive_with(path, None, None)
+    }
+
+    pub fn arrive_with(
+        &mut self,
+        path: &str,
+        prompt: Option<u64>,
+        after: Option<u64>,
+    ) -> Vec<Effect> {
+        self.last_call += 1;
+        let call = self.last_call;
+        let model = path.starts_with("/stream");
+        let prompt = model.then(|| Prompt {
+            tokens: prompt.unwrap_or(5_000),
+            output: 4_000,
+        });
+        self.apply(Event::Arrived(Arrival {
+            call,
+            id: format!("request-{call}").into(),
+            host: HOST.into(),
+            path: path.into(),
+            time_limit: Some(ms(14_000)),
+            prompt,
+            after,
+        }))
+    }
+
+    pub fn close(&mut self, attempt: id::Attempt, outcome: Outcome) -> Vec<Effect> {
+        self.apply(Event::Closed {
+            attempt,
+            outcome,
+            told: None,
+        })
+    }
+
+    pub fn piece(&mut self, attempt: id::Attempt, position: u64) -> Vec<Effect> {
+        self.apply(Event::Piece {
+            attempt,
+            position: Some(position),
+        })
+    }
+
+    /// Has a stream arrive and be read, up to the attempt that generates it.
+    pub fn start_stream(&mut self, path: &str) -> Dispatch {
+        let effects = self.arrive(path);
+        let read = dispatch(&effects);
+        assert_eq!(read.ask, Ask::Prefill);
+        self.now += ms(90);
+        let effects = self.close(read.attempt, prefilled());
+        dispatch(&effects)
+    }
+
+    /// Takes a peer's word that it is ready and has so much under way.
+    pub fn hear(&mut self, from: MemberCard, asks: bool) -> Vec<Effect> {
+        let view = view(from, asks);
+        self.apply(Event::PeerTold { view })
+    }
+}
+
+pub fn view(from: MemberCard, asks: bool) -> View {
+    View {
+        from,
+        members: Vec::new(),
+        version: 2,
+        manifest: None,
+        revision: 10,
+        runners: None,
+        loads: Vec::new(),
+        asks,
+    }
+}
+
+pub fn prefilled() -> Outcome {
+    Outcome::Prefilled {
+        handle: "kv-1".into(),
+    }
+}
+
+pub fn dispatches(effects: &[Effect]) -> Vec<Dispatch> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Dispatch(dispatch) => Some(dispatch.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The one attempt that begins.
+pub fn dispatch(effects: &[Effect]) -> Dispatch {
+    let all = dispatches(effects);
+    assert_eq!(all.len(), 1, "one attempt begins: {effects:?}");
+    all[0].clone()
+}
+
+pub fn refusal(effects: &[Effect]) -> Option<Refusal> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
+
+/// Tells whether an effect of a kind is there.
+pub fn has(effects: &[Effect], is: impl Fn(&Effect) -> bool) -> bool {
+    effects.iter().any(is)
+}
