--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -12,7 +12,7 @@
 /// Time for requests on their way when the last kept answer has run out.
 const LAST_ARRIVALS: Duration = Duration::from_millis(500);
 /// How long before the process is killed it ends by itself.
-const GRACE_LEAD: Duration = Duration::from_millis(400);
+const GRACE_LEAD: Duration = Duration::from_millis(900);
 
 impl Reducer<'_> {
     pub(super) fn leave(&mut self) {
