Let calls without allowance wait; give resumed streams room only where there is some

Ruled out: a wrong count (the engines' own word agreed with it). Change: resumed streams need room as new ones do; a call with a cache may take the last of it; a call without allowance waits as one without room; 0.85 instead of 0.7 of the allowance is spent.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -9,7 +9,7 @@
 /// Slices of a window.
 const SLICES: u32 = 10;
 /// Share of the allowance that is spent, so that skew between VMs does not break the bound.
-const SHARE: f64 = 0.7;
+const SHARE: f64 = 0.85;
 
 /// Counts of one slice.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -60,8 +60,8 @@
     Needed,
     /// As much as it needs, and some that is left to others.
     Spare,
-    /// None: the engine itself decides.
-    Any,
+    /// As much as it needs, to the last of what there is.
+    Last,
 }
 
 /// Where and for whom a runner is sought.
@@ -155,7 +155,7 @@
     let share = match search.room {
         Room::Needed => MEMORY_SHARE,
         Room::Spare => MEMORY_SHARE_LATE,
-        Room::Any => return true,
+        Room::Last => 1.0,
     };
     let load = runner.load();
     let memory = (engine.kv_tokens as f64 * share) as u64;
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -144,15 +144,17 @@
         self.pick(number, Want::Decode)
     }
 
-    /// How much room a call is given: what was read already is not thrown away for lack of it, and
-    /// a call that can't be on time leaves room for those that can.
+    /// How much room a call is given: what was read already is not thrown away for a little of it,
+    /// and a call that can't be on time leaves room for those that can.
     fn room(&self, number: id::Call) -> Room {
         let Some(call) = self.state.calls.get(&number) else {
             return Room::Needed;
         };
         let lasted = self.now.saturating_sub(call.began);
-        if self.has_kv(number) || call.progress.head_passed {
-            Room::Any
+        if self.has_kv(number) {
+            Room::Last
+        } else if call.progress.head_passed {
+            Room::Needed
         } else if lasted > call.route.objective.mul_f64(ON_TIME_SHARE) {
             Room::Spare
         } else {
@@ -284,7 +286,7 @@
             return self.give_final(number, Reason::Full);
         }
         if call.sends > 0 && !self.take_retry(&endpoint) {
-            return self.give_final(number, Reason::RunnersFailed);
+            return self.wait(number);
         }
         let now = self.now;
         let Some(call) = self.state.calls.get_mut(&number) else {
@@ -385,7 +387,9 @@
             RouteKind::Streaming => call.route.objective.mul_f64(STREAM_WAIT_TIMES),
             _ => call.route.objective.mul_f64(WAIT_SHARE),
         };
-        if now.saturating_sub(call.began) >= longest {
+        // A stream that the caller has part of waits from its last event on.
+        let since = call.began.max(call.progress.last_at);
+        if now.saturating_sub(since) >= longest {
             let known = self.knows_runners(number);
             let reason = if known {
                 Reason::Full
