--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,10 +1,11 @@
 //! A running process: its listeners, its clock, and its end.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt as _};
 use hornbeamtiller_http::client::{self, Client};
-use hornbeamtiller_http::server::{Limits, Server};
+use hornbeamtiller_http::server::{self, Limits, Server};
 use hornbeamtiller_relay::event::Event;
 use hornbeamtiller_relay::member::{Card, Standing};
 use hornbeamtiller_relay::state::State;
@@ -12,7 +13,7 @@
 use crate::caller::Caller;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
-use crate::peer::Listener;
+use crate::peer::{self, Listener};
 use crate::settings::Settings;
 use crate::shell::Shell;
 
@@ -59,13 +60,17 @@
     /// [`Error`] where an address can't be listened at.
     pub fn open(settings: Settings, dialect: D) -> Result<Self, Report<Error>> {
         let metrics = Metrics::open().change_context(Error::Metrics)?;
+        let callers =
+            server::Bound::open(settings.caller_listen).change_context(Error::Listen("callers"))?;
+        let peers =
+            peer::Bound::open(settings.peer_listen).change_context(Error::Listen("peers"))?;
         let me = Card {
             vm: settings.relay.vm.clone(),
             incarnation: settings.incarnation,
             version: 1,
             zone: settings.relay.zone.clone(),
-            caller_address: settings.caller_listen,
-            peer_address: settings.peer_listen,
+            caller_address: callers.address(),
+            peer_address: peers.address(),
             standing: Standing::Joining,
         };
         let state = State::open(settings.relay, me, settings.seeds, settings.seed);
@@ -83,10 +88,8 @@
             head_timeout: HEAD_TIMEOUT,
             ..Limits::default()
         };
-        let callers = Server::bind(settings.caller_listen, limits, Caller::new(shell.clone()))
-            .change_context(Error::Listen("callers"))?;
-        let peers = Listener::bind(settings.peer_listen, shell.clone())
-            .change_context(Error::Listen("peers"))?;
+        let callers = callers.spawn(limits, Caller::new(shell.clone()));
+        let peers = peers.spawn(shell.clone());
         monoio::spawn(tick(shell.clone()));
         Ok(Self {
             shell,
@@ -108,6 +111,11 @@
         });
     }
 
+    /// Where callers reach the process.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
     /// Begins a graceful leave.
     pub fn leave(&self) {
         self.shell.apply(Event::Leave);
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -153,19 +153,38 @@
     stop: oneshot::Sender<()>,
 }
 
-impl Listener {
-    /// Listens for peers and answers them.
+/// A listener whose address is known but that does not answer yet.
+pub struct Bound {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Bound {
+    /// Listens for peers; port 0 lets the system choose one.
     ///
     /// # Errors
     ///
     /// The system's error where the address can't be listened at.
-    pub fn bind<D: Dialect>(address: SocketAddr, shell: Shell<D>) -> io::Result<Self> {
+    pub fn open(address: SocketAddr) -> io::Result<Self> {
         let listener = socket::listen(address)?;
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address })
+    }
+
+    /// The address listened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Begins to answer.
+    pub fn spawn<D: Dialect>(self, shell: Shell<D>) -> Listener {
         let (stop, stopped) = oneshot::channel();
-        monoio::spawn(accept(listener, shell, stopped.shared()));
-        Ok(Self { stop })
+        monoio::spawn(accept(self.listener, shell, stopped.shared()));
+        Listener { stop }
     }
+}
 
+impl Listener {
     /// Stops listening and closes all connections.
     pub fn close(self) {
         // The other end is gone only if the listener has ended already.
