Let waiting calls of all VMs take turns at room; spread the choice of engines

Ruled out: late words between VMs (links and processors had room). Change: VMs tell how many calls wait; a call takes room with the chance that as many do as there is room for. The cost of an engine has a random part.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -143,6 +143,7 @@
         runners: view.runners,
         source_reached: view.source_reached,
         loads: view.loads,
+        waiting: view.waiting,
         asks: view.asks,
     }
 }
@@ -280,6 +281,7 @@
             runners: view.runners,
             source_reached: view.source_reached,
             loads: view.loads,
+            waiting: view.waiting,
             asks: view.asks,
         }
     }
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -71,6 +71,8 @@
     pub source_reached: bool,
     /// The sender's work under way at engines.
     pub loads: Vec<(id::Runner, pool::Load)>,
+    /// Calls of the sender that wait for room at an engine and can still be on time.
+    pub waiting: u32,
     /// Whether an answer is wanted.
     pub asks: bool,
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -45,6 +45,8 @@
 const ZONE_COST: Duration = Duration::from_millis(4);
 /// What one stream more at an engine costs all of its streams together, as a time.
 const STREAM_COST: Duration = Duration::from_millis(30);
+/// Spread of the choice of an engine that reads prompts.
+const PREFILL_SPREAD: Duration = Duration::from_millis(40);
 /// How long a runner is passed over after it refused for lack of room.
 const FULL_REST: Duration = Duration::from_millis(60);
 /// Share of an engine's KV memory that is given out; the rest is for answers that grow longer than
@@ -64,6 +66,17 @@
     Last,
 }
 
+impl Room {
+    /// Share of an engine's memory up to which it has room.
+    fn share(self) -> f64 {
+        match self {
+            Self::Needed => MEMORY_SHARE,
+            Self::Spare => MEMORY_SHARE_LATE,
+            Self::Last => 1.0,
+        }
+    }
+}
+
 /// Where and for whom a runner is sought.
 #[derive(Debug)]
 pub struct Search<'a> {
@@ -128,7 +141,7 @@
         }
         Want::Prefill | Want::Decode => tier
             .iter()
-            .min_by_key(|runner| (cost(runner, search, now), rng.random::<u32>()))
+            .min_by_key(|runner| cost(runner, search, now) + spread(search.want, rng))
             .copied(),
     }
 }
@@ -140,6 +153,17 @@
     full || kv || runner.judge.rests(now)
 }
 
+/// A part of the cost that is drawn anew each time, so that VMs that see the same loads do not all
+/// take the same engine before they hear of each other.
+fn spread(want: Want, rng: &mut impl Rng) -> Duration {
+    let most = match want {
+        Want::Plain => Duration::ZERO,
+        Want::Prefill => PREFILL_SPREAD,
+        Want::Decode => STREAM_COST,
+    };
+    most.mul_f64(rng.random())
+}
+
 fn is_usable(runner: &Runner, drain: Duration, now: Duration) -> bool {
     match runner.standing {
         Standing::Ready => true,
@@ -152,18 +176,30 @@
     let Some(engine) = search.engine else {
         return true;
     };
-    let share = match search.room {
-        Room::Needed => MEMORY_SHARE,
-        Room::Spare => MEMORY_SHARE_LATE,
-        Room::Last => 1.0,
-    };
     let load = runner.load();
-    let memory = (engine.kv_tokens as f64 * share) as u64;
+    let memory = (engine.kv_tokens as f64 * search.room.share()) as u64;
     // A request that is larger than an empty engine is left to the engine to refuse.
     let alone = load.requests == 0;
     alone || (load.requests < engine.slots && load.tokens + search.load.tokens <= memory)
 }
 
+/// Number of calls like this one for which engines have room, by what all VMs told.
+pub fn rooms(pool: &Pool, search: &Search<'_>) -> u32 {
+    let Some(engine) = search.engine else {
+        return u32::MAX;
+    };
+    let need = search.load.tokens.max(1);
+    let memory = (engine.kv_tokens as f64 * search.room.share()) as u64;
+    pool.of(search.endpoint)
+        .filter(|runner| search.want.fits(runner.card.role) && runner.standing == Standing::Ready)
+        .map(|runner| {
+            let load = runner.load();
+            let fits = memory.saturating_sub(load.tokens) / need;
+            engine.slots.saturating_sub(load.requests).min(fits as u32)
+        })
+        .sum()
+}
+
 /// Requests at a plain runner, as far as this VM can tell.
 fn ahead(runner: &Runner, now: Duration) -> u32 {
     let told = runner
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use rand::Rng as _;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
 
 use crate::call::{Call, Exposure, Step};
 use crate::event::{Ask, Dispatch, Effect};
@@ -122,6 +123,9 @@
                 None => self.wait(number),
             };
         }
+        if self.room(number) != Room::Last && !self.takes_room(number) {
+            return self.wait(number);
+        }
         // Nothing is read before there is room for what follows.
         let Some(decode) = self.pick_decode(number) else {
             return self.wait(number);
@@ -146,7 +150,7 @@
 
     /// How much room a call is given: what was read already is not thrown away for a little of it,
     /// and a call that can't be on time leaves room for those that can.
-    fn room(&self, number: id::Call) -> Room {
+    pub(super) fn room(&self, number: id::Call) -> Room {
         let Some(call) = self.state.calls.get(&number) else {
             return Room::Needed;
         };
@@ -200,27 +204,29 @@
         }
     }
 
-    fn pick(&mut self, number: id::Call, want: Want) -> Option<Runner> {
-        let load = self.load(number, want);
-        let room = self.room(number);
-        let state = &mut *self.state;
-        let call = state.calls.get(&number)?;
-        let manifest = state.manifest.as_ref()?;
-        let engine = manifest
-            .endpoints
-            .get(&call.endpoint)
-            .and_then(|endpoint| endpoint.engine);
-        let search = Search {
+    /// What a call asks of a runner.
+    pub(super) fn search(&self, number: id::Call, want: Want) -> Option<Search<'_>> {
+        let call = self.state.calls.get(&number)?;
+        let manifest = self.state.manifest.as_ref()?;
+        let endpoint = manifest.endpoints.get(&call.endpoint);
+        let settings = &self.state.settings;
+        Some(Search {
             endpoint: &call.endpoint,
             want,
-            zone: &state.settings.zone,
+            zone: &settings.zone,
             tried: &call.tried,
-            drain: state.settings.drain_timeout.saturating_sub(DRAIN_LEAD),
-            load,
-            room,
-            engine,
-        };
-        place::pick(&state.pool, &search, self.now, &mut state.rng).cloned()
+            drain: settings.drain_timeout.saturating_sub(DRAIN_LEAD),
+            load: self.load(number, want),
+            room: self.room(number),
+            engine: endpoint.and_then(|endpoint| endpoint.engine),
+        })
+    }
+
+    fn pick(&mut self, number: id::Call, want: Want) -> Option<Runner> {
+        // A generator of its own, since the search borrows the state.
+        let mut rng = SmallRng::from_rng(&mut self.state.rng);
+        let search = self.search(number, want)?;
+        place::pick(&self.state.pool, &search, self.now, &mut rng).cloned()
     }
 
     /// Has the prompt read at a prefill runner, unless the decode runner is done with it sooner;
@@ -403,6 +409,7 @@
             again_at: now + WAIT_STEP,
         };
         if first {
+            self.state.load_changed = true;
             let id = call.id.clone();
             self.note(Note::new(Kind::Waits).request(&id));
         }
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -140,6 +140,7 @@
             runners: (runners && self.state.pool_known).then(|| self.listed()),
             source_reached: self.state.source_reached,
             loads: self.own_loads(),
+            waiting: self.own_waiting(),
             asks,
         }
     }
@@ -154,6 +155,7 @@
             runners,
             source_reached,
             loads,
+            waiting,
             asks,
         } = view;
         if from.vm == self.state.me.vm {
@@ -161,7 +163,7 @@
         }
         let peer = from.vm.clone();
         self.learn(from);
-        self.load_told(&peer, loads);
+        self.load_told(&peer, loads, waiting);
         for card in members {
             self.learn(card);
         }
--- a/crates/relay/src/reduce/load.rs
+++ b/crates/relay/src/reduce/load.rs
@@ -2,10 +2,15 @@
 
 use std::time::Duration;
 
+use rand::Rng as _;
+
+use crate::call::Step;
 use crate::event::Effect;
 use crate::id;
 use crate::member::{Standing, View};
+use crate::place::{self, Room, Want};
 use crate::pool::Load;
+use crate::state::Shared;
 
 use super::Reducer;
 
@@ -95,6 +100,7 @@
             runners: None,
             source_reached: self.state.source_reached,
             loads: self.own_loads(),
+            waiting: self.own_waiting(),
             asks: false,
         };
         for address in peers {
@@ -104,13 +110,41 @@
     }
 
     /// Takes what another VM told of its work.
-    pub(super) fn load_told(&mut self, vm: &id::Vm, loads: Vec<(id::Runner, Load)>) {
-        let before = self.state.shared.remove(vm);
-        let before = before.map(|(loads, _)| loads).unwrap_or_default();
-        self.state.pool.share(before.iter(), loads.iter());
-        if !loads.is_empty() {
-            self.state.shared.insert(vm.clone(), (loads, self.now));
+    pub(super) fn load_told(&mut self, vm: &id::Vm, loads: Vec<(id::Runner, Load)>, waiting: u32) {
+        let before = self.state.shared.remove(vm).unwrap_or_default();
+        self.state.pool.share(before.loads.iter(), loads.iter());
+        let told = Shared {
+            loads,
+            waiting,
+            at: self.now,
+        };
+        if !told.loads.is_empty() || waiting > 0 {
+            self.state.shared.insert(vm.clone(), told);
+        }
+    }
+
+    /// Calls of this VM that wait for room and can still be on time.
+    pub(super) fn own_waiting(&self) -> u32 {
+        let waiting = self.state.calls.iter().filter(|(number, call)| {
+            call.prompt.is_some()
+                && matches!(call.step, Step::Waiting { .. })
+                && self.room(**number) == Room::Needed
+        });
+        waiting.count() as u32
+    }
+
+    /// Tells whether a call may take room that it sees. Where calls of other VMs wait too, all see
+    /// the same room; each takes it with a chance by which as many do as there is room for.
+    pub(super) fn takes_room(&mut self, number: id::Call) -> bool {
+        let others: u32 = self.state.shared.values().map(|told| told.waiting).sum();
+        if others == 0 {
+            return true;
         }
+        let Some(search) = self.search(number, Want::Decode) else {
+            return true;
+        };
+        let rooms = place::rooms(&self.state.pool, &search);
+        rooms > others || self.state.rng.random_ratio(rooms, 1 + others)
     }
 
     /// Drops the word of VMs that have not been heard for long.
@@ -120,11 +154,11 @@
             .state
             .shared
             .iter()
-            .filter(|(_, (_, at))| *at + TOLD_KEPT < now)
+            .filter(|(_, told)| told.at + TOLD_KEPT < now)
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in old {
-            self.load_told(&vm, Vec::new());
+            self.load_told(&vm, Vec::new(), 0);
         }
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -43,6 +43,17 @@
     pub refused: BTreeMap<(&'static str, String), u64>,
 }
 
+/// What another VM told of its work.
+#[derive(Debug, Clone, Default)]
+pub struct Shared {
+    /// Its work under way at engines.
+    pub loads: Vec<(id::Runner, Load)>,
+    /// Its calls that wait for room and can still be on time.
+    pub waiting: u32,
+    /// When it told so.
+    pub at: Duration,
+}
+
 /// All that one process knows.
 #[derive(Debug)]
 pub struct State {
@@ -77,7 +88,7 @@
     /// Work that attempts under way put on engines.
     pub charges: HashMap<id::Attempt, Vec<(id::Runner, Load)>>,
     /// What other VMs told of their work, and when.
-    pub shared: HashMap<id::Vm, (Vec<(id::Runner, Load)>, Duration)>,
+    pub shared: HashMap<id::Vm, Shared>,
     /// Whether this VM's work has changed since it was last told.
     pub load_changed: bool,
     /// When this VM's work was last told.
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -257,3 +257,27 @@
     world.apply(Event::CardSet { card: reborn });
     assert_eq!(world.state.pool.iter().count(), cards().len());
 }
+
+/// Many VMs see the same room. With as many calls waiting elsewhere as there is room for many times
+/// over, few of the calls that come here take it; with none waiting, all do.
+#[test]
+fn waiting_elsewhere_room_is_shared() {
+    let begun = |waiting: u32| {
+        let mut world = World::open(3);
+        let mut view = support::view(support::member("vm-2", 2, 7), false);
+        view.waiting = waiting;
+        world.apply(Event::PeerTold { view });
+        let arrivals = (0..20).map(|_| dispatches(&world.arrive(STREAM)).len());
+        arrivals.sum::<usize>()
+    };
+    assert_eq!(begun(0), 20);
+    assert!(begun(2_000) <= 3, "{} of 20", begun(2_000));
+}
+
+/// Two VMs with the same view do not both take the same engine each time.
+#[test]
+fn pick_is_spread() {
+    let used = |seed: u64| World::open(seed).start_stream(STREAM).runner;
+    let first: Vec<_> = (0..30).map(used).collect();
+    assert!(first.iter().any(|runner| *runner != first[0]));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -266,6 +266,7 @@
         runners: None,
         source_reached: true,
         loads: Vec::new(),
+        waiting: 0,
         asks,
     }
 }
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -66,4 +66,5 @@
   loads @8 :List(Load);
   # All work of the sender at engines.
   sourceReached @9 :Bool;
+  waiting @10 :UInt32;
 }
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -31,6 +31,8 @@
     pub source_reached: bool,
     /// The sender's work under way at engines.
     pub loads: Vec<(id::Runner, Load)>,
+    /// Calls of the sender that wait for room and can still be on time.
+    pub waiting: u32,
     /// Whether an answer is wanted.
     pub asks: bool,
 }
@@ -63,6 +65,7 @@
     out.set_manifest(&view.manifest);
     out.set_revision(view.revision);
     out.set_asks(view.asks);
+    out.set_waiting(view.waiting);
     out.set_source_reached(view.source_reached);
     let mut loads = out.reborrow().init_loads(view.loads.len() as u32);
     for (index, (runner, load)) in view.loads.iter().enumerate() {
@@ -132,6 +135,7 @@
             false => None,
         },
         source_reached: view.get_source_reached(),
+        waiting: view.get_waiting(),
         loads: view
             .get_loads()?
             .iter()
