Give an engine that is heard more time

Ruled out: dark engines (each of them had sent events in the last 0.3 s). Change: a stream is given up only where its engine was not heard for 0.4 s; the bounds for engines that are not heard fall from 1.2 to 0.8 s and from three to two wanted pauses.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -109,6 +109,8 @@
     pub told: Option<(Told, Duration)>,
     /// When it last refused for lack of room.
     pub full_at: Option<Duration>,
+    /// When this VM last heard of it: an event, an answer or a refusal.
+    pub heard_at: Option<Duration>,
     /// Until when its KV caches are not counted on.
     pub kv_rest_until: Duration,
     /// Another runner answered at its address.
@@ -153,6 +155,7 @@
             speed: None,
             told: None,
             full_at: None,
+            heard_at: None,
             kv_rest_until: Duration::ZERO,
             displaced: false,
         }
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -38,9 +38,11 @@
 /// What is added to that.
 const READING_SILENCE_MIN: Duration = Duration::from_millis(400);
 /// Silence before the first event of a stream after which its runner is given up.
-const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(1_200);
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(800);
+/// How long ago an engine may have been heard to count as alive.
+const ALIVE: Duration = Duration::from_millis(400);
 /// Share of the wanted pause between events after which a silent stream is given up.
-const PAUSE_SHARE: f64 = 3.0;
+const PAUSE_SHARE: f64 = 2.0;
 /// Share of its expected answer that a request holds in memory, averaged over its run.
 const OUTPUT_SHARE: f64 = 0.5;
 /// How much slower a decode runner reads a prompt than a prefill runner.
@@ -91,6 +93,9 @@
             return;
         };
         let runner = runner.clone();
+        if call.prompt.is_some() && self.is_alive(&runner) {
+            return self.be_patient(number);
+        }
         let prefill = matches!(call.step, Step::Prefill { .. });
         let id = call.id.clone();
         self.note(
@@ -109,6 +114,25 @@
         }
     }
 
+    /// Tells whether an engine was heard a short while ago: then it is busy, not dark.
+    fn is_alive(&self, runner: &id::Runner) -> bool {
+        let heard_at = self.state.pool.get(runner).and_then(|known| known.heard_at);
+        heard_at.is_some_and(|at| at + ALIVE > self.now)
+    }
+
+    /// Leaves an attempt more time.
+    fn be_patient(&mut self, number: id::Call) {
+        let later = self.now + ALIVE;
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        match &mut call.step {
+            Step::Waiting { .. } => {}
+            Step::Prefill { give_up, .. } => *give_up = later,
+            Step::Run { give_up, .. } => *give_up = Some(later),
+        }
+    }
+
     /// Starts the next attempt of a call, or lets it wait, or refuses it.
     pub(super) fn advance(&mut self, number: id::Call) {
         let Some(call) = self.state.calls.get(&number) else {
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -41,6 +41,11 @@
         let ahead = self.unread_at(&ended.runner);
         self.release(attempt);
         self.take_told(&ended.runner, told);
+        if !matches!(outcome, Outcome::Unwritten | Outcome::Lost) {
+            if let Some(known) = self.state.pool.get_mut(&ended.runner) {
+                known.heard_at = Some(self.now);
+            }
+        }
         match outcome {
             Outcome::Answered { status } => self.answered(&ended, status),
             Outcome::Prefilled { handle } => self.prefilled(&ended, handle, ahead),
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -30,6 +30,7 @@
             return;
         };
         self.charge_read(attempt);
+        self.heard(attempt);
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
         };
@@ -47,4 +48,16 @@
         call.progress.last = position.or(call.progress.last);
         self.emit(Effect::PassPiece { call: number });
     }
+
+    /// Notes that the runner of an attempt is alive.
+    fn heard(&mut self, attempt: id::Attempt) {
+        let now = self.now;
+        let charges = self.state.charges.get(&attempt);
+        let Some((runner, _)) = charges.and_then(|charges| charges.first()) else {
+            return;
+        };
+        if let Some(known) = self.state.pool.get_mut(runner) {
+            known.heard_at = Some(now);
+        }
+    }
 }
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -281,3 +281,34 @@
     let first: Vec<_> = (0..30).map(used).collect();
     assert!(first.iter().any(|runner| *runner != first[0]));
 }
+
+/// An engine that sends other streams is busy, not dark: its silent stream is not read anew.
+#[test]
+fn silent_stream_of_engine_that_is_heard() {
+    let mut world = World::open(1);
+    let silent = world.start_stream(STREAM);
+    let mut other = world.start_stream(STREAM);
+    while other.runner != silent.runner {
+        other = world.start_stream(STREAM);
+    }
+    world.apply(Event::Began {
+        attempt: silent.attempt,
+    });
+    world.piece(silent.attempt, 1);
+    world.apply(Event::Began {
+        attempt: other.attempt,
+    });
+    let abandoned = |effects: &[Effect]| {
+        has(
+            effects,
+            |effect| matches!(effect, Effect::Abandon { attempt } if *attempt == silent.attempt),
+        )
+    };
+    for position in 1..40 {
+        world.piece(other.attempt, position);
+        assert!(!abandoned(&world.pass(ms(50))));
+    }
+    // The engine falls silent altogether.
+    let later: Vec<Effect> = (0..40).flat_map(|_| world.pass(ms(50))).collect();
+    assert!(abandoned(&later));
+}
