--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -35,7 +35,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(support::config(200))]
 
     #[test]
     fn take_any_window(
--- a/crates/relay/tests/once.rs
+++ b/crates/relay/tests/once.rs
@@ -374,7 +374,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(support::config(600))]
 
     #[test]
     fn reduce_any_order(seed in any::<u64>(), moves in moves()) {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use hornbeamtiller_relay::refusal::Refusal;
 use hornbeamtiller_relay::settings::Settings;
 use hornbeamtiller_relay::state::State;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 /// Host of all routes.
 pub const HOST: &str = "pay.example";
@@ -34,6 +35,17 @@
     Duration::from_millis(millis)
 }
 
+/// Settings of the property tests: a fixed seed, unless the environment gives another.
+pub fn config(cases: u32) -> ProptestConfig {
+    let given = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    ProptestConfig {
+        cases: given("HORNBEAMTILLER_CASES").map_or(cases, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(given("HORNBEAMTILLER_SEED").unwrap_or(1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, host], 8080))
 }
