--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -53,6 +53,16 @@
     pub made_at: Duration,
 }
 
+/// How long a prefill runner keeps a KV cache, less the time to fetch it.
+const KV_LIFE: Duration = Duration::from_millis(400);
+
+impl Kv {
+    /// Tells whether the cache can still be fetched.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        self.made_at + KV_LIFE > now
+    }
+}
+
 /// Why a runner says that it did not run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -119,6 +119,8 @@
 
 /// Tokens that a runner is taken to read in a millisecond before one was seen to.
 const SPEED_UNKNOWN: f64 = 40.0;
+/// How much slower a decode runner reads a prompt than a prefill runner.
+const OWN_READING_TIMES: f64 = 2.0;
 /// Weight of one reading in the usual speed.
 const SPEED_WEIGHT: f64 = 0.2;
 
@@ -136,6 +138,11 @@
         Duration::from_secs_f64(tokens as f64 / speed / 1e3)
     }
 
+    /// Time in which it reads so many tokens where it generates streams too.
+    pub fn own_reading_time(&self, tokens: u64) -> Duration {
+        self.reading_time(tokens).mul_f64(OWN_READING_TIMES)
+    }
+
     /// Takes how long it took to read so many tokens.
     pub fn read(&mut self, tokens: u64, took: Duration) {
         let millis = (took.as_secs_f64() * 1e3).max(1.0);
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -1,11 +1,14 @@
 //! The reducer: one event at a time.
 
 mod arrive;
+mod choose;
 mod dispatch;
+mod finish;
 mod fleet;
 mod leave;
 mod load;
 mod outcome;
+mod overdue;
 mod source;
 mod stream;
 
--- /dev/null
+++ b/crates/relay/src/reduce/overdue.rs
@@ -0,0 +1,138 @@
+//! Calls whose time has come: waits that end, silent attempts, time limits.
+
+use std::time::Duration;
+
+use crate::call::{Call, Step};
+use crate::id;
+use crate::judge::Sign;
+use crate::note::{Kind, Note};
+use crate::pool::Runner;
+use crate::refusal::Reason;
+
+use super::Reducer;
+
+/// Shortest silence after which a repeatable call is taken elsewhere.
+const SILENCE_MIN: Duration = Duration::from_millis(90);
+/// Silence in times of the usual answer, for the same.
+const SILENCE_TIMES: f64 = 3.0;
+/// Silence of a runner that reads a prompt, in times of the expected, after which it is given up.
+const READING_SILENCE_TIMES: f64 = 2.0;
+/// What is added to that.
+const READING_SILENCE_MIN: Duration = Duration::from_millis(400);
+/// Silence before the first event of a stream after which its runner is given up.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(800);
+/// How long ago an engine may have been heard to count as alive.
+const ALIVE: Duration = Duration::from_millis(400);
+/// Share of the wanted pause between events after which a silent stream is given up.
+const PAUSE_SHARE: f64 = 2.0;
+
+impl Reducer<'_> {
+    pub(super) fn tick_calls(&mut self) {
+        let due: Vec<id::Call> = self
+            .state
+            .calls
+            .iter()
+            .filter(|(_, call)| is_due(call, self.now))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in due {
+            self.call_due(number);
+        }
+    }
+
+    pub(super) fn call_due(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        if call.until <= self.now {
+            return self.give_final(number, Reason::TimedOut);
+        }
+        if call.step.attempt().is_none() {
+            return self.advance(number);
+        }
+        self.give_up_attempt(number);
+    }
+
+    /// Gives up a silent attempt and goes on elsewhere where that is allowed.
+    pub(super) fn give_up_attempt(&mut self, number: id::Call) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        let Some((attempt, runner)) = call.step.attempt() else {
+            return;
+        };
+        let runner = runner.clone();
+        if call.prompt.is_some() && self.is_alive(&runner) {
+            return self.be_patient(number);
+        }
+        let prefill = matches!(call.step, Step::Prefill { .. });
+        let id = call.id.clone();
+        self.note(
+            Note::new(Kind::GivenUp)
+                .request(&id)
+                .runner(&runner)
+                .attempt(attempt)
+                .outcome("silent"),
+        );
+        self.abandon(number);
+        self.judge(&runner, Sign::Silent);
+        if prefill {
+            self.after_no_run(number, &runner);
+        } else {
+            self.after_possible_run(number, &runner, Reason::RunnersFailed);
+        }
+    }
+
+    /// Tells whether an engine was heard a short while ago: then it is busy, not dark.
+    pub(super) fn is_alive(&self, runner: &id::Runner) -> bool {
+        let heard_at = self.state.pool.get(runner).and_then(|known| known.heard_at);
+        heard_at.is_some_and(|at| at + ALIVE > self.now)
+    }
+
+    /// Leaves an attempt more time.
+    pub(super) fn be_patient(&mut self, number: id::Call) {
+        let later = self.now + ALIVE;
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        match &mut call.step {
+            Step::Waiting { .. } => {}
+            Step::Prefill { give_up, .. } => *give_up = later,
+            Step::Run { give_up, .. } => *give_up = Some(later),
+        }
+    }
+}
+
+pub(super) fn is_due(call: &Call, now: Duration) -> bool {
+    let step = match &call.step {
+        Step::Waiting { again_at } => *again_at <= now,
+        Step::Prefill { give_up, .. } => *give_up <= now,
+        Step::Run { give_up, .. } => give_up.is_some_and(|at| at <= now),
+    };
+    step || call.until <= now
+}
+
+/// Silence after which an attempt is taken elsewhere, if it may be. `reads` tells whether the
+/// runner reads the prompt itself.
+pub(super) fn silence(call: &Call, runner: &Runner, reads: bool) -> Option<Duration> {
+    if !call.may_run_again_after_this() {
+        return None;
+    }
+    if let Some(prompt) = call.prompt {
+        let unread = if reads { prompt.tokens } else { 0 };
+        let reading = runner.own_reading_time(runner.load().unread + unread);
+        return Some(FIRST_EVENT_SILENCE + reading_silence(reading));
+    }
+    let usual = runner.judge.latency().unwrap_or(call.route.objective / 4);
+    Some(usual.mul_f64(SILENCE_TIMES).max(SILENCE_MIN))
+}
+
+/// Silence of a runner that is expected to read for so long after which it is given up.
+pub(super) fn reading_silence(expected: Duration) -> Duration {
+    expected.mul_f64(READING_SILENCE_TIMES) + READING_SILENCE_MIN
+}
+
+/// Silence between two events after which a stream is taken elsewhere.
+pub(super) fn pause(call: &Call) -> Duration {
+    call.route.pause.mul_f64(PAUSE_SHARE)
+}
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -4,7 +4,7 @@
 use crate::event::Effect;
 use crate::id;
 
-use super::dispatch::pause;
+use super::overdue::pause;
 use super::Reducer;
 
 impl Reducer<'_> {
