--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -51,7 +51,7 @@
 const FULL_REST: Duration = Duration::from_millis(60);
 /// Share of an engine's KV memory that is given out; the rest is for answers that grow longer than
 /// expected, since an engine without memory drops what it has read.
-const MEMORY_SHARE: f64 = 0.88;
+const MEMORY_SHARE: f64 = 0.82;
 /// The same for a call that can't be on time any more: it takes what others leave.
 const MEMORY_SHARE_LATE: f64 = 0.7;
 
