--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -126,9 +126,7 @@
     pub fn may_run_again(&self) -> bool {
         self.route.may_repeat() && self.runs < self.route.attempts
     }
-}
 
-impl Call {
     /// Tells whether another runner may be asked if the attempt about to begin comes to nothing.
     pub fn may_run_again_after_this(&self) -> bool {
         self.route.may_repeat() && self.runs + 1 < self.route.attempts
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -14,7 +14,7 @@
 use crate::pool;
 
 /// What a VM is said to do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumString)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
     /// It runs but takes no callers yet.
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -40,6 +40,15 @@
     revision: Option<id::Revision>,
 }
 
+impl Lacks {
+    fn of(source_reached: bool, version: id::Version, revision: id::Revision) -> Self {
+        Self {
+            version: (!source_reached).then_some(version),
+            revision: (!source_reached).then_some(revision),
+        }
+    }
+}
+
 impl Reducer<'_> {
     pub(super) fn tick_fleet(&mut self) {
         self.state.roster.sweep(self.now, DOWN_KEPT);
@@ -70,12 +79,9 @@
     fn probe(&mut self) {
         self.state.probes += 1;
         let want_down = self.state.probes % DOWN_EVERY == 0;
-        let members = || self.state.roster.iter();
         let down = |card: &Card| card.standing == Standing::Down;
-        let fitting = members()
-            .filter(|member| down(&member.card) == want_down)
-            .count();
-        let want_down = want_down && fitting > 0;
+        let any_down = self.state.roster.iter().any(|member| down(&member.card));
+        let want_down = want_down && any_down;
         // The one that was heard longest ago, so that each has its turn.
         let target = self
             .state
@@ -94,10 +100,7 @@
             return;
         };
         let address = member.card.peer_address;
-        let lacks = Lacks {
-            version: (!member.source_reached).then_some(member.version),
-            revision: (!member.source_reached).then_some(member.revision),
-        };
+        let lacks = Lacks::of(member.source_reached, member.version, member.revision);
         let view = self.view(lacks, CARDS_TOLD, asks);
         self.emit(Effect::Tell { address, view });
     }
@@ -186,10 +189,7 @@
                 self.pool_read(runners, revision);
             }
         }
-        let lacks = Lacks {
-            version: (!source_reached).then_some(version),
-            revision: (!source_reached).then_some(revision),
-        };
+        let lacks = Lacks::of(source_reached, version, revision);
         let behind = !source_reached
             && (version < self.manifest_version() || revision < self.state.pool.revision);
         // A VM that asks for the first time knows nobody yet.
