Leave a silent runner only for another that has room and allowance

Cause: a repeatable call whose runner fell silent was taken away from it at once, and then waited for room or allowance elsewhere. Change: before a call leaves a silent runner, the reducer looks whether another has room and the allowance has what the move takes; else it stays and looks again every 25 ms. The silence still counts against the runner. Tests: silent_stream_stays_where_no_other_has_room and silent_stream_moves_once_another_has_room failed before.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -46,16 +46,21 @@
 
     /// Takes one second try, if the allowance has one left among this many VMs.
     pub fn take(&mut self, now: Duration, vms: usize) -> bool {
+        if self.left(now, vms) == 0 {
+            return false;
+        }
+        self.current(now).extra += 1;
+        true
+    }
+
+    /// Number of second tries that are left to this VM among so many.
+    pub fn left(&mut self, now: Duration, vms: usize) -> u32 {
         self.current(now);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let extra: u32 = self.slices.iter().map(|slice| slice.extra).sum();
         let part = self.slack / vms.max(1) as f64;
         let allowed = (self.ratio * f64::from(requests) + part) * SHARE;
-        if f64::from(extra + 1) > allowed {
-            return false;
-        }
-        self.current(now).extra += 1;
-        true
+        (allowed as u32).saturating_sub(extra)
     }
 
     fn current(&mut self, now: Duration) -> &mut Slice {
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -44,7 +44,8 @@
                 None => self.wait(number),
             };
         }
-        if self.room(number) != Room::Last && !self.takes_room(number) {
+        let has_turn = call.planned.is_some();
+        if !has_turn && self.room(number) != Room::Last && !self.takes_room(number) {
             return self.wait(number);
         }
         // Nothing is read before there is room for what follows.
@@ -209,6 +210,13 @@
         taken
     }
 
+    /// Second tries that the allowance has left.
+    pub(super) fn retries_left(&mut self, endpoint: &id::Endpoint) -> u32 {
+        let vms = self.state.roster.most.max(1);
+        let now = self.now;
+        self.budget(endpoint).left(now, vms)
+    }
+
     pub(super) fn wait(&mut self, number: id::Call) {
         let now = self.now;
         let Some(call) = self.state.calls.get_mut(&number) else {
--- a/crates/relay/src/reduce/overdue.rs
+++ b/crates/relay/src/reduce/overdue.rs
@@ -6,6 +6,7 @@
 use crate::id;
 use crate::judge::Sign;
 use crate::note::{Kind, Note};
+use crate::place::Want;
 use crate::pool::Runner;
 use crate::refusal::Reason;
 
@@ -23,6 +24,10 @@
 const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(800);
 /// How long ago an engine may have been heard to count as alive.
 const ALIVE: Duration = Duration::from_millis(400);
+/// Pause of a call at a silent runner before it looks again for another one.
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Sends of a model call that goes on elsewhere: one to read the prompt, one to generate.
+const MODEL_SENDS: u32 = 2;
 /// Share of the wanted pause between events after which a silent stream is given up.
 const PAUSE_SHARE: f64 = 2.0;
 
@@ -63,10 +68,15 @@
         };
         let runner = runner.clone();
         if call.prompt.is_some() && self.is_alive(&runner) {
-            return self.be_patient(number);
+            return self.be_patient(number, ALIVE);
         }
         let prefill = matches!(call.step, Step::Prefill { .. });
         let id = call.id.clone();
+        self.judge_silent(&runner);
+        // An answer may still come from a silent runner; none comes from nowhere.
+        if !prefill && !self.can_move(number, &runner) {
+            return self.be_patient(number, LOOK_INTERVAL);
+        }
         self.note(
             Note::new(Kind::GivenUp)
                 .request(&id)
@@ -75,7 +85,6 @@
                 .outcome("silent"),
         );
         self.abandon(number);
-        self.judge(&runner, Sign::Silent);
         if prefill {
             self.after_no_run(number, &runner);
         } else {
@@ -89,9 +98,40 @@
         heard_at.is_some_and(|at| at + ALIVE > self.now)
     }
 
+    /// Counts a silence against a runner, once for each rest that follows.
+    fn judge_silent(&mut self, runner: &id::Runner) {
+        let known = self.state.pool.get(runner);
+        if known.is_some_and(|known| !known.judge.rests(self.now)) {
+            self.judge(runner, Sign::Silent);
+        }
+    }
+
+    /// Tells whether a call can go on elsewhere at once; a decode runner with room is kept in mind.
+    fn can_move(&mut self, number: id::Call, from: &id::Runner) -> bool {
+        let Some(call) = self.state.calls.get(&number) else {
+            return false;
+        };
+        let (is_model, endpoint) = (call.prompt.is_some(), call.endpoint.clone());
+        let sends = if is_model { MODEL_SENDS } else { 1 };
+        if self.retries_left(&endpoint) < sends {
+            return false;
+        }
+        let want = if is_model { Want::Decode } else { Want::Plain };
+        if is_model && !self.takes_room(number) {
+            return false;
+        }
+        let next = self.pick(number, want).map(|runner| runner.card.runner);
+        let elsewhere = next.filter(|runner| runner != from);
+        let found = elsewhere.is_some();
+        if let Some(call) = self.state.calls.get_mut(&number).filter(|_| is_model) {
+            call.planned = elsewhere;
+        }
+        found
+    }
+
     /// Leaves an attempt more time.
-    pub(super) fn be_patient(&mut self, number: id::Call) {
-        let later = self.now + ALIVE;
+    pub(super) fn be_patient(&mut self, number: id::Call, time: Duration) {
+        let later = self.now + time;
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
         };
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use hornbeamtiller_relay::event::{Ask, Decline, Effect, Event, Outcome};
-use hornbeamtiller_relay::pool::{Card, Role};
+use hornbeamtiller_relay::pool::{Card, Load, Role};
 use hornbeamtiller_relay::refusal::Claim;
 use support::{
-    card, cards, dispatch, dispatches, has, ms, prefilled, refusal, World, STREAM, STREAM_ONCE,
+    card, cards, dispatch, dispatches, has, member, ms, prefilled, refusal, view, World, KV_TOKENS,
+    STREAM, STREAM_ONCE,
 };
 
 fn is_head(effect: &Effect) -> bool {
@@ -138,6 +139,74 @@
     assert_eq!(order, ["abandon", "dispatch"]);
 }
 
+/// Has a peer tell that an engine is full.
+fn fill(world: &mut World, engine: &str) {
+    let mut said = view(member("vm-2", 2, 1), false);
+    let load = Load {
+        requests: 16,
+        tokens: KV_TOKENS,
+        unread: 0,
+    };
+    said.loads = vec![(engine.into(), load)];
+    world.apply(Event::PeerTold { view: said });
+}
+
+#[test]
+fn silent_stream_stays_where_no_other_has_room() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM);
+    world.apply(Event::Began {
+        attempt: run.attempt,
+    });
+    world.piece(run.attempt, 1);
+    let other = if &*run.runner == "make-1" {
+        "make-2"
+    } else {
+        "make-1"
+    };
+    let end = world.now + ms(6_000);
+    while world.now < end {
+        fill(&mut world, other);
+        let effects = world.pass(ms(15));
+        let left = has(&effects, |effect| {
+            matches!(effect, Effect::Abandon { .. } | Effect::BreakStream { .. })
+        });
+        assert!(!left, "at {:?}: {effects:?}", world.now);
+    }
+    // It wakes, and its caller gets what comes.
+    assert!(has(&world.piece(run.attempt, 2), is_piece));
+}
+
+#[test]
+fn silent_stream_moves_once_another_has_room() {
+    let mut world = World::open(1);
+    let run = world.start_stream(STREAM);
+    world.apply(Event::Began {
+        attempt: run.attempt,
+    });
+    world.piece(run.attempt, 1);
+    let other = if &*run.runner == "make-1" {
+        "make-2"
+    } else {
+        "make-1"
+    };
+    fill(&mut world, other);
+    while world.now < ms(3_000) {
+        let effects = world.pass(ms(15));
+        assert!(dispatches(&effects).is_empty(), "{effects:?}");
+    }
+    world.apply(Event::PeerTold {
+        view: view(member("vm-2", 2, 1), false),
+    });
+    let mut effects = Vec::new();
+    while dispatches(&effects).is_empty() && world.now < ms(3_100) {
+        effects = world.pass(ms(15));
+    }
+    let read = dispatch(&effects);
+    let again = dispatch(&world.close(read.attempt, prefilled()));
+    assert_eq!(&*again.runner, other);
+}
+
 #[test]
 fn declined_roomy_engine_blames_kv() {
     let mut world = World::open(1);
