--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -30,6 +30,20 @@
     OldSilent,
     /// Nothing passes, on old or new connections.
     Silent,
+    /// Requests pass, but nothing comes back.
+    OneWay,
+    /// Everything passes a while later.
+    Late,
+}
+
+/// How much later bytes come.
+const LATE: Duration = Duration::from_millis(120);
+
+/// The way that bytes go.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Out,
+    Back,
 }
 
 #[derive(Default)]
@@ -39,6 +53,8 @@
     silent_below: Cell<u64>,
     last: Cell<u64>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Dropping an end resets its connection.
+    open: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 /// A running stretch.
@@ -79,17 +95,33 @@
             .drain(..)
             .for_each(|waiting| _ = waiting.send(()));
     }
+
+    /// Ends all connections that are open.
+    pub fn reset(&self) {
+        self.inner.open.borrow_mut().clear();
+    }
 }
 
 impl Inner {
     /// Waits as long as a connection's bytes may not pass.
-    async fn wait_open(&self, number: u64) {
-        while self.passage.get() == Passage::Silent || number < self.silent_below.get() {
+    async fn wait_open(&self, number: u64, way: Way) {
+        if self.passage.get() == Passage::Late {
+            monoio::time::sleep(LATE).await;
+        }
+        while self.is_shut(number, way) {
             let (sender, changed) = oneshot::channel();
             self.waiting.borrow_mut().push(sender);
             _ = changed.await;
         }
     }
+
+    fn is_shut(&self, number: u64, way: Way) -> bool {
+        match self.passage.get() {
+            Passage::Silent => true,
+            Passage::OneWay if way == Way::Back => true,
+            _ => number < self.silent_below.get(),
+        }
+    }
 }
 
 async fn accept(listener: TcpListener, target: Rc<Cell<SocketAddr>>, inner: Rc<Inner>) {
@@ -105,7 +137,7 @@
 }
 
 async fn join(near: TcpStream, target: SocketAddr, number: u64, inner: Rc<Inner>) {
-    inner.wait_open(number).await;
+    inner.wait_open(number, Way::Out).await;
     let Ok(far) = TcpStream::connect_addr(target).await else {
         return;
     };
@@ -113,15 +145,21 @@
     _ = far.set_nodelay(true);
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let out = pin!(copy(near_read, far_write, number, &inner));
-    let back = pin!(copy(far_read, near_write, number, &inner));
+    let out = pin!(copy(near_read, far_write, (number, Way::Out), &inner));
+    let back = pin!(copy(far_read, near_write, (number, Way::Back), &inner));
+    let (end, ended) = oneshot::channel::<()>();
+    {
+        let mut open = inner.open.borrow_mut();
+        open.retain(|end| !end.is_canceled());
+        open.push(end);
+    }
     // The end of one direction ends the connection.
-    match select(out, back).await {
+    match select(select(out, back), ended).await {
         Either::Left(_) | Either::Right(_) => {}
     }
 }
 
-async fn copy<R, W>(mut from: R, mut to: W, number: u64, inner: &Inner)
+async fn copy<R, W>(mut from: R, mut to: W, (number, way): (u64, Way), inner: &Inner)
 where
     R: monoio::io::AsyncReadRent,
     W: monoio::io::AsyncWriteRent,
@@ -132,7 +170,7 @@
         let Ok(count @ 1..) = read else {
             return;
         };
-        inner.wait_open(number).await;
+        inner.wait_open(number, way).await;
         filled.truncate(count);
         let (written, mut emptied) = to.write_all(filled).await;
         if written.is_err() {
