Explain a request from logs; distributions on the metrics address

Change: `hornbeamctl explain ID FILE...` shows what the process believed when the request came, its decisions with their inputs and ages, and the end in words. The reducer measures each call's time by kind and ending and the time to a stream's first event; the gateway serves them as histograms, and runners by what is done with them as gauges. Ruled out: a merge over VMs by causality. An id of the platform comes over one connection and stands in one log; the product's own calls have `timeline`.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,19 @@
 //! Counts in the Prometheus text format, read from the state when they are asked for.
 
+use std::time::Duration;
+
+use hornbeamtiller_relay::event::Sample;
+use hornbeamtiller_relay::pool::Standing;
 use hornbeamtiller_relay::state::State;
-use prometheus::{Encoder as _, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of the distributions, in seconds.
+const BUCKETS: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0,
+];
 
 /// All metrics of a process.
 #[derive(Debug, Clone)]
@@ -13,6 +25,9 @@
     calls: IntGauge,
     members: IntGauge,
     manifest: IntGauge,
+    runners: IntGaugeVec,
+    calls_took: HistogramVec,
+    first_event: Histogram,
 }
 
 impl Metrics {
@@ -35,6 +50,20 @@
         let calls = IntGauge::new("calls", "Requests without a final answer.")?;
         let members = IntGauge::new("members", "Other VMs known.")?;
         let manifest = IntGauge::new("manifest_version", "Version of the manifest in force.")?;
+        let runners = IntGaugeVec::new(
+            Opts::new("runners", "Runners known, by what is done with them."),
+            &["state"],
+        )?;
+        let took = HistogramOpts::new("request_seconds", "Time from a request to its end.");
+        let calls_took = HistogramVec::new(took.buckets(BUCKETS.into()), &["kind", "outcome"])?;
+        let took = HistogramOpts::new(
+            "first_event_seconds",
+            "Time from a request to its first event.",
+        );
+        let first_event = Histogram::with_opts(took.buckets(BUCKETS.into()))?;
+        registry.register(Box::new(runners.clone()))?;
+        registry.register(Box::new(calls_took.clone()))?;
+        registry.register(Box::new(first_event.clone()))?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
         for gauge in [&ready, &calls, &members, &manifest] {
@@ -48,16 +77,47 @@
             calls,
             members,
             manifest,
+            runners,
+            calls_took,
+            first_event,
         })
     }
 
+    /// Adds a time to its distribution.
+    pub fn add(&self, sample: Sample) {
+        match sample {
+            Sample::Call { kind, ending, took } => {
+                let labels = [kind.into(), ending.into()];
+                let calls = self.calls_took.with_label_values::<&str>(&labels);
+                calls.observe(took.as_secs_f64());
+            }
+            Sample::FirstEvent { took } => self.first_event.observe(took.as_secs_f64()),
+        }
+    }
+
+    /// Counts runners by what is done with them.
+    fn count_runners(&self, state: &State, now: Duration) {
+        let (mut ready, mut resting, mut leaving) = (0, 0, 0);
+        for runner in state.pool.iter() {
+            match runner.standing {
+                Standing::Leaving { .. } => leaving += 1,
+                Standing::Ready if runner.judge.rests(now) => resting += 1,
+                Standing::Ready => ready += 1,
+            }
+        }
+        for (label, count) in [("ready", ready), ("resting", resting), ("leaving", leaving)] {
+            self.runners.with_label_values(&[label]).set(count);
+        }
+    }
+
     /// Writes the metrics of a state.
     ///
     /// # Errors
     ///
     /// The library's error, for a metric that can't be written as text.
-    pub fn render(&self, state: &State) -> Result<Vec<u8>, prometheus::Error> {
+    pub fn render(&self, state: &State, now: Duration) -> Result<Vec<u8>, prometheus::Error> {
         let counters = &state.counters;
+        self.count_runners(state, now);
         self.events.reset();
         self.refusals.reset();
         for (event, count) in [
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -205,6 +205,7 @@
             Effect::FreeKv { kv } => self.free(kv),
             Effect::Tell { address, view } => self.tell(address, view),
             Effect::Note(note) => log_line::write(&note),
+            Effect::Measure(sample) => self.0.metrics.add(sample),
             Effect::Exit => self.0.exited.set(true),
         }
     }
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -34,6 +34,8 @@
     Status(OperatorFlags),
     /// Merges the time lines of processes in causal order.
     Timeline(TimelineFlags),
+    /// Tells the story of one request, from the log files of processes.
+    Explain(ExplainFlags),
     /// Checks and compares tickets.
     Ticket(TicketFlags),
     /// Makes a process leave without cutting a request.
@@ -109,6 +111,16 @@
     pub operator: SocketAddr,
 }
 
+/// Flags of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainFlags {
+    /// Id of the request.
+    pub request: String,
+    /// Log files of processes, as they wrote them to standard output.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Flags of `entries`.
 #[derive(Debug, Args)]
 pub struct EntriesFlags {
--- /dev/null
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -0,0 +1,207 @@
+//! The story of one request, from the log files of several processes.
+//!
+//! What a process decided for a request stands in its log in the order of its decisions. Before them
+//! this shows what the process believed then: the manifest in force, the state of the configuration
+//! service, and what it knew of the runners that the request met.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use chrono::{DateTime, FixedOffset, TimeDelta};
+use error_stack::ResultExt as _;
+use serde::Deserialize;
+
+use crate::cli::ExplainFlags;
+use crate::error::{Error, Result};
+
+/// When a line was written, by its process's clock.
+type Time = DateTime<FixedOffset>;
+
+/// One line of a log.
+#[derive(Debug, Clone, Deserialize)]
+struct Line {
+    time: Time,
+    message: String,
+    #[serde(default)]
+    attributes: Attributes,
+    /// Where it stands: the file, or what is written before the line.
+    #[serde(skip)]
+    source: String,
+}
+
+/// What a line says besides its kind; all numbers are written as text.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+struct Attributes {
+    request: Option<String>,
+    runner: Option<String>,
+    attempt: Option<String>,
+    outcome: Option<String>,
+    version: Option<String>,
+    ms: Option<String>,
+}
+
+/// Prints the story of a request.
+///
+/// # Errors
+///
+/// [`Error::NotFound`] where no file has a line on the request, [`Error::File`] where a file can't be
+/// read.
+pub fn run(flags: &ExplainFlags) -> Result<()> {
+    let mut logs: BTreeMap<String, Vec<Line>> = BTreeMap::new();
+    for path in &flags.files {
+        for line in read(path)? {
+            logs.entry(line.source.clone()).or_default().push(line);
+        }
+    }
+    let mut found = false;
+    for (source, lines) in &logs {
+        if let Some(story) = story(source, lines, &flags.request) {
+            found = true;
+            print!("{story}");
+        }
+    }
+    if !found {
+        let what = format!("no line on request {}", flags.request);
+        return Err(error_stack::Report::new(Error::NotFound(what)));
+    }
+    Ok(())
+}
+
+/// Reads the lines of a file that are log lines. What stands before the JSON names the process, where
+/// several wrote into one file.
+fn read(path: &PathBuf) -> Result<Vec<Line>> {
+    let unreadable = || Error::File(path.display().to_string());
+    let file = std::fs::File::open(path).change_context_lazy(unreadable)?;
+    let mut lines = Vec::new();
+    for text in BufReader::new(file).split(b'\n') {
+        let text = text.change_context_lazy(unreadable)?;
+        lines.extend(parse(&String::from_utf8_lossy(&text), path));
+    }
+    Ok(lines)
+}
+
+fn parse(text: &str, path: &Path) -> Option<Line> {
+    let (before, json) = text.split_at(text.find('{')?);
+    // Lines of other writers are none of a process's log.
+    let mut line: Line = serde_json::from_str(json).ok()?;
+    let stem = path.file_stem().unwrap_or_default().to_string_lossy();
+    line.source = match before.split_whitespace().last() {
+        Some(name) => name.to_owned(),
+        None => stem.into_owned(),
+    };
+    Some(line)
+}
+
+/// The story of a request as one process tells it; none where it does not know the request.
+fn story(source: &str, lines: &[Line], request: &str) -> Option<String> {
+    let is_own = |line: &&Line| line.attributes.request.as_deref() == Some(request);
+    let own: Vec<&Line> = lines.iter().filter(is_own).collect();
+    let (first, last) = (own.first()?, own.last()?);
+    let runners: BTreeSet<&str> = own
+        .iter()
+        .filter_map(|line| line.attributes.runner.as_deref())
+        .collect();
+    let concerns = |line: &&Line| {
+        let runner = line.attributes.runner.as_deref();
+        line.attributes.request.is_none() && runner.is_none_or(|runner| runners.contains(runner))
+    };
+    let context: Vec<&Line> = lines.iter().filter(concerns).collect();
+    let mut before: BTreeMap<(&str, Option<&str>), &Line> = BTreeMap::new();
+    for line in context.iter().filter(|line| line.time < first.time) {
+        before.insert((&line.message, line.attributes.runner.as_deref()), line);
+    }
+    let mut before: Vec<&Line> = before.into_values().collect();
+    before.sort_by_key(|line| line.time);
+    let mut told = own.clone();
+    told.extend(
+        context
+            .iter()
+            .filter(|line| line.time >= first.time && line.time <= last.time),
+    );
+    told.sort_by_key(|line| line.time);
+
+    let mut text = format!("request {request} on {source}\n  believed when it came\n");
+    for line in before {
+        text.push_str(&row(line, first.time));
+    }
+    text.push_str("  decided\n");
+    for line in told {
+        text.push_str(&row(line, first.time));
+    }
+    text.push_str(&format!("  in the end: {}\n", verdict(last)));
+    Some(text)
+}
+
+fn row(line: &Line, zero: Time) -> String {
+    format!("  {:>11}  {}\n", since(line.time - zero), sentence(line))
+}
+
+fn since(time: TimeDelta) -> String {
+    format!(
+        "{:+.3} s",
+        time.num_microseconds().unwrap_or(i64::MAX) as f64 / 1e6
+    )
+}
+
+/// What a line says, in words.
+fn sentence(line: &Line) -> String {
+    let said = &line.attributes;
+    let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "?".to_owned());
+    let (runner, outcome) = (text(&said.runner), text(&said.outcome));
+    let (attempt, version, ms) = (text(&said.attempt), text(&said.version), text(&said.ms));
+    match line.message.as_str() {
+        "accepted" => format!("read whole; route {outcome} of manifest {version}"),
+        "dispatched" => format!(
+            "attempt {attempt}: {outcome} at {runner}, by its entry of revision {version} and its word on its \
+             load, {ms} ms old"
+        ),
+        "attempt_failed" => format!("attempt {attempt} at {runner} failed after {ms} ms: {outcome}"),
+        "given_up" => format!("attempt {attempt} at {runner} was given up: {outcome}"),
+        "waits" => "waits for room at an engine".to_owned(),
+        "answered" => format!("attempt {attempt}: {runner} answered {outcome} after {ms} ms; passed on"),
+        "stream_ended" => format!("attempt {attempt}: the stream of {runner} ended whole after {ms} ms"),
+        "stream_cut" => format!("the caller's stream was cut after {ms} ms: {outcome}"),
+        "refused" => format!("refused after {ms} ms: {outcome}"),
+        "caller_gone" => format!("its caller left after {ms} ms"),
+        "manifest_in_force" => format!("manifest {version} came into force: {outcome}"),
+        "runner_listed" if said.runner.is_some() => {
+            format!("runner {runner} was listed as {outcome}, revision {version}")
+        }
+        "runner_listed" => format!("the list was read: {outcome}, revision {version}"),
+        "runner_rests" => format!("runner {runner} is left alone for {ms} ms: {outcome}"),
+        "source" => format!("the configuration service was {outcome}; manifest {version} is held"),
+        kind => match &said.outcome {
+            Some(outcome) => format!("{kind}: {outcome}"),
+            None => kind.to_owned(),
+        },
+    }
+}
+
+fn verdict(last: &Line) -> String {
+    let outcome = last.attributes.outcome.as_deref().unwrap_or_default();
+    let (claim, reason) = outcome.split_once(' ').unwrap_or((outcome, ""));
+    let reason = match reason {
+        "full" => "no runner had room",
+        "no_runner" => "no runner of the endpoint was known",
+        "no_manifest" => "the process had no manifest yet",
+        "runners_failed" => "the runners that were tried gave no usable answer",
+        "timed_out" => "its time was up",
+        other => other,
+    };
+    match (last.message.as_str(), claim) {
+        ("refused", "not_run") => format!("it has not run and never will, since {reason}"),
+        ("refused", "unknown" | "unknown_timed_out") => {
+            format!("it may have run, and its answer is lost: {reason}")
+        }
+        ("refused", _) => format!("it can't be served as it is: {outcome}"),
+        ("answered", _) => format!("the runner's answer, status {outcome}, was passed on"),
+        ("stream_ended", _) => "the stream was passed on whole".to_owned(),
+        ("stream_cut", _) => {
+            format!("the stream was cut, so that it can't be taken for whole: {outcome}")
+        }
+        ("caller_gone", _) => "its caller left; what could be stopped was".to_owned(),
+        _ => "the log ends before its final answer".to_owned(),
+    }
+}
--- a/crates/hornbeamctl/src/commands/mod.rs
+++ b/crates/hornbeamctl/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of operators.
 
+pub mod explain;
 pub mod operator;
 pub mod standin;
 pub mod ticket;
--- a/crates/hornbeamctl/src/error.rs
+++ b/crates/hornbeamctl/src/error.rs
@@ -29,6 +29,9 @@
     /// A file can't be read.
     #[error("can't read {0}")]
     File(String),
+    /// Nothing was found.
+    #[error("{0}")]
+    NotFound(String),
     /// A check failed.
     #[error("{0} faults")]
     Faults(usize),
@@ -44,7 +47,7 @@
     /// The process's exit code.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Error::Faults(_) | Error::Bound(_) | Error::Unexpected(_) => 1,
+            Error::Faults(_) | Error::Bound(_) | Error::Unexpected(_) | Error::NotFound(_) => 1,
             _ => 3,
         }
     }
--- a/crates/hornbeamctl/src/main.rs
+++ b/crates/hornbeamctl/src/main.rs
@@ -41,6 +41,7 @@
         Command::Entries(flags) => commands::operator::entries(&flags),
         Command::Status(flags) => commands::operator::status(&flags),
         Command::Timeline(flags) => commands::timeline::run(&flags),
+        Command::Explain(flags) => commands::explain::run(&flags),
         Command::Ticket(flags) => commands::ticket::run(&flags),
         Command::Drain(flags) => commands::operator::drain(&flags),
     }
--- /dev/null
+++ b/crates/hornbeamctl/tests/explain.rs
@@ -0,0 +1,111 @@
+//! `hornbeamctl explain`, on log files as processes write them.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use expect_test::expect;
+
+/// One log line; `fields` is the inside of its attributes.
+fn line(time: &str, message: &str, fields: &str) -> String {
+    format!(
+        "{{\"time\":\"2026-01-08T14:32:{time}+00:00\",\"level\":\"INFO\",\"message\":\"{message}\",\
+         \"target\":\"relay\",\"attributes\":{{{fields}}}}}\n"
+    )
+}
+
+fn write(folder: &tempfile::TempDir, name: &str, text: &str) -> PathBuf {
+    let path = folder.path().join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+fn explain(request: &str, files: &[PathBuf]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_hornbeamctl"))
+        .arg("explain")
+        .arg(request)
+        .args(files)
+        .output()
+        .expect("the command runs")
+}
+
+fn log() -> String {
+    [
+        line("01.000000", "manifest_in_force", r#""outcome":"4 routes, 2 endpoints","version":"3""#),
+        line("02.000000", "manifest_in_force", r#""outcome":"5 routes, 2 endpoints","version":"4""#),
+        line("02.500000", "runner_rests", r#""runner":"pay-1","outcome":"silent","ms":"300.0""#),
+        line("02.600000", "runner_rests", r#""runner":"pay-9","outcome":"silent","ms":"300.0""#),
+        line("03.000000", "accepted", r#""request":"r1","outcome":"topup","version":"4""#),
+        line(
+            "03.000100",
+            "dispatched",
+            r#""request":"r1","runner":"pay-1","outcome":"plain","attempt":"7","version":"12","ms":"20.5""#,
+        ),
+        line("03.000200", "accepted", r#""request":"r2","outcome":"balance","version":"4""#),
+        line("03.010000", "runner_listed", r#""runner":"pay-1","outcome":"gone","version":"13""#),
+        line(
+            "03.050000",
+            "attempt_failed",
+            r#""request":"r1","runner":"pay-1","outcome":"Lost","attempt":"7","ms":"49.9""#,
+        ),
+        line("03.050100", "refused", r#""request":"r1","outcome":"unknown runners_failed","ms":"50.1""#),
+    ]
+    .concat()
+}
+
+#[test]
+fn explain_unknown() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let files = [
+        write(&folder, "front-a-1.log", &log()),
+        write(&folder, "front-a-2.log", "a line of another writer\n"),
+    ];
+    let output = explain("r1", &files);
+    assert!(output.status.success());
+    expect![[r#"
+        request r1 on front-a-1
+          believed when it came
+             -1.000 s  manifest 4 came into force: 5 routes, 2 endpoints
+             -0.500 s  runner pay-1 is left alone for 300.0 ms: silent
+          decided
+             +0.000 s  read whole; route topup of manifest 4
+             +0.000 s  attempt 7: plain at pay-1, by its entry of revision 12 and its word on its load, 20.5 ms old
+             +0.010 s  runner pay-1 was listed as gone, revision 13
+             +0.050 s  attempt 7 at pay-1 failed after 49.9 ms: Lost
+             +0.050 s  refused after 50.1 ms: unknown runners_failed
+          in the end: it may have run, and its answer is lost: the runners that were tried gave no usable answer
+    "#]]
+    .assert_eq(&String::from_utf8_lossy(&output.stdout));
+}
+
+/// Several processes in one file, each line with its name before it.
+#[test]
+fn explain_shared_file() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let named = |name: &str| {
+        let lines = log();
+        let lines: Vec<_> = lines
+            .lines()
+            .map(|line| format!("  3.0000 {name} {line}\n"))
+            .collect();
+        lines.concat()
+    };
+    let text = named("front-b-1") + &named("front-b-2").replace("\"r1\"", "\"r5\"");
+    let output = explain("r5", &[write(&folder, "all.log", &text)]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.starts_with("request r5 on front-b-2\n"), "{text}");
+    assert_eq!(text.matches("request r5").count(), 1);
+}
+
+#[test]
+fn explain_not_found() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let output = explain("r9", &[write(&folder, "front-a-1.log", &log())]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no line on request r9"));
+}
+
+#[test]
+fn explain_no_file() {
+    let output = explain("r1", &[PathBuf::from("no-such-file.log")]);
+    assert_eq!(output.status.code(), Some(3));
+}
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::id;
-use crate::manifest::Manifest;
+use crate::manifest::{Kind as RouteKind, Manifest};
 use crate::member::{Card as MemberCard, View};
 use crate::note::Note;
 use crate::pool::{Card, Told};
@@ -215,6 +215,45 @@
     pub time_limit: Duration,
 }
 
+/// How a call ended, as it is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Ending {
+    /// A runner's answer was passed on.
+    Answered,
+    /// A runner's failure was passed on.
+    Failed,
+    /// A stream was passed on whole.
+    StreamEnded,
+    /// A stream was cut.
+    StreamCut,
+    /// This process said that it did not run.
+    NotRun,
+    /// This process said that it may have run.
+    Unknown,
+    /// The caller left first.
+    CallerGone,
+}
+
+/// A time to be added to a distribution.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sample {
+    /// From a request's arrival to its end.
+    Call {
+        /// Kind of its route.
+        kind: RouteKind,
+        /// How it ended.
+        ending: Ending,
+        /// The time.
+        took: Duration,
+    },
+    /// From a request's arrival to the first event of its stream.
+    FirstEvent {
+        /// The time.
+        took: Duration,
+    },
+}
+
 /// Something for the shell to do.
 #[derive(Debug, Clone)]
 pub enum Effect {
@@ -276,6 +315,8 @@
     },
     /// Says what was decided, and on what grounds.
     Note(Note),
+    /// Adds a time to the distributions.
+    Measure(Sample),
     /// All work has ended; the process may go.
     Exit,
 }
--- a/crates/relay/src/manifest.rs
+++ b/crates/relay/src/manifest.rs
@@ -9,7 +9,9 @@
 use crate::id;
 
 /// What may be done with a request more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString, strum::IntoStaticStr,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Kind {
     /// It may run any number of times.
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -4,7 +4,7 @@
 
 use crate::budget::Budget;
 use crate::call::{Call, Exposure, Progress, Step};
-use crate::event::{Arrival, Effect};
+use crate::event::{Arrival, Effect, Ending};
 use crate::id;
 use crate::manifest::Kind as RouteKind;
 use crate::note::{Kind, Note};
@@ -123,6 +123,7 @@
         self.state.counters.callers_gone += 1;
         self.note(Note::new(Kind::CallerGone).request(&id).age(lasted));
         if !goes_on {
+            self.measure(number, Ending::CallerGone);
             self.end_call(number);
         }
     }
--- a/crates/relay/src/reduce/finish.rs
+++ b/crates/relay/src/reduce/finish.rs
@@ -5,10 +5,10 @@
 use rand::Rng as _;
 
 use crate::call::{Exposure, Step};
-use crate::event::Effect;
+use crate::event::{Effect, Ending, Sample};
 use crate::id;
 use crate::note::{Kind, Note};
-use crate::refusal::{Reason, Refusal};
+use crate::refusal::{Claim, Reason, Refusal};
 
 use super::Reducer;
 
@@ -82,9 +82,15 @@
                     .age(lasted),
             );
             self.emit(Effect::BreakStream { call: number });
+            self.measure(number, Ending::StreamCut);
         } else {
             let refusal = Refusal::of_call(call.exposure, reason, RETRY_BASE.mul_f64(jitter));
             self.count_refusal(refusal);
+            let ending = match refusal.claim {
+                Claim::NotRun => Ending::NotRun,
+                _ => Ending::Unknown,
+            };
+            self.measure(number, ending);
             let outcome = format!("{} {}", refusal.claim, refusal.reason);
             self.note(
                 Note::new(Kind::Refused)
@@ -100,6 +106,14 @@
         self.end_call(number);
     }
 
+    /// Adds the time of a call that ends to the distributions.
+    pub(super) fn measure(&mut self, number: id::Call, ending: Ending) {
+        if let Some(call) = self.state.calls.get(&number) {
+            let (kind, took) = (call.route.kind, self.now.saturating_sub(call.began));
+            self.emit(Effect::Measure(Sample::Call { kind, ending, took }));
+        }
+    }
+
     /// Ends the attempt under way, if there is one.
     pub(super) fn abandon(&mut self, number: id::Call) {
         let Some(call) = self.state.calls.get(&number) else {
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::call::{Exposure, Step};
-use crate::event::{Decline, Effect, Kv, Outcome};
+use crate::event::{Decline, Effect, Ending, Kv, Outcome};
 use crate::id;
 use crate::judge::Sign;
 use crate::note::{Kind, Note};
@@ -109,6 +109,12 @@
                 .age(ended.took),
         );
         self.emit(Effect::PassAnswer { call: ended.number });
+        let ending = if failed {
+            Ending::Failed
+        } else {
+            Ending::Answered
+        };
+        self.measure(ended.number, ending);
         self.done(ended.number);
     }
 
@@ -158,6 +164,7 @@
                 .age(ended.took),
         );
         self.emit(Effect::EndStream { call: ended.number });
+        self.measure(ended.number, Ending::StreamEnded);
         self.done(ended.number);
     }
 
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -1,7 +1,7 @@
 //! Streams on their way to callers: each event once, in order, from one run at a time.
 
 use crate::call::Step;
-use crate::event::Effect;
+use crate::event::{Effect, Sample};
 use crate::id;
 
 use super::overdue::pause;
@@ -10,6 +10,7 @@
 impl Reducer<'_> {
     /// The head of a stream has come; the caller gets the first one only.
     pub(super) fn began(&mut self, attempt: id::Attempt) {
+        let now = self.now;
         let Some(&number) = self.state.by_attempt.get(&attempt) else {
             return;
         };
@@ -19,7 +20,9 @@
         // The runner has taken the KV cache.
         call.kv = None;
         if !std::mem::replace(&mut call.progress.head_passed, true) {
+            let took = now.saturating_sub(call.began);
             self.emit(Effect::PassHead { call: number });
+            self.emit(Effect::Measure(Sample::FirstEvent { took }));
         }
     }
 
