Test what keeps a witness from granting too late or after a restart

Change: intent_past_its_life plays an owner that is frozen past the life of a sealed id and whose intent comes then; without the check for expiry a call is sent that had been said not to run. intent_witness_restarted asks a new boot in the name of the old one; without the comparison it grants. Ruled out for the second: an interleaving that ends in a second run. The owner compares the boot that answers with the one it asked, so both conditions must go for that; the test holds the witness to its own half.

--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -309,6 +309,64 @@
     assert_eq!(only_refusal(&world, first).code, Code::NotRun);
 }
 
+/// An intent that comes after the id's life finds no seal any more, and is refused for its age alone.
+#[test]
+fn intent_past_its_life() {
+    let mut world = World::tuned(3, 4, |settings| {
+        settings.token_life = Duration::from_secs(20)
+    });
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    world.call(1, Some(id.clone()), once(), 0).expect("open");
+    set_paused(&mut world, 1, true);
+    world.passed.clear();
+    let intents: Vec<_> = std::mem::take(&mut world.parcels);
+    world.run_calm(Duration::from_secs(5));
+    let place = world.call(2, Some(id), once(), 0).expect("open");
+    world.run_calm(Duration::from_secs(2));
+    assert_eq!(only_refusal(&world, place).code, Code::NotRun);
+    // Long enough for the witness to drop what it held.
+    for _ in 0..4 {
+        world.advance(Duration::from_secs(120));
+        world.parcels.clear();
+    }
+    // The owner wakes, and the answer to its intent comes before its clock is looked at.
+    set_paused(&mut world, 1, false);
+    world.parcels = intents;
+    world.deliver_all();
+    assert!(
+        world.sent.is_empty(),
+        "a call was sent that had been said not to run"
+    );
+}
+
+/// A witness that has restarted has lost its seals, and grants nothing that was asked of its last boot.
+#[test]
+fn intent_witness_restarted() {
+    let mut world = World::settled(3, 4);
+    let token = world.token_of(1).expect("token");
+    let id = format!("{token}.a");
+    let parsed = Token::parse_id(&id, &ring()).expect("a good id");
+    let witness = parsed.witness.expect("a settled fleet has a witness");
+    let owner = world.seat(1).expect("the owner runs");
+    world.crash(witness.vm);
+    world.start(witness.vm);
+    world.run_calm(Duration::from_secs(3));
+    let key = Key::of(&id);
+    let message = Message::Intent {
+        key,
+        witness: witness.incarnation,
+        expiry: parsed.expiry,
+    };
+    let from = owner;
+    world.feed(witness.vm, Event::Received { from, message });
+    let denied = Message::IntentAck {
+        key,
+        granted: false,
+    };
+    assert!(world.parcels.iter().any(|parcel| parcel.message == denied));
+}
+
 #[test]
 fn owner_restarted_answer_at_witness() {
     let mut world = World::settled(3, 5);
