Count what other VMs have at engines that are not listed here yet

Cause: what a VM told of its work at an engine was added only where the receiver knew the engine, and taken away whether or not it had been added. Change: the pool keeps the sum by name, known or not, and a new entry starts with it. Work at an earlier start of a runner counts until it ends. Test: load_of_runner_that_is_listed_later failed before.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -266,10 +266,15 @@
 
 impl<D: Dialect> Inbox<D> {
     fn decode(&self, view: view::View) -> member::View {
-        let manifest = (!view.manifest.is_empty())
+        let known = self.shell.read(|state| {
+            let manifest = state.manifest.as_ref();
+            manifest.map_or(0, |manifest| manifest.version)
+        });
+        let is_news = !view.manifest.is_empty() && view.version > known;
+        let manifest = is_news
             .then(|| self.shell.dialect().manifest(&view.manifest))
             .flatten();
-        if manifest.is_none() && !view.manifest.is_empty() {
+        if manifest.is_none() && is_news {
             log::warn!(peer = &*view.from.vm, version = view.version; "manifest_unreadable");
         }
         member::View {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -184,6 +184,9 @@
     endpoints: BTreeMap<id::Endpoint, Vec<id::Runner>>,
     /// Position up to which the list is known.
     pub revision: id::Revision,
+    /// Work of the other VMs, also at runners that are not known here yet: a VM that was cut off from
+    /// the list learns of a runner later than others.
+    elsewhere: HashMap<id::Runner, Load>,
     /// Revisions at which entries ended, so that an older entry does not bring one back.
     ended: HashMap<id::Runner, id::Revision>,
 }
@@ -218,13 +221,20 @@
         now: impl Iterator<Item = &'a (id::Runner, Load)>,
     ) {
         for (runner, load) in before {
+            let sum = self.elsewhere.entry(runner.clone()).or_default();
+            sum.sub(*load);
             if let Some(known) = self.runners.get_mut(runner) {
-                known.others.sub(*load);
+                known.others = *sum;
+            }
+            if sum.requests == 0 {
+                self.elsewhere.remove(runner);
             }
         }
         for (runner, load) in now {
+            let sum = self.elsewhere.entry(runner.clone()).or_default();
+            sum.add(*load);
             if let Some(known) = self.runners.get_mut(runner) {
-                known.others.add(*load);
+                known.others = *sum;
             }
         }
     }
@@ -271,13 +281,20 @@
             }
             _ => {}
         }
+        // Work under way at an earlier start of the runner is counted until it has ended.
+        let own = self.runners.get(&card.runner).map(|known| known.own);
+        let others = self.elsewhere.get(&card.runner).copied();
         self.remove(&card.runner.clone());
         self.endpoints
             .entry(card.endpoint.clone())
             .or_default()
             .push(card.runner.clone());
-        self.runners
-            .insert(card.runner.clone(), Runner::new(card, now));
+        let runner = Runner {
+            own: own.unwrap_or_default(),
+            others: others.unwrap_or_default(),
+            ..Runner::new(card.clone(), now)
+        };
+        self.runners.insert(card.runner, runner);
         true
     }
 
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -135,16 +135,27 @@
         let known = self.state.pool.revision;
         let runners = lacks.revision.is_some_and(|revision| revision < known);
         View {
-            from: self.state.me.clone(),
             members,
-            version: mine,
             manifest: self.state.manifest.clone().filter(|_| manifest),
-            revision: known,
             runners: (runners && self.state.pool_known).then(|| self.listed()),
+            asks,
+            ..self.load_view()
+        }
+    }
+
+    /// This process's view with its work alone.
+    pub(super) fn load_view(&self) -> View {
+        View {
+            from: self.state.me.clone(),
+            members: Vec::new(),
+            version: self.manifest_version(),
+            manifest: None,
+            revision: self.state.pool.revision,
+            runners: None,
             source_reached: self.state.source_reached,
             loads: self.own_loads(),
             waiting: self.own_waiting(),
-            asks,
+            asks: false,
         }
     }
 
--- a/crates/relay/src/reduce/load.rs
+++ b/crates/relay/src/reduce/load.rs
@@ -7,7 +7,7 @@
 use crate::call::Step;
 use crate::event::Effect;
 use crate::id;
-use crate::member::{Standing, View};
+use crate::member::Standing;
 use crate::place::{self, Room, Want};
 use crate::pool::Load;
 use crate::state::Shared;
@@ -91,18 +91,7 @@
         if peers.len() >= FLEET_MAX {
             return;
         }
-        let view = View {
-            from: self.state.me.clone(),
-            members: Vec::new(),
-            version: self.manifest_version(),
-            manifest: None,
-            revision: self.state.pool.revision,
-            runners: None,
-            source_reached: self.state.source_reached,
-            loads: self.own_loads(),
-            waiting: self.own_waiting(),
-            asks: false,
-        };
+        let view = self.load_view();
         for address in peers {
             let view = view.clone();
             self.emit(Effect::Tell { address, view });
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -4,7 +4,8 @@
 
 use hornbeamtiller_relay::event::{Effect, Event};
 use hornbeamtiller_relay::member::{Standing, View};
-use support::{dispatch, manifest, member, ms, routes, view, World, ONCE};
+use hornbeamtiller_relay::pool::Role;
+use support::{card, dispatch, manifest, member, ms, routes, view, World, ONCE};
 
 fn told(effects: &[Effect]) -> Vec<View> {
     effects
@@ -208,3 +209,35 @@
     world.pass(ms(6_000));
     assert_eq!(others(&world), 0);
 }
+
+/// What a VM tells of a runner that is not listed here yet counts once it is listed, and what another
+/// VM told is not lost when the first one has less to do there.
+#[test]
+fn load_of_runner_that_is_listed_later() {
+    let mut world = World::open(1);
+    let tell = |world: &mut World, vm: &str, host: u8, requests: u32| {
+        let mut said = view(member(vm, host, 7), false);
+        let load = hornbeamtiller_relay::pool::Load {
+            requests,
+            tokens: u64::from(requests) * 5_000,
+            unread: 0,
+        };
+        said.loads = vec![("make-9".into(), load)];
+        world.apply(Event::PeerTold { view: said });
+    };
+    tell(&mut world, "vm-2", 2, 5);
+    let card = hornbeamtiller_relay::pool::Card {
+        revision: 30,
+        ..card("make-9", "llm", 39, Some(Role::Decode))
+    };
+    world.apply(Event::CardSet { card });
+    let others = |world: &World| {
+        let runner = world.state.pool.get(&"make-9".into()).expect("known");
+        runner.others.requests
+    };
+    assert_eq!(others(&world), 5);
+    tell(&mut world, "vm-3", 3, 3);
+    assert_eq!(others(&world), 8);
+    tell(&mut world, "vm-2", 2, 1);
+    assert_eq!(others(&world), 4);
+}
