--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -56,6 +56,12 @@
         #[arg(long, env = "HORNBEAMTILLER_SETTINGS")]
         settings: PathBuf,
     },
+    /// Checks the platform's settings file and names all its faults.
+    Check {
+        /// The settings file.
+        #[arg(long, env = "HORNBEAMTILLER_SETTINGS")]
+        settings: PathBuf,
+    },
 }
 
 /// Why the process ended in failure.
@@ -83,6 +89,7 @@
     let cli = Cli::parse();
     let ended = match (cli.command, cli.flags) {
         (Some(Command::Gateway { settings }), _) => run_gateway(&settings),
+        (Some(Command::Check { settings }), _) => return check(&settings),
         (None, Some(flags)) => match flags.check() {
             Ok(settings) => run_node(settings),
             Err(faults) => {
@@ -106,6 +113,22 @@
     }
 }
 
+/// Names all faults of a settings file of the platform.
+fn check(path: &Path) -> ExitCode {
+    let faults = match std::fs::read(path) {
+        Ok(text) => hornbeamtiller_platform::settings::faults(&text),
+        Err(error) => vec![format!("can't read {}: {error}", path.display())],
+    };
+    if faults.is_empty() {
+        println!("{}: no faults", path.display());
+        return ExitCode::SUCCESS;
+    }
+    faults
+        .iter()
+        .for_each(|fault| eprintln!("hornbeamtiller: {fault}"));
+    ExitCode::from(EXIT_SETTINGS)
+}
+
 fn run_node(settings: Settings) -> Result<(), Report<Error>> {
     logging::open(Output::Stderr).change_context(Error::Logging)?;
     let stop = receive_signals().change_context(Error::Signals)?;
