--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -12,7 +12,7 @@
 use hornbeamtiller_core::token::Token;
 use proptest::prelude::*;
 
-use world::{config, once, read, ring, Told, World, TICK};
+use world::{config, once, read, ring, Parcel, Told, World, TICK};
 
 /// Number of cases where the environment does not say.
 const CASES: u32 = 1_500;
@@ -289,20 +289,26 @@
     assert!(world.parcels.iter().any(|parcel| parcel.message == unknown));
 }
 
+/// Pauses VM 1 as owner of a call while its intent is under way, and has VM 2 told that the call has not
+/// run. Gives the call's place and the intent.
+fn seal_behind_paused_owner(world: &mut World, id: &str) -> (usize, Vec<Parcel>) {
+    let first = world.call(1, Some(id.to_owned()), once(), 0).expect("open");
+    set_paused(world, 1, true);
+    world.passed.clear();
+    let intents = std::mem::take(&mut world.parcels);
+    world.run_calm(Duration::from_secs(5));
+    let place = world.call(2, Some(id.to_owned()), once(), 0).expect("open");
+    world.run_calm(Duration::from_secs(2));
+    assert_eq!(only_refusal(world, place).code, Code::NotRun);
+    (first, intents)
+}
+
 #[test]
 fn seal_owner_wakes_late() {
     let mut world = World::settled(3, 4);
     let token = world.token_of(1).expect("token");
     let id = format!("{token}.a");
-    let first = world.call(1, Some(id.clone()), once(), 0).expect("open");
-    // The intent is still under way when the owner is paused.
-    set_paused(&mut world, 1, true);
-    world.passed.clear();
-    let intents: Vec<_> = std::mem::take(&mut world.parcels);
-    world.run_calm(Duration::from_secs(5));
-    let place = world.call(2, Some(id), once(), 0).expect("open");
-    world.run_calm(Duration::from_secs(2));
-    assert_eq!(only_refusal(&world, place).code, Code::NotRun);
+    let (first, intents) = seal_behind_paused_owner(&mut world, &id);
     world.parcels = intents;
     world.drain();
     assert!(world.executions.is_empty());
@@ -317,14 +323,7 @@
     });
     let token = world.token_of(1).expect("token");
     let id = format!("{token}.a");
-    world.call(1, Some(id.clone()), once(), 0).expect("open");
-    set_paused(&mut world, 1, true);
-    world.passed.clear();
-    let intents: Vec<_> = std::mem::take(&mut world.parcels);
-    world.run_calm(Duration::from_secs(5));
-    let place = world.call(2, Some(id), once(), 0).expect("open");
-    world.run_calm(Duration::from_secs(2));
-    assert_eq!(only_refusal(&world, place).code, Code::NotRun);
+    let (_, intents) = seal_behind_paused_owner(&mut world, &id);
     // Long enough for the witness to drop what it held.
     for _ in 0..4 {
         world.advance(Duration::from_secs(120));
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use hornbeamtiller_relay::event::{Ask, Decline, Effect, Event, Outcome};
+use hornbeamtiller_relay::event::{Ask, Decline, Dispatch, Effect, Event, Outcome};
 use hornbeamtiller_relay::pool::{Card, Load, Role};
 use hornbeamtiller_relay::refusal::Claim;
 use support::{
@@ -18,6 +18,24 @@
     matches!(effect, Effect::PassPiece { .. })
 }
 
+/// Has a stream come as far as its first event.
+fn begin_stream(world: &mut World) -> Dispatch {
+    let run = world.start_stream(STREAM);
+    world.apply(Event::Began {
+        attempt: run.attempt,
+    });
+    world.piece(run.attempt, 1);
+    run
+}
+
+/// The decode engine that is not this one.
+fn other_engine(run: &Dispatch) -> &'static str {
+    match &*run.runner {
+        "make-1" => "make-2",
+        _ => "make-1",
+    }
+}
+
 #[test]
 fn prefilled_generates_with_kv() {
     let mut world = World::open(1);
@@ -119,11 +137,7 @@
 #[test]
 fn silent_stream_is_left_before_it_goes_on() {
     let mut world = World::open(1);
-    let run = world.start_stream(STREAM);
-    world.apply(Event::Began {
-        attempt: run.attempt,
-    });
-    world.piece(run.attempt, 1);
+    let run = begin_stream(&mut world);
     let mut effects = Vec::new();
     while dispatches(&effects).is_empty() && world.now < ms(5_000) {
         effects = world.pass(ms(15));
@@ -154,16 +168,8 @@
 #[test]
 fn silent_stream_stays_where_no_other_has_room() {
     let mut world = World::open(1);
-    let run = world.start_stream(STREAM);
-    world.apply(Event::Began {
-        attempt: run.attempt,
-    });
-    world.piece(run.attempt, 1);
-    let other = if &*run.runner == "make-1" {
-        "make-2"
-    } else {
-        "make-1"
-    };
+    let run = begin_stream(&mut world);
+    let other = other_engine(&run);
     let end = world.now + ms(6_000);
     while world.now < end {
         fill(&mut world, other);
@@ -180,16 +186,8 @@
 #[test]
 fn silent_stream_moves_once_another_has_room() {
     let mut world = World::open(1);
-    let run = world.start_stream(STREAM);
-    world.apply(Event::Began {
-        attempt: run.attempt,
-    });
-    world.piece(run.attempt, 1);
-    let other = if &*run.runner == "make-1" {
-        "make-2"
-    } else {
-        "make-1"
-    };
+    let run = begin_stream(&mut world);
+    let other = other_engine(&run);
     fill(&mut world, other);
     while world.now < ms(3_000) {
         let effects = world.pass(ms(15));
