Few VMs ask the store often; the others see when they are behind

VMs tell the position of the last change that they know, since the position of their list also goes up by reading it. Ruled out: watchers alone with lists passed on, which add a way to be late where all three are cut off; here each VM still asks by itself. Tests: watchers_first_by_name, behind_manifest_until_read, behind_runners_by_changes; store_loses_the_answer_to_a_watch holds.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -140,6 +140,7 @@
             .map(|manifest| manifest.source.to_vec())
             .unwrap_or_default(),
         revision: view.revision,
+        changed: view.changed,
         runners: view.runners,
         source_reached: view.source_reached,
         loads: view.loads,
@@ -283,6 +284,7 @@
             version: view.version,
             manifest: manifest.map(std::sync::Arc::new),
             revision: view.revision,
+            changed: view.changed,
             runners: view.runners,
             source_reached: view.source_reached,
             loads: view.loads,
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -65,6 +65,8 @@
     pub manifest: Option<Arc<Manifest>>,
     /// Position of its list of runners.
     pub revision: id::Revision,
+    /// Position of the last change of that list.
+    pub changed: id::Revision,
     /// The list itself, where the receiver is known to have an older one.
     pub runners: Option<Vec<pool::Card>>,
     /// Whether the sender reaches the configuration service itself.
@@ -92,6 +94,8 @@
     pub version: id::Version,
     /// Position of its list when last heard.
     pub revision: id::Revision,
+    /// Position of the last change of that list.
+    pub changed: id::Revision,
     /// Whether it reached the configuration service when last heard.
     pub source_reached: bool,
 }
@@ -145,6 +149,7 @@
                     silent: 0,
                     version: 0,
                     revision: 0,
+                    changed: 0,
                     source_reached: true,
                 };
                 self.members.insert(card.vm, member);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -184,6 +184,8 @@
     endpoints: BTreeMap<id::Endpoint, Vec<id::Runner>>,
     /// Position up to which the list is known.
     pub revision: id::Revision,
+    /// Position of the last change that is known.
+    pub changed: id::Revision,
     /// Work of the other VMs, also at runners that are not known here yet: a VM that was cut off from
     /// the list learns of a runner later than others.
     elsewhere: HashMap<id::Runner, Load>,
@@ -246,6 +248,7 @@
 
     /// Takes an entry; an older one than the known changes nothing. Tells whether anything changed.
     pub fn set(&mut self, card: Card, now: Duration) -> bool {
+        self.changed = self.changed.max(card.revision);
         if self
             .ended
             .get(&card.runner)
@@ -310,6 +313,7 @@
 
     /// Takes that an entry has ended. The runner gets work only where no other can.
     pub fn end(&mut self, runner: &id::Runner, revision: id::Revision, now: Duration) -> bool {
+        self.changed = self.changed.max(revision);
         let newer = self
             .runners
             .get(runner)
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -151,6 +151,7 @@
             version: self.manifest_version(),
             manifest: None,
             revision: self.state.pool.revision,
+            changed: self.state.pool.changed,
             runners: None,
             source_reached: self.state.source_reached,
             loads: self.own_loads(),
@@ -166,6 +167,7 @@
             version,
             manifest,
             revision,
+            changed,
             runners,
             source_reached,
             loads,
@@ -190,6 +192,7 @@
             member.silent = 0;
             member.version = version;
             member.revision = revision;
+            member.changed = changed;
         }
         if let Some(manifest) = manifest {
             self.manifest_read(manifest);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,9 @@
 use crate::pool::{Load, Pool};
 use crate::settings::Settings;
 
+/// VMs that ask the configuration service often.
+const WATCHERS: usize = 3;
+
 /// Counts of what happened, for metrics.
 #[derive(Debug, Clone, Default)]
 pub struct Counters {
@@ -140,6 +143,33 @@
         self.leaving_since.is_none() && self.manifest.is_some() && self.pool_known
     }
 
+    /// Tells whether this VM asks the configuration service often, to find answers that were lost. The
+    /// first few by name of those that reach it do; the others see that they are behind these.
+    pub fn is_watcher(&self) -> bool {
+        let before = self.roster.iter().filter(|member| {
+            member.card.vm < self.me.vm
+                && member.card.standing == Standing::Ready
+                && member.silent == 0
+                && member.source_reached
+        });
+        before.count() < WATCHERS
+    }
+
+    /// Tells whether another VM has a newer manifest.
+    pub fn is_behind_manifest(&self) -> bool {
+        let own = self
+            .manifest
+            .as_ref()
+            .map_or(0, |manifest| manifest.version);
+        self.roster.iter().any(|member| member.version > own)
+    }
+
+    /// Tells whether another VM knows of a change of runners that this one does not.
+    pub fn is_behind_runners(&self) -> bool {
+        let known = self.pool.revision;
+        self.roster.iter().any(|member| member.changed > known)
+    }
+
     /// The VMs that callers may use, those of a zone first.
     pub fn directory(&self, zone: Option<&str>) -> Directory {
         let mut members: Vec<Card> = self
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -241,3 +241,54 @@
     tell(&mut world, "vm-2", 2, 1);
     assert_eq!(others(&world), 4);
 }
+
+/// The first three by name that reach the service ask it often, whoever else there is.
+#[test]
+fn watchers_first_by_name() {
+    let mut world = World::open(1);
+    assert!(world.state.is_watcher());
+    for (vm, host) in [("vm-01", 2), ("vm-02", 3), ("vm-2", 4)] {
+        world.hear(member(vm, host, 1), false);
+    }
+    assert!(world.state.is_watcher());
+    world.hear(member("vm-03", 5, 1), false);
+    assert!(!world.state.is_watcher());
+    // One of them loses the service, and this VM is one of the first three again.
+    let mut said = view(member("vm-03", 5, 1), false);
+    said.source_reached = false;
+    world.apply(Event::PeerTold { view: said });
+    assert!(world.state.is_watcher());
+}
+
+#[test]
+fn behind_manifest_until_read() {
+    let mut world = World::open(1);
+    assert!(!world.state.is_behind_manifest());
+    let mut said = view(member("vm-2", 2, 1), false);
+    said.version = 3;
+    world.apply(Event::PeerTold { view: said });
+    assert!(world.state.is_behind_manifest());
+    world.apply(Event::ManifestRead {
+        manifest: manifest(3, routes()),
+    });
+    assert!(!world.state.is_behind_manifest());
+}
+
+/// A VM is behind by changes, not by how lately another one has read the list.
+#[test]
+fn behind_runners_by_changes() {
+    let mut world = World::open(1);
+    let mut said = view(member("vm-2", 2, 1), false);
+    (said.revision, said.changed) = (50, 10);
+    world.apply(Event::PeerTold { view: said.clone() });
+    assert!(!world.state.is_behind_runners());
+    said.changed = 11;
+    world.apply(Event::PeerTold { view: said });
+    assert!(world.state.is_behind_runners());
+    world.apply(Event::CardEnded {
+        runner: "pay-1".into(),
+        revision: 11,
+    });
+    assert!(!world.state.is_behind_runners());
+    assert_eq!(world.state.pool.changed, 11);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -275,6 +275,7 @@
         version: 2,
         manifest: None,
         revision: 10,
+        changed: 0,
         runners: None,
         source_reached: true,
         loads: Vec::new(),
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -67,4 +67,6 @@
   # All work of the sender at engines.
   sourceReached @9 :Bool;
   waiting @10 :UInt32;
+  changed @11 :UInt64;
+  # Position of the last change of the list of runners that the sender knows.
 }
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -25,6 +25,8 @@
     pub manifest: Vec<u8>,
     /// Position of its list of runners.
     pub revision: id::Revision,
+    /// Position of the last change of that list.
+    pub changed: id::Revision,
     /// The list, if it is told.
     pub runners: Option<Vec<pool::Card>>,
     /// Whether the sender reaches the configuration service itself.
@@ -64,6 +66,7 @@
     out.set_version(view.version);
     out.set_manifest(&view.manifest);
     out.set_revision(view.revision);
+    out.set_changed(view.changed);
     out.set_asks(view.asks);
     out.set_waiting(view.waiting);
     out.set_source_reached(view.source_reached);
@@ -130,6 +133,7 @@
         version: view.get_version(),
         manifest: view.get_manifest()?.to_vec(),
         revision: view.get_revision(),
+        changed: view.get_changed(),
         runners: match view.get_has_runners() {
             true => Some(runners.collect::<Result<_, _>>()?),
             false => None,
