core: a refusal says not_run only where nothing of the call may have run

Cause: the queue timeout looked at the number of attempts, and only for model calls. A repeatable plain call that had run twice was refused as not run; so was a model call whose finished prefill was followed by a decode engine that was full, since that took back an attempt that had never been counted; so was a repeatable call taken over from a dead owner that had run it, and a parked call. Change: a request keeps whether any ended attempt, or an earlier owner, may have run it; all refusals of a runner's failure or of the queue ask that. Also: the world of the property tests lost what a runner or caller sent to a paused process. A paused process keeps its sockets, so it now gets these events when it runs again; the check is unchanged.

--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -24,6 +24,8 @@
     pub repeatable: bool,
     /// Number of tokens of the answer that the caller already has.
     pub base: u64,
+    /// Whether an earlier owner may have executed the call.
+    pub may_have_run: bool,
 }
 
 impl Reducer<'_> {
@@ -309,6 +311,7 @@
                 id_from_caller,
                 repeatable,
                 base: 0,
+                may_have_run: false,
             },
         );
         self.start_call(call);
@@ -326,6 +329,7 @@
             id_from_caller,
             repeatable,
             base,
+            may_have_run,
         } = options;
         let call = self.state.next_number();
         let key = Key::of(&id);
@@ -360,6 +364,7 @@
             attached: false,
             phase: Phase::Queued,
             attempts: 0,
+            may_have_run,
             failed_runners: Vec::new(),
             accepted_at: self.now.up,
             disconnected_at: None,
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -10,7 +10,7 @@
 use crate::state::{Outcome, Phase, Request};
 use crate::timeline::{Detail, Draft, Kind};
 
-use super::dispatch::weaken_if_started;
+use super::dispatch::weaken_if_run;
 use super::Reducer;
 
 /// How long a runner gets no attempts after it refused one for lack of capacity.
@@ -99,7 +99,10 @@
             return;
         };
         self.state.by_attempt.remove(&attempt);
-        let request = &self.state.requests[&call];
+        let Some(request) = self.state.requests.get_mut(&call) else {
+            return;
+        };
+        request.may_have_run = true;
         let (endpoint, key) = (request.endpoint.clone(), request.key);
         self.release_slot(&endpoint, &runner);
         self.record_event(Draft::new(Kind::Prefilled).request(key).runner(&runner));
@@ -202,10 +205,12 @@
             | Phase::Decode { runner, .. } => runner.clone(),
             _ => return,
         };
-        if failure == Failure::Full {
-            request.attempts = request.attempts.saturating_sub(1);
-        } else {
+        request.may_have_run |= may_have_run(failure);
+        let was_counted = !matches!(phase, Phase::Decode { kv: Some(_), .. });
+        if failure != Failure::Full {
             request.failed_runners.push(runner.clone());
+        } else if was_counted {
+            request.attempts = request.attempts.saturating_sub(1);
         }
         let (key, endpoint) = (request.key, request.endpoint.clone());
         self.record_event(
@@ -247,10 +252,9 @@
             return;
         }
         let refusal = match failure {
-            Failure::NotWritten => weaken_if_started(
-                Refusal::not_run(Reason::NoRunner),
-                request.repeatable && request.attempts > 1,
-            ),
+            Failure::NotWritten => {
+                weaken_if_run(Refusal::not_run(Reason::NoRunner), request.may_have_run)
+            }
             Failure::TimedOut => Refusal::unknown(Reason::RunnerTimeout),
             Failure::TooLarge => Refusal::unknown(Reason::AnswerTooLarge),
             _ => Refusal::unknown(Reason::RunnerLost),
@@ -283,14 +287,11 @@
         } else if failure == Failure::Rejected {
             self.fail_call(
                 call,
-                weaken_if_started(Refusal::not_run(Reason::RunnerRefused), request.emitted > 0),
+                weaken_if_run(Refusal::not_run(Reason::RunnerRefused), request.may_have_run),
             );
         } else if is_exhausted {
-            let has_begun = failure != Failure::NotWritten || is_decode || request.emitted > 0;
-            self.fail_call(
-                call,
-                weaken_if_started(Refusal::not_run(Reason::NoRunner), has_begun),
-            );
+            let refusal = Refusal::not_run(Reason::NoRunner);
+            self.fail_call(call, weaken_if_run(refusal, request.may_have_run));
         } else {
             self.enqueue(call);
         }
@@ -376,6 +377,14 @@
     }
 }
 
+/// Whether an attempt that ended with this failure may have been executed, at least in part.
+fn may_have_run(failure: Failure) -> bool {
+    match failure {
+        Failure::NotWritten | Failure::Full | Failure::KvGone | Failure::Rejected => false,
+        Failure::Lost | Failure::TimedOut | Failure::TooLarge => true,
+    }
+}
+
 fn outcome_record(outcome: Outcome, answer: Option<Arc<Answer>>) -> Record {
     match (outcome, answer) {
         (Outcome::Answered { .. }, Some(answer)) => Record::Answered(answer),
--- a/crates/core/src/reduce/cancel.rs
+++ b/crates/core/src/reduce/cancel.rs
@@ -52,6 +52,7 @@
         let Some(request) = self.state.requests.get_mut(&call) else {
             return;
         };
+        request.may_have_run |= request.attempt().is_some();
         let phase = std::mem::replace(&mut request.phase, Phase::Parked);
         let (endpoint, organisation) = (request.endpoint.clone(), request.organisation.clone());
         let keep_record = request.id_from_caller || request.emitted > 0;
--- a/crates/core/src/reduce/dispatch.rs
+++ b/crates/core/src/reduce/dispatch.rs
@@ -359,13 +359,13 @@
         if request.phase != Phase::Queued {
             return;
         }
-        let has_begun = request.attempts > 0 && request.is_model();
+        let may_have_run = request.may_have_run;
         let reason = if self.has_available_runner(endpoint) {
             Reason::WaitedTooLong
         } else {
             Reason::NoRunner
         };
-        let refusal = weaken_if_started(Refusal::not_run(reason), has_begun);
+        let refusal = weaken_if_run(Refusal::not_run(reason), may_have_run);
         self.fail_call(call, refusal.retry_after(QUEUE_TIMEOUT_RETRY_AFTER));
     }
 
@@ -375,9 +375,10 @@
     }
 }
 
-/// Replaces the claim "not run" by "unknown" if an engine has begun the work.
-pub(super) fn weaken_if_started(refusal: Refusal, has_begun: bool) -> Refusal {
-    if has_begun {
+/// Replaces the claim "not run" by "unknown" if a runner may have executed the request or a part
+/// of it.
+pub(super) fn weaken_if_run(refusal: Refusal, may_have_run: bool) -> Refusal {
+    if may_have_run {
         Refusal {
             claim: crate::refusal::Claim::Unknown,
             ..refusal
--- a/crates/core/src/reduce/recover.rs
+++ b/crates/core/src/reduce/recover.rs
@@ -257,6 +257,7 @@
                 id_from_caller: true,
                 repeatable: true,
                 base,
+                may_have_run: true,
             },
         );
         match running {
--- a/crates/core/src/state/request.rs
+++ b/crates/core/src/state/request.rs
@@ -96,8 +96,10 @@
     /// Its progress.
     pub phase: Phase,
     /// Number of attempts started. An attempt that was refused for lack of capacity is subtracted
-    /// again; the decode that follows a prefill does not count.
+    /// again; the decode that follows a prefill does not count, and is not subtracted either.
     pub attempts: u32,
+    /// Whether any attempt that has ended may have been executed, at least in part.
+    pub may_have_run: bool,
     /// Runners on which an attempt has failed for another reason than a lack of capacity.
     pub failed_runners: Vec<id::Runner>,
     /// When it was admitted or last resumed after being parked, since this process started.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -81,19 +81,13 @@
             .for_each(|at| _ = world.messages.remove(at)),
         Step::Crash(vm) => world.crash(vm),
         Step::Start(vm) => world.start(vm),
-        Step::Pause(vm) => set_paused(world, vm, true),
-        Step::Resume(vm) => set_paused(world, vm, false),
+        Step::Pause(vm) => world.set_paused(vm, true),
+        Step::Resume(vm) => world.set_paused(vm, false),
         Step::Partition(a, b) => _ = world.partitions.insert((a, b)),
         Step::Heal => world.partitions.clear(),
     }
 }
 
-fn set_paused(world: &mut World, vm: Vm, paused: bool) {
-    if let Some(Some(node)) = world.nodes.get_mut(&vm) {
-        node.paused = paused;
-    }
-}
-
 /// Checks that no incarnation's configuration reverted, and that each is one that was published.
 fn check_monotonic(
     world: &World,
@@ -139,7 +133,7 @@
         world.platform_up = true;
         world.platform_newest = usize::MAX;
         (1..=NODES).for_each(|vm| {
-            set_paused(&mut world, vm, false);
+            world.set_paused(vm, false);
             world.start(vm);
         });
         world.run_without_faults(Duration::from_secs(45));
@@ -156,9 +150,9 @@
     #[test]
     fn detect_late_wakeup_keeps_members(seed in any::<u64>(), paused in 1..=NODES, ticks in 10u32..400) {
         let mut world = World::converged(NODES, seed);
-        set_paused(&mut world, paused, true);
+        world.set_paused(paused, true);
         world.run_without_faults(TICK * ticks);
-        set_paused(&mut world, paused, false);
+        world.set_paused(paused, false);
         let end = world.now + Duration::from_secs(8);
         while world.now < end {
             world.run_without_faults(TICK);
@@ -294,10 +288,10 @@
     while suspects(&world) == 0 {
         world.run_without_faults(TICK);
     }
-    set_paused(&mut world, 1, true);
+    world.set_paused(1, true);
     world.run_without_faults(Duration::from_secs(5));
     world.partitions.clear();
-    set_paused(&mut world, 1, false);
+    world.set_paused(1, false);
     world.advance(TICK);
     assert!(!world.considers_down(1, 2) && !world.considers_down(1, 3));
 }
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -161,14 +161,14 @@
         Step::Disconnect(number) => {
             if let Some(index) = pick(number, world.exchanges.len()) {
                 let (vm, exchange) = (world.exchanges[index].node, world.exchanges[index].exchange);
-                world.feed(vm, Event::CallerDisconnected { exchange });
+                world.feed_from_connection(vm, Event::CallerDisconnected { exchange });
             }
         }
         Step::Advance(ticks) => world.advance(TICK * ticks as u32),
         Step::Crash(vm) => world.crash(vm),
         Step::Start(vm) => world.start(vm),
-        Step::Pause(vm) => set_paused(world, vm, true),
-        Step::Resume(vm) => set_paused(world, vm, false),
+        Step::Pause(vm) => world.set_paused(vm, true),
+        Step::Resume(vm) => world.set_paused(vm, false),
         Step::Partition { a, b } => _ = world.partitions.insert((a, b)),
         Step::Heal => world.partitions.clear(),
         Step::SetPlatformUp(up) => world.platform_up = up,
@@ -176,12 +176,6 @@
     }
 }
 
-fn set_paused(world: &mut World, vm: u32, paused: bool) {
-    if let Some(Some(node)) = world.nodes.get_mut(&vm) {
-        node.paused = paused;
-    }
-}
-
 proptest! {
     #![proptest_config(property_config(CASES))]
 
@@ -323,7 +317,7 @@
     let first = world
         .call(1, Some(id.to_owned()), non_repeatable_call(), 0)
         .expect("open");
-    set_paused(world, 1, true);
+    world.set_paused(1, true);
     world.forwards.clear();
     let intents = std::mem::take(&mut world.messages);
     world.run_without_faults(Duration::from_secs(5));
@@ -363,7 +357,7 @@
         world.messages.clear();
     }
     // The owner resumes, and the reply to its intent arrives before it checks its clock.
-    set_paused(&mut world, 1, false);
+    world.set_paused(1, false);
     world.messages = intents;
     world.deliver_all();
     assert!(
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -54,6 +54,8 @@
     pub state: State,
     started: Duration,
     pub paused: bool,
+    /// Events of its own connections that wait until the process runs again.
+    unread: Vec<Event>,
 }
 
 /// A message in flight.
@@ -243,6 +245,7 @@
                 state,
                 started: self.now,
                 paused: false,
+                unread: Vec::new(),
             }),
         );
         self.exited.remove(&vm);
@@ -283,6 +286,29 @@
         true
     }
 
+    /// Passes an event of one of its own connections to a process. The sockets of a paused process
+    /// keep what they receive, so that it gets the event when it is resumed.
+    pub fn feed_from_connection(&mut self, vm: Vm, event: Event) {
+        match self.nodes.get_mut(&vm) {
+            Some(Some(node)) if node.paused => node.unread.push(event),
+            _ => _ = self.feed(vm, event),
+        }
+    }
+
+    /// Pauses a process, or resumes it.
+    pub fn set_paused(&mut self, vm: Vm, paused: bool) {
+        let Some(Some(node)) = self.nodes.get_mut(&vm) else {
+            return;
+        };
+        node.paused = paused;
+        if paused {
+            return;
+        }
+        for event in std::mem::take(&mut node.unread) {
+            self.feed(vm, event);
+        }
+    }
+
     fn perform(&mut self, instance: Instance, effect: Effect) {
         match effect {
             Effect::Send { to, message, .. } => self.messages.push(Envelope {
@@ -583,7 +609,7 @@
             && self.instance(forward.to).is_some();
         if !is_reachable {
             self.forwards.remove(index);
-            self.feed(
+            self.feed_from_connection(
                 forward.from.vm,
                 Event::ForwardFailed {
                     exchange: forward.exchange,
@@ -669,7 +695,7 @@
                 }
             }
         };
-        self.feed(dispatch.node.vm, event);
+        self.feed_from_connection(dispatch.node.vm, event);
     }
 
     /// Ends a dispatch with a failure that the node sees.
@@ -696,7 +722,7 @@
         }
         if self.instance(dispatch.node.vm) == Some(dispatch.node) {
             let attempt = dispatch.attempt;
-            self.feed(dispatch.node.vm, Event::Failed { attempt, failure });
+            self.feed_from_connection(dispatch.node.vm, Event::Failed { attempt, failure });
         }
     }
 
@@ -709,7 +735,7 @@
                 .retain(|dispatch| dispatch.request != request);
         }
         if self.instance(instance.vm) == Some(instance) {
-            self.feed(
+            self.feed_from_connection(
                 instance.vm,
                 Event::CancelEnded {
                     cancel,
@@ -760,10 +786,10 @@
     pub fn run_to_completion(&mut self) {
         self.partitions.clear();
         self.platform_up = true;
-        self.nodes
-            .values_mut()
-            .flatten()
-            .for_each(|node| node.paused = false);
+        let vms: Vec<Vm> = self.nodes.keys().copied().collect();
+        for vm in vms {
+            self.set_paused(vm, false);
+        }
         for _ in 0..100 {
             self.run_without_faults(TICK * 5);
             while !self.dispatches.is_empty() {
