--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -287,7 +287,10 @@
         } else if failure == Failure::Rejected {
             self.fail_call(
                 call,
-                weaken_if_run(Refusal::not_run(Reason::RunnerRefused), request.may_have_run),
+                weaken_if_run(
+                    Refusal::not_run(Reason::RunnerRefused),
+                    request.may_have_run,
+                ),
             );
         } else if is_exhausted {
             let refusal = Refusal::not_run(Reason::NoRunner);
--- a/crates/core/src/reduce/membership.rs
+++ b/crates/core/src/reduce/membership.rs
@@ -135,7 +135,7 @@
     }
 
     pub(super) fn handle_probe(&mut self, from: Instance, number: u64, ticket: Ticket) {
-        self.observe_ticket(ticket);
+        self.observe_peer_ticket(ticket);
         let local_ticket = self.state.table.newest();
         self.send(
             from.vm,
@@ -167,7 +167,7 @@
     }
 
     pub(super) fn handle_probe_ack(&mut self, from: Instance, number: u64, ticket: Ticket) {
-        self.observe_ticket(ticket);
+        self.observe_peer_ticket(ticket);
         self.notify_suspected(from);
         let Some(probe) = self.state.probes.get(&number).copied() else {
             return;
--- a/crates/core/src/reduce/platform.rs
+++ b/crates/core/src/reduce/platform.rs
@@ -61,8 +61,9 @@
     }
 
     /// Marks the tickets as known once this process has caught up with the platform and with the
-    /// newest ticket that any peer has reported. While the platform is unavailable, the peers'
-    /// tickets are enough.
+    /// newest ticket that any peer has reported. The platform's answer may be stale, so a peer must
+    /// have reported its newest ticket, unless there is none or none responds. While the platform is
+    /// unavailable, the peers' tickets are enough.
     fn update_tickets_known(&mut self) {
         let reads = &self.state.reads;
         if reads.tickets_known {
@@ -73,7 +74,8 @@
             && any_seen
             && self.state.table.newest() > 0;
         let up_to_date = self.state.table.newest() >= self.state.newest_known_ticket;
-        if up_to_date && (reads.platform_caught_up || peers_only) {
+        let peers_asked = reads.peer_ticket_heard || self.state.has_no_peer(self.now.up);
+        if up_to_date && peers_asked && (reads.platform_caught_up || peers_only) {
             self.state.reads.tickets_known = true;
         }
     }
@@ -103,8 +105,8 @@
         self.state.reads.consecutive_failures = 0;
         self.apply_tickets(tickets);
         self.observe_ticket(newest);
-        // A stale platform, which is behind the tickets in force here, counts as caught up with
-        // too; `update_tickets_known` also requires that no peer has reported a newer ticket.
+        // A platform that is behind the tickets in force here counts as caught up with too;
+        // `update_tickets_known` also asks the peers.
         self.state.reads.platform_caught_up |= self.state.table.newest() >= newest;
         let delay = if self.is_watcher() {
             Duration::ZERO
@@ -155,17 +157,28 @@
             return;
         };
         if self.state.table.skip(number, text.clone()) == Applied::New {
-            self.state.counters.tickets_refused += 1;
-            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            let detail = Detail::Faults(lines.join("; ").into());
-            self.record_event(
-                Draft::new(Kind::TicketRefused)
-                    .ticket(number)
-                    .detail(detail),
-            );
+            self.record_refused_ticket(number, faults);
         }
     }
 
+    /// Records the faults for which a ticket, or a snapshot up to that ticket, is not applied.
+    pub(super) fn record_refused_ticket(&mut self, number: id::Ticket, faults: &[Fault]) {
+        self.state.counters.tickets_refused += 1;
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let detail = Detail::Faults(lines.join("; ").into());
+        self.record_event(
+            Draft::new(Kind::TicketRefused)
+                .ticket(number)
+                .detail(detail),
+        );
+    }
+
+    /// Records the newest ticket number of a peer.
+    pub(super) fn observe_peer_ticket(&mut self, number: id::Ticket) {
+        self.state.reads.peer_ticket_heard = true;
+        self.observe_ticket(number);
+    }
+
     /// Records a ticket number that the platform or a peer has.
     pub(super) fn observe_ticket(&mut self, number: id::Ticket) {
         self.state.newest_known_ticket = self.state.newest_known_ticket.max(number);
--- a/crates/core/src/reduce/ticket_sync.rs
+++ b/crates/core/src/reduce/ticket_sync.rs
@@ -128,9 +128,13 @@
             .flatten()
             .collect();
         *pending = None;
-        if self.state.table.merge_snapshot(newest, &versions) {
-            self.observe_ticket(newest);
-            self.clear_behind_if_current();
+        match self.state.table.merge_snapshot(newest, &versions) {
+            Ok(true) => {
+                self.observe_ticket(newest);
+                self.clear_behind_if_current();
+            }
+            Ok(false) => {}
+            Err(faults) => self.record_refused_ticket(newest, &faults),
         }
     }
 }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -112,6 +112,8 @@
     /// Whether this process has caught up with the platform since the start or the last late
     /// wake-up.
     pub platform_caught_up: bool,
+    /// Whether a peer has reported its newest ticket since the start or the last late wake-up.
+    pub peer_ticket_heard: bool,
     /// Number of consecutive failed reads.
     pub consecutive_failures: u32,
     /// Earliest time of the next pull of tickets from a peer.
@@ -262,11 +264,14 @@
     /// Returns whether a witness can be assigned, no other VM exists that could be one, or the wait
     /// for a peer is over.
     fn knows_peers(&self, up: Duration) -> bool {
-        if up >= self.settings.peer_wait {
-            return true;
-        }
         let any_seen = self.members.iter().any(|member| member.seen_directly);
-        self.reads.list_known && (any_seen || self.members.is_empty())
+        self.has_no_peer(up) || (self.reads.list_known && any_seen)
+    }
+
+    /// Whether the list of VMs names no other, or none has been heard for so long that this process
+    /// continues without any.
+    pub fn has_no_peer(&self, up: Duration) -> bool {
+        up >= self.settings.peer_wait || (self.reads.list_known && self.members.is_empty())
     }
 
     /// Returns why this process does not accept callers, or `None` if it does.
--- a/crates/core/src/ticket/table.rs
+++ b/crates/core/src/ticket/table.rs
@@ -5,7 +5,7 @@
 
 use crate::id;
 
-use super::schema::{ClassItem, EndpointItem, Item, Limit, Ticket};
+use super::schema::{ClassItem, EndpointItem, Fault, Item, Limit, Ticket};
 
 #[derive(Debug, Clone)]
 struct Entry {
@@ -121,31 +121,30 @@
 
     /// Merges a complete snapshot, keeping of each item the version with the higher ticket number.
     /// Returns whether the snapshot was newer than the table.
-    pub fn merge_snapshot(&mut self, newest: id::Ticket, versions: &[Version]) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// The faults of the items that can't be parsed. The table then stays as it is: a part of a
+    /// snapshot must not be in force under the number of the whole.
+    pub fn merge_snapshot(
+        &mut self,
+        newest: id::Ticket,
+        versions: &[Version],
+    ) -> Result<bool, Vec<Fault>> {
         if newest <= self.newest {
-            return false;
+            return Ok(false);
         }
-        for version in versions {
-            let known_ticket = self
-                .items
-                .get(&version.name)
-                .map_or(0, |entry| entry.ticket);
-            let Ok(item) = Item::parse(&version.name, &version.text) else {
-                continue;
-            };
-            if version.ticket > known_ticket {
-                let entry = Entry {
-                    ticket: version.ticket,
-                    item: Arc::new(item),
-                    text: version.text.clone(),
-                };
-                self.items.insert(version.name.clone(), entry);
+        let entries = parse_versions(versions)?;
+        for (name, entry) in entries {
+            let known = self.items.get(&name).map_or(0, |known| known.ticket);
+            if entry.ticket > known {
+                self.items.insert(name, entry);
             }
         }
         self.newest = newest;
         self.log.clear();
         self.log_bytes = 0;
-        true
+        Ok(true)
     }
 
     fn check_order(&self, number: id::Ticket) -> Applied {
@@ -218,3 +217,27 @@
             .map(|(name, entry)| (name.as_str(), entry.ticket))
     }
 }
+
+/// Parses the items of a snapshot, or lists the faults of all that can't be parsed.
+fn parse_versions(versions: &[Version]) -> Result<Vec<(String, Entry)>, Vec<Fault>> {
+    let mut entries = Vec::new();
+    let mut faults = Vec::new();
+    for version in versions {
+        match Item::parse(&version.name, &version.text) {
+            Ok(item) => {
+                let entry = Entry {
+                    ticket: version.ticket,
+                    item: Arc::new(item),
+                    text: version.text.clone(),
+                };
+                entries.push((version.name.clone(), entry));
+            }
+            Err(found) => faults.extend(found),
+        }
+    }
+    if faults.is_empty() {
+        Ok(entries)
+    } else {
+        Err(faults)
+    }
+}
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -250,6 +250,26 @@
     assert_eq!(world.newest_ticket(2), Some(3));
 }
 
+/// A process that starts must not serve by the tickets of a stale platform before a peer has told
+/// what is newest.
+#[test]
+fn ready_stale_platform_at_start() {
+    let mut world = World::converged(NODES, 3);
+    world.publish_ticket();
+    world.run_without_faults(APPLIED_WITHIN);
+    world.crash(2);
+    world.platform_newest = 1;
+    world.start(2);
+    let started = world.now;
+    while world.now < started + Duration::from_secs(5) {
+        world.run_without_faults(TICK);
+        let node = world.nodes[&2].as_ref().expect("runs");
+        let is_ready = node.state.unready_reason(world.now - started).is_none();
+        assert!(!is_ready || world.newest_ticket(2) == Some(2));
+    }
+    assert_eq!(world.newest_ticket(2), Some(2));
+}
+
 #[test]
 fn snapshot_to_lagging_node() {
     let mut world = World::converged(3, 4);
--- a/crates/core/tests/refusal.rs
+++ b/crates/core/tests/refusal.rs
@@ -80,9 +80,7 @@
     world.execute(0);
     world.crash(1);
     world.dispatches.clear();
-    let index = world
-        .call(2, Some(id), repeatable_call(), 0)
-        .expect("open");
+    let index = world.call(2, Some(id), repeatable_call(), 0).expect("open");
     for _ in 0..8 {
         world.run_without_faults(Duration::from_secs(1));
         while !world.dispatches.is_empty() {
--- a/crates/core/tests/ticket.rs
+++ b/crates/core/tests/ticket.rs
@@ -1,7 +1,7 @@
 //! Ticket validation, and the table that tickets are applied to.
 
 use expect_test::expect;
-use hornbeamtiller_core::ticket::{Applied, Table, Ticket};
+use hornbeamtiller_core::ticket::{Applied, Table, Ticket, Version};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -70,13 +70,19 @@
     old.apply(&limit(1, 4));
     let mut table = old.clone();
     table.apply(&limit(2, 5));
-    assert!(!table.merge_snapshot(old.newest(), &old.snapshot()));
+    assert!(matches!(
+        table.merge_snapshot(old.newest(), &old.snapshot()),
+        Ok(false)
+    ));
     assert_eq!(table.newest(), 2);
     assert_eq!(
         table.organisation("o").map(|limit| limit.concurrent),
         Some(5)
     );
-    assert!(old.merge_snapshot(table.newest(), &table.snapshot()));
+    assert!(matches!(
+        old.merge_snapshot(table.newest(), &table.snapshot()),
+        Ok(true)
+    ));
     assert_eq!(old.organisation("o").map(|limit| limit.concurrent), Some(5));
 }
 
@@ -122,3 +128,25 @@
         }
     }
 }
+
+#[test]
+fn merge_snapshot_with_faulty_item() {
+    let mut newer = Table::default();
+    newer.apply(&limit(1, 4));
+    newer.apply(&limit(2, 5));
+    let mut versions = newer.snapshot();
+    versions.push(Version {
+        name: "organisation/p".into(),
+        ticket: 2,
+        text: "{\"concurrent\":\"many\"}".into(),
+    });
+    let mut table = Table::default();
+    table.apply(&limit(1, 4));
+    let faults = table.merge_snapshot(2, &versions).expect_err("refused");
+    assert_eq!(faults.len(), 1);
+    assert_eq!(table.newest(), 1);
+    assert_eq!(
+        table.organisation("o").map(|limit| limit.concurrent),
+        Some(4)
+    );
+}
--- a/crates/hornbeamctl/src/bench/fleet.rs
+++ b/crates/hornbeamctl/src/bench/fleet.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use error_stack::Report;
 use hornbeamtiller_core::ticket::Ticket;
 use hornbeamtiller_http::client::Client;
 use hornbeamtiller_standin::observed::Observed;
@@ -19,7 +20,7 @@
 use super::report::{self, Bounds};
 use crate::caller::{self, Request};
 use crate::cli::{FaultKind, FleetFlags};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::fleet::{myto_settings, run_with_fleet, send_control_requests, Fleet, OPERATOR_TOKEN};
 
 /// Bound on the time until a ticket is in force at every ready node, in milliseconds.
@@ -229,22 +230,36 @@
         tickets
     }
 
-    /// Publishes a ticket and records the time until it is in force at every ready node, at most
-    /// [`WAIT_TIMEOUT`].
+    /// Publishes a ticket and records the time until it is in force at every ready node.
     async fn publish(&self, items: Value) -> Result<()> {
+        let number = self.publish_only(items).await?;
+        self.await_in_force(number).await
+    }
+
+    /// Publishes a ticket and returns its number.
+    async fn publish_only(&self, items: Value) -> Result<u64> {
         let request = Request::post("/control/tickets", &json!({ "items": items }));
         let published: Value = caller::send_for_json(&self.client, self.control, request).await?;
-        let number = published["number"].as_u64().unwrap_or(0);
+        let number = published["number"].as_u64();
+        number.ok_or_else(|| Report::new(Error::Unexpected("the ticket got no number".into())))
+    }
+
+    /// Records the time until a ticket is in force at every ready node, of which there must be one.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bound`] if that takes longer than [`WAIT_TIMEOUT`].
+    async fn await_in_force(&self, number: u64) -> Result<()> {
         let started = Instant::now();
-        while started.elapsed() < WAIT_TIMEOUT {
-            let is_behind = self
-                .tickets_in_force()
-                .await
-                .iter()
-                .any(|(_, ticket)| *ticket < number);
-            if !is_behind {
+        loop {
+            let tickets = self.tickets_in_force().await;
+            if !tickets.is_empty() && tickets.iter().all(|(_, ticket)| *ticket >= number) {
                 break;
             }
+            if started.elapsed() > WAIT_TIMEOUT {
+                let late = format!("ticket {number} is not in force after {WAIT_TIMEOUT:?}");
+                return Err(Report::new(Error::Bound(late)));
+            }
             monoio::time::sleep(POLL_INTERVAL).await;
         }
         self.ticket_latencies.borrow_mut().push(started.elapsed());
@@ -300,22 +315,30 @@
 }
 
 /// Publishes tickets, then makes the platform stale, down and slow in turn, and publishes another
-/// while it is slow.
+/// in each state. Those that nobody can read at first must be in force soon after the next state has
+/// begun, which begins sound.
 async fn publish_during_outages(run: &Run) -> Result<()> {
     for limit in 0..5 {
-        run.publish(json!({ "organisation/bench": { "concurrent": 100 + limit } }))
-            .await?;
+        run.publish(ticket_items(100 + limit)).await?;
+    }
+    for fault in [json!({ "stale_at": 2 }), json!({ "down": true })] {
+        run.set_platform_fault(fault).await?;
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        let number = run.publish_only(ticket_items(150)).await?;
+        monoio::time::sleep(Duration::from_secs(1)).await;
+        run.set_platform_fault(json!({})).await?;
+        run.await_in_force(number).await?;
     }
-    run.set_platform_fault(json!({ "stale_at": 2 })).await?;
-    monoio::time::sleep(Duration::from_secs(2)).await;
-    run.set_platform_fault(json!({ "down": true })).await?;
-    monoio::time::sleep(Duration::from_secs(2)).await;
     run.set_platform_fault(json!({ "slow_ms": 300 })).await?;
-    run.publish(json!({ "organisation/bench": { "concurrent": 200 } }))
-        .await?;
+    run.publish(ticket_items(200)).await?;
     run.set_platform_fault(json!({})).await
 }
 
+/// A ticket that sets the limit of an organisation.
+fn ticket_items(limit: u32) -> Value {
+    json!({ "organisation/bench": { "concurrent": limit } })
+}
+
 /// Drains and replaces all nodes, one after the other.
 async fn replace_nodes(run: &Run) -> Result<()> {
     let count = run.fleet.borrow().members.len();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -168,6 +168,9 @@
     fn new(connections: Rc<Connections>) -> Self {
         let id = connections.last_id.get() + 1;
         connections.last_id.set(id);
+        // Counts from now on; `register` sets the task's own waker.
+        let waker = Waker::noop().clone();
+        connections.wakers.borrow_mut().insert(id, waker);
         Self { connections, id }
     }
 
@@ -194,8 +197,12 @@
     connections: Rc<Connections>,
 ) {
     loop {
-        while connections.wakers.borrow().len() >= limits.connections {
-            monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        if connections.wakers.borrow().len() >= limits.connections {
+            let delay = pin!(monoio::time::sleep(ACCEPT_RETRY_DELAY));
+            match select(delay, &mut stop_signal).await {
+                Either::Left(_) => continue,
+                Either::Right(_) => return,
+            }
         }
         let next = pin!(listener.accept());
         match select(next, &mut stop_signal).await {
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -41,6 +41,24 @@
         }
     }
 
+    /// Changes the bounds and keeps what was counted. If the window changes, all of it counts as of
+    /// now, so that the change never allows more retries than either window does.
+    pub fn reconfigure(&mut self, now: Duration, ratio: f64, slack: f64, window: Duration) {
+        self.ratio = ratio;
+        self.slack = slack;
+        let slice = window / SLICES;
+        if slice == self.slice {
+            return;
+        }
+        let requests = self.slices.iter().map(|slice| slice.requests).sum();
+        let retries = self.slices.iter().map(|slice| slice.retries).sum();
+        self.slice = slice;
+        self.slices.clear();
+        let current = self.current_slice(now);
+        current.requests = requests;
+        current.retries = retries;
+    }
+
     /// Counts a request, which adds to the budget.
     pub fn record_request(&mut self, now: Duration) {
         self.current_slice(now).requests += 1;
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -269,7 +269,10 @@
             return false;
         };
         let has_capacity = (used as f64) < engine.kv_capacity_tokens as f64 * SPARE_MEMORY_FRACTION;
-        let Some(kv) = call.kv.take().filter(|_| has_capacity) else {
+        if !has_capacity {
+            return false;
+        }
+        let Some(kv) = call.kv.take() else {
             return false;
         };
         call.kv_unavailable = true;
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -114,6 +114,14 @@
             changed => format!("changed: {}", changed.join(", ")),
         };
         self.log(Entry::new(Kind::Reloaded).outcome(outcome));
+        for budget in self.state.budgets.values_mut() {
+            budget.reconfigure(
+                self.now,
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window,
+            );
+        }
         self.state.settings = settings;
         self.state.seeds = seeds;
     }
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use hornbeamtiller_relay::budget::Budget;
-use hornbeamtiller_relay::event::Outcome;
+use hornbeamtiller_relay::event::{Event, Outcome};
+use hornbeamtiller_relay::settings::Settings;
 use proptest::prelude::*;
-use support::{dispatches, ms, Harness, IDEMPOTENT};
+use support::{dispatch, dispatches, ms, Harness, IDEMPOTENT};
 
 /// Length of the retry window.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -99,3 +100,32 @@
     assert!(retries as f64 <= 0.2 * 400.0 + 50.0, "{retries} retries");
     assert!(retries > 40, "{retries} retries");
 }
+
+/// Requests of an endpoint that was called before a reload follow the reloaded bounds.
+#[test]
+fn settings_reloaded_known_endpoint() {
+    let mut harness = Harness::new(1);
+    dispatches(&harness.arrive(IDEMPOTENT));
+    let settings = Settings {
+        retry_ratio: 0.0,
+        retry_slack: 0.0,
+        ..harness.state.settings.clone()
+    };
+    harness.apply(Event::SettingsReloaded {
+        settings,
+        seeds: Vec::new(),
+    });
+    let run = dispatch(&harness.arrive(IDEMPOTENT));
+    let again = harness.end_attempt(run.attempt, Outcome::Answered { status: 500 });
+    assert!(dispatches(&again).is_empty());
+}
+
+#[test]
+fn reconfigure_window_keeps_counts() {
+    let mut budget = Budget::new(0.0, 10.0, WINDOW);
+    while budget.try_take(ms(0), 1) {}
+    budget.reconfigure(ms(1_000), 0.0, 10.0, WINDOW / 2);
+    assert!(!budget.try_take(ms(1_000), 1));
+    assert!(!budget.try_take(ms(5_900), 1));
+    assert!(budget.try_take(ms(7_000), 1));
+}
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -234,6 +234,28 @@
     assert_ne!(next.runner, kv.runner);
 }
 
+/// A decode engine that is full by the loads of the other VMs declines: the KV cache is still good
+/// and goes to another engine.
+#[test]
+fn attempt_ended_declined_full_keeps_kv() {
+    let mut harness = Harness::new(1);
+    let run = harness.start_stream(STREAM);
+    let Operation::Generate { kv: Some(kv), .. } = run.operation.clone() else {
+        panic!("expected a KV cache");
+    };
+    report_full(&mut harness, &run.runner);
+    let effects = harness.end_attempt(run.attempt, Outcome::Declined(Decline::Full));
+    let retry = dispatch(&effects);
+    assert_ne!(retry.runner, run.runner);
+    assert_eq!(
+        retry.operation,
+        Operation::Generate {
+            kv: Some(kv),
+            resume_after: None
+        }
+    );
+}
+
 #[test]
 fn arrived_no_prefill_runner() {
     let mut harness = Harness::new(1);
