--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -1,5 +1,7 @@
 //! Writes the reducer's decision log as structured log lines.
 
+use std::time::Duration;
+
 use hornbeamtiller_relay::decision_log::Entry;
 use log::kv::{Error, Key, Source, Value, VisitSource};
 
@@ -23,13 +25,22 @@
             visitor.visit_pair(Key::from_str("version"), Value::from(version))?;
         }
         if let Some(age) = entry.age {
-            let millis = age.as_micros() as f64 / 1e3;
-            visitor.visit_pair(Key::from_str("ms"), Value::from(millis))?;
+            visitor.visit_pair(Key::from_str("ms"), Value::from(millis(age)))?;
+        }
+        if let Some(tokens) = entry.tokens {
+            visitor.visit_pair(Key::from_str("tokens"), Value::from(tokens))?;
+        }
+        if let Some(target) = entry.target {
+            visitor.visit_pair(Key::from_str("target_ms"), Value::from(millis(target)))?;
         }
         Ok(())
     }
 }
 
+fn millis(duration: Duration) -> f64 {
+    duration.as_micros() as f64 / 1e3
+}
+
 /// Writes an entry at level `info`, with its kind as the message.
 pub fn write(entry: &Entry) {
     if !log::log_enabled!(log::Level::Info) {
--- a/crates/hornbeamctl/src/bench/mod.rs
+++ b/crates/hornbeamctl/src/bench/mod.rs
@@ -4,7 +4,7 @@
 mod fleet;
 mod once;
 mod overhead;
-mod report;
+pub mod report;
 
 use crate::cli::{BenchCommand, BenchFlags};
 use crate::error::Result;
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -117,10 +117,18 @@
 #[derive(Debug, Args)]
 pub struct ExplainFlags {
     /// Id of the request to explain.
-    pub request: String,
+    #[arg(required_unless_present = "losses")]
+    pub request: Option<String>,
     /// Log files with what processes wrote to standard output.
-    #[arg(required = true)]
+    #[arg(required_unless_present = "losses")]
     pub files: Vec<PathBuf>,
+    /// Counts all requests of the log files under the decisions that lost them, instead of explaining
+    /// one.
+    #[arg(long, num_args = 1.., value_name = "FILES", conflicts_with_all = ["request", "files"])]
+    pub losses: Option<Vec<PathBuf>>,
+    /// Prints the losses as JSON.
+    #[arg(long, requires = "losses")]
+    pub json: bool,
 }
 
 /// Flags of `entries`.
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -5,44 +5,14 @@
 //! was reachable, and what it knew of the runners that the request was sent to.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
 
-use chrono::{DateTime, FixedOffset, TimeDelta};
-use error_stack::ResultExt as _;
-use serde::Deserialize;
+use chrono::TimeDelta;
 
 use crate::cli::ExplainFlags;
+use crate::commands::log_file::{read_lines, Line, Timestamp};
+use crate::commands::losses;
 use crate::error::{Error, Result};
 
-/// Time at which a line was written, by the clock of its process.
-type Timestamp = DateTime<FixedOffset>;
-
-/// One line of a log file.
-#[derive(Debug, Clone, Deserialize)]
-struct Line {
-    time: Timestamp,
-    message: String,
-    #[serde(default)]
-    attributes: Attributes,
-    /// Name of the process: the word before the JSON, or else the name of the file without its
-    /// extension.
-    #[serde(skip)]
-    source: String,
-}
-
-/// Attributes of a line; the log writes numbers as strings.
-#[derive(Debug, Clone, Default, Deserialize)]
-#[serde(default)]
-struct Attributes {
-    request: Option<String>,
-    runner: Option<String>,
-    attempt: Option<String>,
-    outcome: Option<String>,
-    version: Option<String>,
-    ms: Option<String>,
-}
-
 /// Prints how each process handled a request.
 ///
 /// # Errors
@@ -50,6 +20,11 @@
 /// [`Error::NotFound`] if no file has a line on the request, [`Error::File`] if a file can't be
 /// read.
 pub fn run(flags: &ExplainFlags) -> Result<()> {
+    if let Some(files) = &flags.losses {
+        return losses::run(files, flags.json);
+    }
+    // The flags require a request where no losses are asked for.
+    let request = flags.request.as_deref().unwrap_or_default();
     let mut logs: BTreeMap<String, Vec<Line>> = BTreeMap::new();
     for path in &flags.files {
         for line in read_lines(path)? {
@@ -58,43 +33,18 @@
     }
     let mut found = false;
     for (source, lines) in &logs {
-        if let Some(explanation) = explain_process(source, lines, &flags.request) {
+        if let Some(explanation) = explain_process(source, lines, request) {
             found = true;
             print!("{explanation}");
         }
     }
     if !found {
-        let message = format!("no log line for request {}", flags.request);
+        let message = format!("no log line for request {request}");
         return Err(error_stack::Report::new(Error::NotFound(message)));
     }
     Ok(())
 }
 
-/// Reads the log lines of a file and skips all others. Text before the JSON names the process, for
-/// files that several processes write to.
-fn read_lines(path: &PathBuf) -> Result<Vec<Line>> {
-    let unreadable = || Error::File(path.display().to_string());
-    let file = std::fs::File::open(path).change_context_lazy(unreadable)?;
-    let mut lines = Vec::new();
-    for bytes in BufReader::new(file).split(b'\n') {
-        let bytes = bytes.change_context_lazy(unreadable)?;
-        lines.extend(parse_line(&String::from_utf8_lossy(&bytes), path));
-    }
-    Ok(lines)
-}
-
-fn parse_line(text: &str, path: &Path) -> Option<Line> {
-    let (prefix, json) = text.split_at(text.find('{')?);
-    // Text that isn't a log line comes from other programs that write to the file.
-    let mut line: Line = serde_json::from_str(json).ok()?;
-    let stem = path.file_stem().unwrap_or_default().to_string_lossy();
-    line.source = match prefix.split_whitespace().last() {
-        Some(name) => name.to_owned(),
-        None => stem.into_owned(),
-    };
-    Some(line)
-}
-
 /// Explains a request from the log of one process; `None` if the log has no line on it.
 fn explain_process(source: &str, lines: &[Line], request: &str) -> Option<String> {
     let is_for_request = |line: &&Line| line.attributes.request.as_deref() == Some(request);
@@ -171,6 +121,13 @@
         "attempt_failed" => format!("attempt {attempt}: failed at {runner} after {ms} ms: {outcome}"),
         "given_up" => format!("attempt {attempt}: cancelled at {runner}: {outcome}"),
         "waits" => "waiting for capacity at a runner".to_owned(),
+        "granted" => {
+            format!("{outcome} granted capacity at {runner} after {ms} ms (grant {version})")
+        }
+        "first_event" => {
+            format!("attempt {attempt}: first event forwarded {ms} ms after the request")
+        }
+        "paused" => format!("attempt {attempt}: stream paused for {ms} ms"),
         "answered" => format!(
             "attempt {attempt}: {runner} responded with status {outcome} after {ms} ms; response \
              forwarded"
--- a/crates/hornbeamctl/src/commands/mod.rs
+++ b/crates/hornbeamctl/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! Commands for operators.
 
 pub mod explain;
+pub mod log_file;
+pub mod losses;
 pub mod operator;
 pub mod standin;
 pub mod ticket;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -75,6 +75,8 @@
     pub last_position: Option<u64>,
     /// When the last event was received from a runner.
     pub last_event_at: Duration,
+    /// Whether a pause between two events exceeded the target.
+    pub has_paused: bool,
 }
 
 /// A request for capacity to an allocator.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -21,6 +21,12 @@
     GivenUp,
     /// A request waits for capacity.
     Waits,
+    /// A request was granted capacity by an allocator.
+    Granted,
+    /// The first event of a stream was forwarded.
+    FirstEvent,
+    /// A stream paused for longer than its target gap, for the first time.
+    Paused,
     /// A runner's response was forwarded.
     Answered,
     /// A stream ended completely.
@@ -66,6 +72,10 @@
     pub version: Option<u64>,
     /// Age of the input that decided, or the duration of what ended.
     pub age: Option<Duration>,
+    /// Tokens of the prompt of a model request.
+    pub tokens: Option<u64>,
+    /// Target latency of the request.
+    pub target: Option<Duration>,
 }
 
 impl Entry {
@@ -79,6 +89,8 @@
             outcome: None,
             version: None,
             age: None,
+            tokens: None,
+            target: None,
         }
     }
 
@@ -117,4 +129,16 @@
         self.age = Some(age);
         self
     }
+
+    /// Sets the tokens of the prompt, if there is one.
+    pub fn tokens(mut self, tokens: Option<u64>) -> Self {
+        self.tokens = tokens;
+        self
+    }
+
+    /// Sets the target latency.
+    pub fn target(mut self, target: Duration) -> Self {
+        self.target = Some(target);
+        self
+    }
 }
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -8,6 +8,7 @@
 
 use crate::allocation::{self, Batch, Claim, Group, Limits, Urgency};
 use crate::call::{Ask, Grant, Phase};
+use crate::decision_log::{Entry, Kind};
 use crate::event::Effect;
 use crate::id;
 use crate::manifest::Engine;
@@ -290,7 +291,17 @@
         if call.ask.as_ref().map(|ask| &ask.allocator) != Some(allocator) {
             return;
         }
-        call.ask = None;
+        let asked_at = call.ask.take().map(|ask| ask.asked_at);
+        let id = call.id.clone();
+        let waited = self.now.saturating_sub(asked_at.unwrap_or(self.now));
+        self.log(
+            Entry::new(Kind::Granted)
+                .request(&id)
+                .runner(&granted.decode)
+                .version(granted.number)
+                .outcome(allocator)
+                .age(waited),
+        );
         self.state.last_attempt += 1;
         let charge = self.state.last_attempt;
         self.charge(charge, &granted.decode, load);
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -68,7 +68,9 @@
             Entry::new(Kind::Accepted)
                 .request(&call.id)
                 .version(call.manifest_version)
-                .outcome(&call.route.name),
+                .outcome(&call.route.name)
+                .tokens(call.prompt.map(|prompt| prompt.tokens))
+                .target(call.route.target_latency),
         );
         self.state.calls.insert(arrival.call, call);
         self.advance(arrival.call);
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -1,6 +1,9 @@
 //! Streams forwarded to callers: each event once, in order, from one attempt at a time.
 
+use std::time::Duration;
+
 use crate::call::Phase;
+use crate::decision_log::{Entry, Kind};
 use crate::event::{Effect, Sample};
 use crate::id;
 
@@ -21,6 +24,13 @@
         call.kv = None;
         if !std::mem::replace(&mut call.progress.head_forwarded, true) {
             let took = now.saturating_sub(call.arrived_at);
+            let id = call.id.clone();
+            self.log(
+                Entry::new(Kind::FirstEvent)
+                    .request(&id)
+                    .attempt(attempt)
+                    .age(took),
+            );
             self.emit(Effect::ForwardHead { call: number });
             self.emit(Effect::Measure(Sample::FirstEvent { took }));
         }
@@ -47,7 +57,12 @@
         {
             *attempt_deadline = can_resume.then_some(now + timeout);
         }
+        let gap = now.saturating_sub(call.progress.last_event_at);
+        let has_started = call.progress.last_event_at > Duration::ZERO;
+        let is_pause = has_started && gap > call.route.target_event_gap;
+        let is_first_pause = is_pause && !std::mem::replace(&mut call.progress.has_paused, true);
         call.progress.last_event_at = now;
+        let id = call.id.clone();
         let is_duplicate = matches!(
             (position, call.progress.last_position),
             (Some(new), Some(last)) if new <= last
@@ -56,6 +71,10 @@
             return;
         }
         call.progress.last_position = position.or(call.progress.last_position);
+        if is_first_pause {
+            let entry = Entry::new(Kind::Paused).request(&id).attempt(attempt);
+            self.log(entry.age(gap));
+        }
         self.emit(Effect::ForwardEvent { call: number });
     }
 
