relay: the pass of an allocator in short steps; probes carry no load

Allocator::allocate did five things in one function: Round, Placement and Delivery are types of their own now, and so is the decision whether a claim is sent (Step). No decision changes.

--- a/crates/relay/src/allocation.rs
+++ b/crates/relay/src/allocation.rs
@@ -142,6 +142,19 @@
     pub grants: Vec<Grant>,
 }
 
+/// Grants for one VM, and where to send them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delivery {
+    /// Address of the VM for peers.
+    pub address: SocketAddr,
+    /// The VM.
+    pub vm: id::Vm,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+    /// The grants.
+    pub grants: Vec<Grant>,
+}
+
 /// A VM as an allocator knows it.
 #[derive(Debug, Clone)]
 struct Client {
@@ -203,8 +216,7 @@
             .any(|client| !client.claim.asks.is_empty())
     }
 
-    /// Grants capacity to the calls that wait, as far as there is any, and returns the grants by VM with
-    /// the address to send them to.
+    /// Grants capacity to the calls that wait, as far as there is any.
     ///
     /// Calls that can still meet their target latency go first, the most urgent one ahead. The others
     /// use only what these leave, the longest waiting ahead.
@@ -214,80 +226,43 @@
         engines: &BTreeMap<id::Endpoint, Engine>,
         limits: Limits,
         now: Duration,
-    ) -> Vec<(SocketAddr, id::Vm, id::Incarnation, Vec<Grant>)> {
-        let mut loads = self.loads();
-        let mut asks: Vec<(id::Vm, Ask, Duration)> = Vec::new();
-        for client in self.clients.values() {
-            let age = now.saturating_sub(client.received_at);
-            let of_client = client.claim.asks.iter();
-            asks.extend(of_client.map(|ask| (client.claim.vm.clone(), ask.clone(), age)));
-        }
-        let urgency = |(vm, ask, age): &(id::Vm, Ask, Duration)| {
-            (ask.urgency.after(*age), ask.call, vm.clone())
+    ) -> Vec<Delivery> {
+        let mut round = Round {
+            pool,
+            engines,
+            limits,
+            now,
+            loads: self.loads(),
+            refused: HashMap::new(),
         };
-        asks.sort_by_cached_key(urgency);
-        let mut granted: BTreeMap<id::Vm, Vec<Grant>> = BTreeMap::new();
-        // The smallest call that found no room, by what it has in common with others.
-        let mut refused: HashMap<(id::Endpoint, Group, u32, u64), u64> = HashMap::new();
-        for (vm, ask, age) in asks {
-            let Some(engine) = engines.get(&ask.endpoint) else {
+        let mut deliveries: BTreeMap<id::Vm, Delivery> = BTreeMap::new();
+        for (urgency, vm, ask) in self.waiting(now) {
+            let Some(placement) = round.place(&ask, urgency) else {
                 continue;
             };
-            let fraction = match (ask.urgency.after(age), ask.prefill_tokens) {
-                // A prompt that has been prefilled is not wasted for want of a reserve.
-                (_, 0) => 1.0,
-                (Urgency::Late, _) => limits.memory_fraction_late,
-                _ => limits.memory_fraction,
-            };
-            let memory = (engine.kv_capacity_tokens as f64 * fraction) as u64;
-            let kind = (ask.endpoint.clone(), ask.group, ask.groups, memory);
-            if refused
-                .get(&kind)
-                .is_some_and(|tokens| *tokens <= ask.tokens)
-            {
-                continue;
-            }
-            let search = Search {
-                pool,
-                loads: &loads,
-                ask: &ask,
-                now,
-            };
-            let Some(decode) = search.find_decode(engine, memory) else {
-                if ask.excluded.is_empty() {
-                    refused.insert(kind, ask.tokens);
-                }
-                continue;
-            };
-            let prefill = search.find_prefill(&decode.descriptor.zone);
-            let queued_tokens = prefill.map_or(0, |runner| search.load(runner).prefill_tokens);
-            let decode = decode.descriptor.runner.clone();
-            let prefill = prefill.map(|runner| runner.descriptor.runner.clone());
-            let added = added_loads(&ask, &decode, prefill.as_ref());
-            for (runner, load) in &added {
-                loads.entry(runner.clone()).or_default().add(*load);
-            }
             let Some(client) = self.clients.get_mut(&vm) else {
                 continue;
             };
-            client.last_grant += 1;
-            let number = client.last_grant;
-            client.unreported.push((number, added));
-            client.claim.asks.retain(|other| other.call != ask.call);
-            granted.entry(vm).or_default().push(Grant {
-                number,
-                call: ask.call,
-                decode,
-                prefill,
-                queued_tokens,
-            });
+            let grant = client.grant(&ask, placement);
+            let delivery = deliveries.entry(vm).or_insert_with(|| client.delivery());
+            delivery.grants.push(grant);
         }
-        let address = |vm: &id::Vm| self.clients.get(vm).map(|client| &client.claim);
-        let addressed = granted.into_iter().filter_map(|(vm, grants)| {
-            let claim = address(&vm)?;
-            Some((claim.peer_address, vm, claim.incarnation, grants))
+        deliveries.into_values().collect()
+    }
+
+    /// The calls that wait, in the order in which they are served.
+    fn waiting(&self, now: Duration) -> Vec<(Urgency, id::Vm, Ask)> {
+        let mut waiting = Vec::new();
+        for client in self.clients.values() {
+            let age = now.saturating_sub(client.received_at);
+            for ask in &client.claim.asks {
+                waiting.push((ask.urgency.after(age), client.claim.vm.clone(), ask.clone()));
+            }
+        }
+        waiting.sort_by(|(urgency, vm, ask), (other_urgency, other_vm, other)| {
+            (urgency, ask.call, vm).cmp(&(other_urgency, other.call, other_vm))
         });
-        addressed.collect()
+        waiting
     }
 
     /// The load at one engine, as far as this VM allocates it.
@@ -309,6 +284,108 @@
     }
 }
 
+impl Client {
+    /// Records that a call got capacity.
+    fn grant(&mut self, ask: &Ask, placement: Placement) -> Grant {
+        self.last_grant += 1;
+        self.claim.asks.retain(|other| other.call != ask.call);
+        self.unreported.push((self.last_grant, placement.added));
+        Grant {
+            number: self.last_grant,
+            call: ask.call,
+            decode: placement.decode,
+            prefill: placement.prefill,
+            queued_tokens: placement.queued_tokens,
+        }
+    }
+
+    /// A delivery to this VM without grants.
+    fn delivery(&self) -> Delivery {
+        Delivery {
+            address: self.claim.peer_address,
+            vm: self.claim.vm.clone(),
+            incarnation: self.claim.incarnation,
+            grants: Vec::new(),
+        }
+    }
+}
+
+/// The engines chosen for a call, and the load that it adds there.
+struct Placement {
+    decode: id::Runner,
+    prefill: Option<id::Runner>,
+    queued_tokens: u64,
+    added: Vec<(id::Runner, Load)>,
+}
+
+/// What calls that find no room have in common: endpoint, group, number of groups, memory limit.
+type Kind = (id::Endpoint, Group, u32, u64);
+
+/// One pass over the calls that wait.
+struct Round<'a> {
+    pool: &'a Pool,
+    engines: &'a BTreeMap<id::Endpoint, Engine>,
+    limits: Limits,
+    now: Duration,
+    /// The load at each engine, with what this pass has granted.
+    loads: HashMap<id::Runner, Load>,
+    /// Size of the smallest call of each kind that found no room; a larger one finds none either.
+    refused: HashMap<Kind, u64>,
+}
+
+impl Round<'_> {
+    /// Finds engines for a call, and counts its load there.
+    fn place(&mut self, ask: &Ask, urgency: Urgency) -> Option<Placement> {
+        let engine = self.engines.get(&ask.endpoint)?;
+        let memory = self.memory(engine, ask, urgency);
+        let kind = (ask.endpoint.clone(), ask.group, ask.groups, memory);
+        if self
+            .refused
+            .get(&kind)
+            .is_some_and(|tokens| *tokens <= ask.tokens)
+        {
+            return None;
+        }
+        let search = Search {
+            pool: self.pool,
+            loads: &self.loads,
+            ask,
+            now: self.now,
+        };
+        let Some(decode) = search.find_decode(engine, memory) else {
+            if ask.excluded.is_empty() {
+                self.refused.insert(kind, ask.tokens);
+            }
+            return None;
+        };
+        let prefill = search.find_prefill(&decode.descriptor.zone);
+        let queued_tokens = prefill.map_or(0, |runner| search.load(runner).prefill_tokens);
+        let decode = decode.descriptor.runner.clone();
+        let prefill = prefill.map(|runner| runner.descriptor.runner.clone());
+        let added = added_loads(ask, &decode, prefill.as_ref());
+        for (runner, load) in &added {
+            self.loads.entry(runner.clone()).or_default().add(*load);
+        }
+        Some(Placement {
+            decode,
+            prefill,
+            queued_tokens,
+            added,
+        })
+    }
+
+    /// KV memory of an engine that may be in use once the call is placed, in tokens.
+    fn memory(&self, engine: &Engine, ask: &Ask, urgency: Urgency) -> u64 {
+        let fraction = match (urgency, ask.prefill_tokens) {
+            // A prompt that has been prefilled is not wasted for want of a reserve.
+            (_, 0) => 1.0,
+            (Urgency::Late, _) => self.limits.memory_fraction_late,
+            _ => self.limits.memory_fraction,
+        };
+        (engine.kv_capacity_tokens as f64 * fraction) as u64
+    }
+}
+
 /// The load that a call adds once it is granted capacity.
 fn added_loads(
     ask: &Ask,
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -31,6 +31,18 @@
 /// Most runners that an ask excludes.
 const EXCLUDED_MAX: usize = 8;
 
+/// What to do about a claim at one allocator.
+enum Step {
+    /// It is sent.
+    Send,
+    /// It has to wait until the one before is acknowledged or a moment has passed.
+    Later,
+    /// The allocator knows that this VM wants nothing, so it gets no further claims.
+    Forget,
+    /// The allocator knows it.
+    Nothing,
+}
+
 /// The allocators of all groups, by this VM's view of the fleet.
 struct Layout {
     groups: u32,
@@ -54,7 +66,7 @@
             .get_mut(&number)
             .and_then(|call| call.reserved_decode.take());
         let name = reserved.or_else(|| grant.as_ref().map(|grant| grant.decode.clone()));
-        let decode = name.and_then(|name| self.usable_decode(&name));
+        let decode = name.and_then(|name| self.find_usable(&name, Purpose::Decode));
         let Some(decode) = decode else {
             self.ask_for_capacity(number);
             return self.wait_for_capacity(number);
@@ -64,21 +76,18 @@
         }
     }
 
-    fn usable_decode(&self, name: &id::Runner) -> Option<Runner> {
+    /// A runner, if it accepts requests for this purpose.
+    fn find_usable(&self, name: &id::Runner, purpose: Purpose) -> Option<Runner> {
         let runner = self.state.pool.get(name)?;
         let is_usable = runner.status == pool::Status::Ready
             && !runner.displaced
-            && !placement::is_cooling_down(runner, Purpose::Decode, self.now);
+            && !placement::is_cooling_down(runner, purpose, self.now);
         is_usable.then(|| runner.clone())
     }
 
     /// The prefill runner of a grant, if it can be used.
     pub(super) fn granted_prefill(&self, grant: &Grant) -> Option<Runner> {
-        let runner = self.state.pool.get(grant.prefill.as_ref()?)?;
-        let is_usable = runner.status == pool::Status::Ready
-            && !runner.displaced
-            && !placement::is_cooling_down(runner, Purpose::Prefill, self.now);
-        is_usable.then(|| runner.clone())
+        self.find_usable(grant.prefill.as_ref()?, Purpose::Prefill)
     }
 
     /// Whether a call was granted capacity at another runner than the one it is at. Asks for it if not.
@@ -242,19 +251,20 @@
             memory_fraction_late: self.state.policy.memory_fraction_late,
         };
         let state = &mut *self.state;
-        let granted = state
+        let deliveries = state
             .allocator
             .allocate(&state.pool, &engines, limits, self.now);
         let local = self.state.local.vm.clone();
-        for (address, vm, incarnation, grants) in granted {
+        for delivery in deliveries {
             let batch = Batch {
                 allocator: local.clone(),
-                incarnation,
-                grants,
+                incarnation: delivery.incarnation,
+                grants: delivery.grants,
             };
-            if vm == local {
+            if delivery.vm == local {
                 self.handle_grants(batch);
             } else {
+                let address = delivery.address;
                 self.emit(Effect::SendGrants { address, batch });
             }
         }
@@ -358,39 +368,52 @@
         self.state.claims.changed = false;
         self.state.load_changed = false;
         for (allocator, claim) in self.build_claims() {
-            let is_local = allocator == self.state.local.vm;
-            if let Some(sent) = self.state.claims.sent.get(&allocator) {
-                let is_recent = !is_local && sent.sent_at + CLAIM_INTERVAL_MIN > now;
-                let is_different = !sent.claim.is_same_as(&claim);
-                if sent.is_unacknowledged || is_recent {
-                    self.state.claims.changed |= is_different;
-                    continue;
-                }
-                if !is_different && !is_due(sent) {
-                    continue;
-                }
-                if claim.is_empty() && sent.claim.is_empty() {
-                    self.state.claims.sent.remove(&allocator);
-                    continue;
-                }
-            } else if claim.is_empty() {
-                continue;
+            match self.next_step(&allocator, &claim) {
+                Step::Send => self.send_claim(allocator, claim),
+                Step::Forget => _ = self.state.claims.sent.remove(&allocator),
+                Step::Later => self.state.claims.changed = true,
+                Step::Nothing => {}
             }
-            let sent = SentClaim {
-                claim: claim.clone(),
-                sent_at: now,
-                is_unacknowledged: !is_local,
+        }
+    }
+
+    /// What to do about the current claim at an allocator.
+    fn next_step(&self, allocator: &id::Vm, claim: &Claim) -> Step {
+        let Some(sent) = self.state.claims.sent.get(allocator) else {
+            return if claim.is_empty() {
+                Step::Nothing
+            } else {
+                Step::Send
             };
-            self.state.claims.sent.insert(allocator.clone(), sent);
-            self.send_claim(&allocator, claim);
+        };
+        let is_local = *allocator == self.state.local.vm;
+        let is_recent = !is_local && sent.sent_at + CLAIM_INTERVAL_MIN > self.now;
+        let is_same = sent.claim.is_same_as(claim);
+        if sent.is_unacknowledged || is_recent {
+            return if is_same { Step::Nothing } else { Step::Later };
+        }
+        if is_same && sent.sent_at + CLAIM_INTERVAL_MAX > self.now {
+            return Step::Nothing;
+        }
+        if claim.is_empty() && sent.claim.is_empty() {
+            Step::Forget
+        } else {
+            Step::Send
         }
     }
 
-    fn send_claim(&mut self, allocator: &id::Vm, claim: Claim) {
-        if *allocator == self.state.local.vm {
+    fn send_claim(&mut self, allocator: id::Vm, claim: Claim) {
+        let is_local = allocator == self.state.local.vm;
+        let sent = SentClaim {
+            claim: claim.clone(),
+            sent_at: self.now,
+            is_unacknowledged: !is_local,
+        };
+        self.state.claims.sent.insert(allocator.clone(), sent);
+        if is_local {
             return self.handle_claim(claim);
         }
-        let member = self.state.members.get(allocator);
+        let member = self.state.members.get(&allocator);
         if let Some(address) = member.map(|member| member.descriptor.peer_address) {
             self.emit(Effect::SendClaim { address, claim });
         }
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -164,8 +164,10 @@
         }
     }
 
-    /// This process's view with its load, but without descriptors of other VMs.
+    /// This process's view with its load, but without descriptors of other VMs. With allocators it has
+    /// no load: they are told that by claims.
     pub(super) fn load_view(&self) -> View {
+        let is_shared = !self.state.policy.allocators;
         View {
             sender: self.state.local.clone(),
             members: Vec::new(),
@@ -175,8 +177,16 @@
             last_change: self.state.pool.last_change,
             runners: None,
             source_reached: self.state.source_reached,
-            loads: self.local_loads(),
-            waiting_calls: self.local_waiting_calls(),
+            loads: if is_shared {
+                self.local_loads()
+            } else {
+                Vec::new()
+            },
+            waiting_calls: if is_shared {
+                self.local_waiting_calls()
+            } else {
+                0
+            },
             reply_requested: false,
         }
     }
--- a/crates/relay/tests/allocation.rs
+++ b/crates/relay/tests/allocation.rs
@@ -69,10 +69,12 @@
 }
 
 fn allocate(allocator: &mut Allocator, now: Duration) -> Vec<(id::Vm, Grant)> {
-    let granted = allocator.allocate(&pool(), &engines(), LIMITS, now);
-    let by_vm = granted
-        .into_iter()
-        .flat_map(|(_, vm, _, grants)| grants.into_iter().map(move |grant| (vm.clone(), grant)));
+    let deliveries = allocator.allocate(&pool(), &engines(), LIMITS, now);
+    let by_vm = deliveries.into_iter().flat_map(|delivery| {
+        let vm = delivery.vm;
+        let grants = delivery.grants.into_iter();
+        grants.map(move |grant| (vm.clone(), grant))
+    });
     by_vm.collect()
 }
 
@@ -272,6 +274,20 @@
     assert!((900..=980).contains(&strong.count()));
 }
 
+/// Probes do not repeat what claims say, so that their size does not depend on the load.
+#[test]
+fn probe_has_no_load() {
+    let mut harness = Harness::new(1);
+    harness.receive_view(member("vm-2", 2, 7), false);
+    harness.arrive(STREAM);
+    let effects = harness.advance(ms(400));
+    let mut views = effects.iter().filter_map(|effect| match effect {
+        Effect::PublishView { view, .. } => Some(view),
+        _ => None,
+    });
+    assert!(views.next().is_some_and(|view| view.loads.is_empty()));
+}
+
 /// An event that is under way to a VM, or a runner's response.
 type Delivery = (usize, Event);
 
