--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -18,6 +18,8 @@
         text("request", entry.request.as_deref())?;
         text("runner", entry.runner.as_deref())?;
         text("outcome", entry.outcome.as_deref())?;
+        text("endpoint", entry.endpoint.as_deref())?;
+        text("charge", entry.charge.map(Into::into))?;
         if let Some(attempt) = entry.attempt {
             visitor.visit_pair(Key::from_str("attempt"), Value::from(attempt))?;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     registry: Registry,
     events: IntCounterVec,
     refusals: IntCounterVec,
+    attempts: IntCounterVec,
+    retry_budget: IntGaugeVec,
     ready: IntGauge,
     calls: IntGauge,
     members: IntGauge,
@@ -50,6 +52,20 @@
             ),
             &["reason", "claim"],
         )?;
+        let attempts = IntCounterVec::new(
+            Opts::new(
+                "attempts_total",
+                "Attempts, prefills included, by what they cost the retry budget.",
+            ),
+            &["endpoint", "charge"],
+        )?;
+        let retry_budget = IntGaugeVec::new(
+            Opts::new(
+                "retry_budget",
+                "Retries that this process may spend and has spent in the current window.",
+            ),
+            &["endpoint", "part"],
+        )?;
         let ready = IntGauge::new("ready", "Whether this process accepts callers.")?;
         let calls = IntGauge::new("calls", "Requests in progress.")?;
         let members = IntGauge::new("members", "Known peers in the fleet.")?;
@@ -75,6 +91,8 @@
         registry.register(Box::new(first_event_seconds.clone()))?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
+        registry.register(Box::new(attempts.clone()))?;
+        registry.register(Box::new(retry_budget.clone()))?;
         for gauge in [&ready, &calls, &members, &manifest] {
             registry.register(Box::new(gauge.clone()))?;
         }
@@ -82,6 +100,8 @@
             registry,
             events,
             refusals,
+            attempts,
+            retry_budget,
             ready,
             calls,
             members,
@@ -119,6 +139,22 @@
         }
     }
 
+    /// Sets the counters of attempts and the gauges of the retry budgets.
+    fn set_attempts(&self, state: &State, now: Duration) {
+        self.attempts.reset();
+        for ((endpoint, charge), count) in &state.counters.attempts {
+            let labels = [&**endpoint, (*charge).into()];
+            self.attempts.with_label_values(&labels).inc_by(*count);
+        }
+        for (endpoint, budget) in &state.budgets {
+            let usage = budget.usage(now, state.members.peak_size);
+            for (part, retries) in [("allowed", usage.allowed), ("spent", usage.spent)] {
+                let gauge = self.retry_budget.with_label_values(&[&**endpoint, part]);
+                gauge.set(i64::from(retries));
+            }
+        }
+    }
+
     /// Renders the metrics for a state.
     ///
     /// # Errors
@@ -127,6 +163,7 @@
     pub fn render(&self, state: &State, now: Duration) -> Result<Vec<u8>, prometheus::Error> {
         let counters = &state.counters;
         self.set_runners(state, now);
+        self.set_attempts(state, now);
         self.events.reset();
         self.refusals.reset();
         for (event, count) in [
--- a/crates/hornbeamctl/src/cli.rs
+++ b/crates/hornbeamctl/src/cli.rs
@@ -117,15 +117,19 @@
 #[derive(Debug, Args)]
 pub struct ExplainFlags {
     /// Id of the request to explain.
-    #[arg(required_unless_present = "losses")]
+    #[arg(required_unless_present_any = ["losses", "retries"])]
     pub request: Option<String>,
     /// Log files with what processes wrote to standard output.
-    #[arg(required_unless_present = "losses")]
+    #[arg(required_unless_present_any = ["losses", "retries"])]
     pub files: Vec<PathBuf>,
     /// Counts all requests of the log files under the decisions that lost them, instead of explaining
     /// one.
     #[arg(long, num_args = 1.., value_name = "FILES", conflicts_with_all = ["request", "files"])]
     pub losses: Option<Vec<PathBuf>>,
+    /// Finds the ten seconds of the log files in which each endpoint got most attempts beyond the first
+    /// of their request, and what these cost the retry budget, instead of explaining a request.
+    #[arg(long, num_args = 1.., value_name = "FILES", conflicts_with_all = ["request", "files", "losses"])]
+    pub retries: Option<Vec<PathBuf>>,
     /// Prints the losses as JSON.
     #[arg(long, requires = "losses")]
     pub json: bool,
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -10,7 +10,7 @@
 
 use crate::cli::ExplainFlags;
 use crate::commands::log_file::{read_lines, Line, Timestamp};
-use crate::commands::losses;
+use crate::commands::{losses, retries};
 use crate::error::{Error, Result};
 
 /// Prints how each process handled a request.
@@ -23,7 +23,10 @@
     if let Some(files) = &flags.losses {
         return losses::run(files, flags.json);
     }
-    // The flags require a request where no losses are asked for.
+    if let Some(files) = &flags.retries {
+        return retries::run(files);
+    }
+    // The flags require a request unless losses or retries are asked for.
     let request = flags.request.as_deref().unwrap_or_default();
     let mut logs: BTreeMap<String, Vec<Line>> = BTreeMap::new();
     for path in &flags.files {
@@ -120,6 +123,7 @@
         ),
         "attempt_failed" => format!("attempt {attempt}: failed at {runner} after {ms} ms: {outcome}"),
         "given_up" => format!("attempt {attempt}: cancelled at {runner}: {outcome}"),
+        "retry_denied" => format!("no retry left in the budget: {outcome}"),
         "waits" => "waiting for capacity at a runner".to_owned(),
         "granted" => {
             format!("{outcome} granted capacity at {runner} after {ms} ms (grant {version})")
--- a/crates/hornbeamctl/src/commands/log_file.rs
+++ b/crates/hornbeamctl/src/commands/log_file.rs
@@ -46,6 +46,10 @@
     pub ms: Option<String>,
     /// Tokens of the prompt.
     pub tokens: Option<String>,
+    /// The endpoint.
+    pub endpoint: Option<String>,
+    /// What an attempt cost the retry budget.
+    pub charge: Option<String>,
     /// Target latency, in milliseconds.
     pub target_ms: Option<String>,
 }
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -12,6 +12,27 @@
 /// exceed the limit.
 const SAFETY_FACTOR: f64 = 0.85;
 
+/// What an attempt cost the retry budget.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Charge {
+    /// Nothing.
+    None,
+    /// One retry.
+    Retry,
+}
+
+/// How much of a budget is spent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Retries allowed in the current window.
+    pub allowed: u32,
+    /// Retries spent in it.
+    pub spent: u32,
+}
+
 /// Requests and retries in one slice.
 #[derive(Debug, Clone, Copy, Default)]
 struct Slice {
@@ -20,6 +41,13 @@
     retries: u32,
 }
 
+impl Slice {
+    /// Whether the slice is within the window that ends with the slice of this number.
+    fn counts_at(&self, number: u64) -> bool {
+        self.number + u64::from(SLICES) >= number
+    }
+}
+
 /// The retry budget of one endpoint.
 #[derive(Debug)]
 pub struct Budget {
@@ -74,24 +102,33 @@
     }
 
     /// Number of retries left to this VM; `vms` is the number of VMs that share the slack.
-    pub fn remaining(&mut self, now: Duration, vms: usize) -> u32 {
-        self.current_slice(now);
-        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+    pub fn remaining(&self, now: Duration, vms: usize) -> u32 {
+        let Usage { allowed, spent } = self.usage(now, vms);
+        allowed.saturating_sub(spent)
+    }
+
+    /// What this VM may spend and has spent; `vms` is the number of VMs that share the slack.
+    pub fn usage(&self, now: Duration, vms: usize) -> Usage {
+        let number = self.slice_number(now);
+        let counted = self.slices.iter().filter(|slice| slice.counts_at(number));
+        let (requests, spent) = counted.fold((0, 0), |(requests, retries), slice| {
+            (requests + slice.requests, retries + slice.retries)
+        });
         let slack_share = self.slack / vms.max(1) as f64;
         let allowed = (self.ratio * f64::from(requests) + slack_share) * SAFETY_FACTOR;
-        (allowed as u32).saturating_sub(retries)
+        Usage {
+            allowed: allowed as u32,
+            spent,
+        }
+    }
+
+    fn slice_number(&self, now: Duration) -> u64 {
+        (now.as_nanos() / self.slice.as_nanos().max(1)) as u64
     }
 
     fn current_slice(&mut self, now: Duration) -> &mut Slice {
-        let number = (now.as_nanos() / self.slice.as_nanos().max(1)) as u64;
-        while self
-            .slices
-            .front()
-            .is_some_and(|slice| slice.number + u64::from(SLICES) < number)
-        {
-            self.slices.pop_front();
-        }
+        let number = self.slice_number(now);
+        self.slices.retain(|slice| slice.counts_at(number));
         if self
             .slices
             .back()
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -132,6 +132,8 @@
     pub dispatch_count: u32,
     /// Number of prefills sent to a runner or in flight.
     pub prefill_count: u32,
+    /// Whether it was denied a retry since its last attempt.
+    pub retry_denied: bool,
     /// Runners that failed the request or had no capacity for it.
     pub tried: Vec<id::Runner>,
     /// Its KV cache at a prefill runner.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::budget::Charge;
 use crate::id;
 
 /// Event of an entry; its name is the event name of the log line.
@@ -21,6 +22,8 @@
     GivenUp,
     /// A request waits for capacity.
     Waits,
+    /// The retry budget had no retry left for a request.
+    RetryDenied,
     /// A request was granted capacity by an allocator.
     Granted,
     /// The first event of a stream was forwarded.
@@ -76,6 +79,10 @@
     pub tokens: Option<u64>,
     /// Target latency of the request.
     pub target: Option<Duration>,
+    /// The endpoint.
+    pub endpoint: Option<id::Endpoint>,
+    /// What the attempt cost the retry budget.
+    pub charge: Option<Charge>,
 }
 
 impl Entry {
@@ -91,6 +98,8 @@
             age: None,
             tokens: None,
             target: None,
+            endpoint: None,
+            charge: None,
         }
     }
 
@@ -136,6 +145,18 @@
         self
     }
 
+    /// Sets the endpoint.
+    pub fn endpoint(mut self, endpoint: &id::Endpoint) -> Self {
+        self.endpoint = Some(endpoint.clone());
+        self
+    }
+
+    /// Sets what the attempt cost the retry budget.
+    pub fn charge(mut self, charge: Charge) -> Self {
+        self.charge = Some(charge);
+        self
+    }
+
     /// Sets the target latency.
     pub fn target(mut self, target: Duration) -> Self {
         self.target = Some(target);
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -52,6 +52,7 @@
             execution_count: 0,
             dispatch_count: 0,
             prefill_count: 0,
+            retry_denied: false,
             tried: Vec::new(),
             kv: None,
             reserved_decode: None,
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::breaker::Observation;
+use crate::budget::Charge;
 use crate::call::{Grant, Phase};
 use crate::decision_log::{Entry, Kind};
 use crate::event::{Dispatch, Effect, Operation};
@@ -96,12 +97,17 @@
         };
         let is_retry = call.prefill_count > 0;
         let endpoint = call.endpoint.clone();
-        if is_retry && !self.take_retry(&endpoint) {
+        let charge = if is_retry {
+            Charge::Retry
+        } else {
+            Charge::None
+        };
+        if is_retry && !self.take_retry(number, &endpoint) {
             return false;
         }
         self.state.counters.prefills += 1;
         let timeout = prefill_timeout(expected);
-        let attempt = self.start_attempt(number, &runner, Operation::Prefill);
+        let attempt = self.start_attempt(number, &runner, Operation::Prefill, charge);
         let reservation = Load {
             prefill_tokens: 0,
             ..self.estimate_load(number, Purpose::Decode)
@@ -129,7 +135,13 @@
         if call.dispatch_count >= DISPATCHES_MAX {
             return self.fail_call(number, Reason::Full);
         }
-        if call.dispatch_count > 0 && !self.take_retry(&endpoint) {
+        let is_retry = call.dispatch_count > 0;
+        let charge = if is_retry {
+            Charge::Retry
+        } else {
+            Charge::None
+        };
+        if is_retry && !self.take_retry(number, &endpoint) {
             return self.wait_for_capacity(number);
         }
         let now = self.now;
@@ -148,7 +160,7 @@
         call.dispatch_count += 1;
         let attempt_deadline =
             response_timeout(call, runner, kv.is_none()).map(|timeout| now + timeout);
-        let attempt = self.start_attempt(number, runner, operation);
+        let attempt = self.start_attempt(number, runner, operation, charge);
         if let Some(call) = self.state.calls.get_mut(&number) {
             call.phase = Phase::Run {
                 attempt,
@@ -167,6 +179,7 @@
         number: id::Call,
         runner: &Runner,
         operation: Operation,
+        charge: Charge,
     ) -> id::Attempt {
         self.state.last_attempt += 1;
         self.state.counters.dispatched += 1;
@@ -186,18 +199,24 @@
             load.prefill_tokens = 0;
         }
         self.charge(attempt, &name, load);
-        let Some(call) = self.state.calls.get(&number) else {
+        let Some(call) = self.state.calls.get_mut(&number) else {
             return attempt;
         };
+        call.retry_denied = false;
         let time_limit = call.remaining(self.now);
+        let endpoint = call.endpoint.clone();
         let entry = Entry::new(Kind::Dispatched)
             .request(&call.id)
             .runner(&name)
             .attempt(attempt)
             .outcome(kind)
+            .endpoint(&endpoint)
+            .charge(charge)
             .version(runner.descriptor.revision)
             .age(report_age);
         self.log(entry);
+        let attempts = &mut self.state.counters.attempts;
+        *attempts.entry((endpoint, charge)).or_default() += 1;
         self.state.by_attempt.insert(attempt, number);
         self.emit(Effect::Dispatch(Dispatch {
             attempt,
@@ -216,8 +235,8 @@
             .map_or(0, |prompt| prompt.tokens)
     }
 
-    /// Spends one retry of the budget; returns whether there was one.
-    pub(super) fn take_retry(&mut self, endpoint: &id::Endpoint) -> bool {
+    /// Spends one retry of the budget for a call; returns whether there was one.
+    pub(super) fn take_retry(&mut self, number: id::Call, endpoint: &id::Endpoint) -> bool {
         let vms = self.state.members.peak_size.max(1);
         let now = self.now;
         let taken = self.budget(endpoint).try_take(now, vms);
@@ -225,10 +244,34 @@
             self.state.counters.retried += 1;
         } else {
             self.state.counters.retries_denied += 1;
+            self.log_denied_retry(number, endpoint);
         }
         taken
     }
 
+    /// Logs that a call was denied a retry, once in a row of denials.
+    fn log_denied_retry(&mut self, number: id::Call, endpoint: &id::Endpoint) {
+        let vms = self.state.members.peak_size.max(1);
+        let now = self.now;
+        let usage = self.budget(endpoint).usage(now, vms);
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        if std::mem::replace(&mut call.retry_denied, true) {
+            return;
+        }
+        let id = call.id.clone();
+        self.log(
+            Entry::new(Kind::RetryDenied)
+                .request(&id)
+                .endpoint(endpoint)
+                .outcome(format!(
+                    "{} of {} spent, {vms} VMs",
+                    usage.spent, usage.allowed
+                )),
+        );
+    }
+
     /// Retries left in the budget.
     pub(super) fn retries_left(&mut self, endpoint: &id::Endpoint) -> u32 {
         let vms = self.state.members.peak_size.max(1);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 
 use crate::allocation::{Allocator, Claim, GrantNumber};
-use crate::budget::Budget;
+use crate::budget::{Budget, Charge};
 use crate::call::Call;
 use crate::event::Directory;
 use crate::id;
@@ -44,6 +44,8 @@
     pub retries_denied: u64,
     /// Callers that disconnected before their response was complete.
     pub callers_disconnected: u64,
+    /// Attempts by endpoint and by what they cost the retry budget.
+    pub attempts: BTreeMap<(id::Endpoint, Charge), u64>,
     /// Refusals by reason and claim.
     pub refused: BTreeMap<(&'static str, String), u64>,
 }
