A stream whose resumed part is answered with a failure is aborted, not ended

What callers saw: a stream that breaks off and yet looks complete.

Cause: a stream broke at its runner and was resumed at another, which answered 500. The answer could not be retried (two attempts a call), so it was handed on as the response of a call that had had its head already. The driver dropped it, and the call's end closed the body as if the last event had come.

Why this works: once the head is forwarded, an answer can't be; the failed attempt is continued like a lost one, or the stream is aborted where none is left.

--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -108,9 +108,11 @@
             return;
         };
         call.execution = Execution::MayHaveRun;
+        // A stream that has started can only be continued by another attempt.
+        let can_forward = !call.progress.head_forwarded;
         let should_retry = failed && status != TIMEOUT_STATUS && call.can_retry_after_attempt();
         let has_time = call.remaining(self.now) > ended.took;
-        if should_retry && has_time && !call.disconnected {
+        if !can_forward || (should_retry && has_time && !call.disconnected) {
             self.log_failure(ended, &format!("status {status}"));
             return self.continue_after_possible_run(
                 ended.number,
--- a/crates/relay/tests/once.rs
+++ b/crates/relay/tests/once.rs
@@ -208,10 +208,15 @@
             match effect {
                 Effect::Dispatch(dispatch) => self.started(dispatch),
                 Effect::AbortAttempt { attempt } => self.cancelled(*attempt),
-                Effect::Refuse { call, refusal } => self.refused(*call, refusal.claim),
-                Effect::ForwardResponse { call }
-                | Effect::EndStream { call }
-                | Effect::AbortStream { call } => self.ended(*call),
+                Effect::Refuse { call, refusal } => {
+                    self.has_no_head(*call);
+                    self.refused(*call, refusal.claim);
+                }
+                Effect::ForwardResponse { call } => {
+                    self.has_no_head(*call);
+                    self.ended(*call);
+                }
+                Effect::EndStream { call } | Effect::AbortStream { call } => self.ended(*call),
                 Effect::ForwardHead { call } => {
                     let record = self.calls.entry(*call).or_default();
                     assert!(
@@ -279,6 +284,11 @@
         self.ended(call);
     }
 
+    fn has_no_head(&self, call: id::Call) {
+        let streaming = self.calls.get(&call).is_some_and(|record| record.streaming);
+        assert!(!streaming, "a response follows the head of a stream");
+    }
+
     fn ended(&mut self, call: id::Call) {
         let record = self.calls.entry(call).or_default();
         record.final_responses += 1;
@@ -306,6 +316,7 @@
         3 => Outcome::Lost,
         4 => Outcome::Mismatched,
         _ if prefill => support::prefilled(),
+        5 if streaming => Outcome::Answered { status: 500 },
         _ if streaming => Outcome::Ended,
         5 => Outcome::Answered { status: 500 },
         _ => Outcome::Answered { status: 200 },
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -103,7 +103,6 @@
 
 /// Guards against a stream that ends as if it were complete because its resumed part failed.
 #[test]
-#[ignore = "known red: issue 27"]
 fn attempt_ended_failure_after_head_aborts() {
     let mut harness = Harness::new(1);
     let run = start_stream_with_event(&mut harness);
