A process that shuts down refuses what it can't end, and answers all calls before it exits

Cause: a leaving process took every request until it was gone, and exited at the end of its grace period whatever was under way. Callers keep using open connections: a stream that came 5 s after SIGTERM had 2 s for a wait, a prefill and 3 s of events, and was cut; calls that waited got no answer at all.

Why this works: before each attempt a leaving process compares the time until its exit with what the call is expected to take (a stream: about the longest of those that ended here lately; a plain call: its target latency). What can't end is refused at once as not run, with Retry-After, for another VM to serve; at the exit every call left gets a final answer first.

--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -37,6 +37,9 @@
         if call.remaining(self.now) < ATTEMPT_TIME_MIN {
             return self.fail_call(number, Reason::TimedOut);
         }
+        if !call.progress.head_forwarded && !self.can_end_before_exit(call) {
+            return self.fail_call(number, Reason::Leaving);
+        }
         if call.arrivals.counted() >= ARRIVALS_MAX {
             return self.fail_call(number, Reason::Full);
         }
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use crate::call::Call;
 use crate::decision_log::{Entry, Kind};
 use crate::event::Effect;
+use crate::id;
+use crate::manifest::Kind as RouteKind;
+use crate::refusal::Reason;
 
 use super::Reducer;
 
@@ -14,6 +18,9 @@
 /// How long before it would be killed the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(900);
 
+/// Weight of a stream that took less time than expected in the expected time of the next.
+const SHORTER_STREAM_WEIGHT: f64 = 0.02;
+
 impl Reducer<'_> {
     pub(super) fn start_leaving(&mut self) {
         if self.state.leaving_since.is_some() {
@@ -25,18 +32,22 @@
     }
 
     pub(super) fn tick_leave(&mut self) {
-        let Some(started_at) = self.state.leaving_since else {
+        let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
             return;
         };
-        let settings = &self.state.settings;
-        let directory_expiry = settings.directory_ttl * DIRECTORY_TTL_FACTOR + LATE_ARRIVAL_TIME;
+        let directory_ttl = self.state.settings.directory_ttl;
+        let directory_expiry = directory_ttl * DIRECTORY_TTL_FACTOR + LATE_ARRIVAL_TIME;
         let elapsed = self.now.saturating_sub(started_at);
         let is_idle = self.state.calls.is_empty() && elapsed >= directory_expiry;
-        if !is_idle && elapsed < settings.grace_period.saturating_sub(EXIT_MARGIN) {
+        if !is_idle && self.now < exit_at {
             return;
         }
         self.state.exited = true;
         let calls = self.state.calls.len();
+        let numbers: Vec<id::Call> = self.state.calls.keys().copied().collect();
+        for number in numbers {
+            self.fail_call(number, Reason::Leaving);
+        }
         self.log(
             Entry::new(Kind::Left)
                 .outcome(format!("{calls} calls under way"))
@@ -44,4 +55,31 @@
         );
         self.emit(Effect::Exit);
     }
+
+    /// When this process exits at the latest, if it is shutting down.
+    fn exit_at(&self) -> Option<Duration> {
+        let grace_period = self.state.settings.grace_period;
+        let started_at = self.state.leaving_since?;
+        Some(started_at + grace_period.saturating_sub(EXIT_MARGIN))
+    }
+
+    /// Whether a call that starts its next attempt now is expected to end before this process exits.
+    pub(super) fn can_end_before_exit(&self, call: &Call) -> bool {
+        let Some(exit_at) = self.exit_at() else {
+            return true;
+        };
+        let expected = match call.route.kind {
+            RouteKind::Streaming => self.state.stream_time,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => Some(call.route.target_latency),
+        };
+        let can_end = expected.is_some_and(|expected| self.now + expected <= exit_at);
+        can_end && !self.state.exited
+    }
+
+    /// Records how long a complete stream took, from its request to its end.
+    pub(super) fn record_stream_time(&mut self, took: Duration) {
+        let expected = self.state.stream_time.unwrap_or(took);
+        let shorter = expected.saturating_sub(took).mul_f64(SHORTER_STREAM_WEIGHT);
+        self.state.stream_time = Some(took.max(expected - shorter));
+    }
 }
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -182,6 +182,10 @@
     fn handle_stream_end(&mut self, ended: &EndedAttempt) {
         self.observe(&ended.runner, Observation::Good);
         self.state.counters.streams_ended += 1;
+        if let Some(call) = self.state.calls.get(&ended.number) {
+            let took = self.now.saturating_sub(call.arrived_at);
+            self.record_stream_time(took);
+        }
         self.log(
             Entry::new(Kind::StreamEnded)
                 .request(&ended.id)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -137,6 +137,8 @@
     pub budgets: HashMap<id::Endpoint, Budget>,
     /// When this process began to shut down.
     pub leaving_since: Option<Duration>,
+    /// How long a stream is expected to take, from its request to its end; none until one has ended.
+    pub stream_time: Option<Duration>,
     /// Whether this process has finished shutting down.
     pub exited: bool,
     /// Number of the last attempt.
@@ -177,6 +179,7 @@
             claims: Claims::default(),
             budgets: HashMap::new(),
             leaving_since: None,
+            stream_time: None,
             exited: false,
             last_attempt: 0,
             counters: Counters::default(),
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -70,7 +70,6 @@
 
 /// Guards against a stream that is taken shortly before the process exits and cut by the exit.
 #[test]
-#[ignore = "known red: issue 27"]
 fn leave_refuses_stream_that_cannot_end() {
     let mut harness = Harness::new(1);
     let run = harness.start_stream(STREAM);
@@ -91,7 +90,6 @@
 
 /// Guards against a connection that is closed without an answer because the process exits.
 #[test]
-#[ignore = "known red: issue 27"]
 fn leave_answers_all_calls_before_exit() {
     let mut harness = Harness::new(1);
     harness.apply(Event::Leave);
