A call that is denied a retry is refused at once

Hypothesis: a call whose retry the budget denies has little to wait for; its caller does better with a refusal at once, since a caller's own retry is a first arrival and needs no budget. A stream that has started still waits: a refusal would cut it.

--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -167,6 +167,7 @@
         "no_manifest" => "the process had not read a manifest yet",
         "runners_failed" => "the runners that were tried returned no usable response",
         "timed_out" => "the deadline passed",
+        "no_retry_left" => "the retry budget had no retry left",
         "leaving" => "the process was shutting down",
         other => other,
     };
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -43,8 +43,14 @@
         if call.arrivals.counted() >= ARRIVALS_MAX {
             return self.fail_call(number, Reason::Full);
         }
+        let has_started = call.progress.head_forwarded;
         if !self.hold_retries(number) {
-            return self.wait_for_capacity(number);
+            // A refusal would cut a stream that has started, so that waits for a retry.
+            return if has_started {
+                self.wait_for_capacity(number)
+            } else {
+                self.fail_call(number, Reason::NoRetryLeft)
+            };
         }
         let Some(call) = self.state.calls.get(&number) else {
             return;
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -22,6 +22,8 @@
     NoRunner,
     /// No runner had capacity in time, or the request was dispatched too many times.
     Full,
+    /// The retry budget has no retry left.
+    NoRetryLeft,
     /// The runners that were tried failed.
     RunnersFailed,
     /// The deadline has passed.
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -6,10 +6,11 @@
 
 use hornbeamtiller_relay::arrivals::{Arrival, Arrivals, Step};
 use hornbeamtiller_relay::budget::{Budget, Charge, Share};
-use hornbeamtiller_relay::event::{Event, Outcome};
+use hornbeamtiller_relay::event::{Decline, Effect, Event, Outcome};
+use hornbeamtiller_relay::refusal::{Claim, Reason};
 use hornbeamtiller_relay::settings::Settings;
 use proptest::prelude::*;
-use support::{dispatch, dispatches, ms, Harness, IDEMPOTENT};
+use support::{dispatch, dispatches, has, ms, refusal, Harness, IDEMPOTENT, STREAM};
 
 /// Length of the retry window.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -139,6 +140,49 @@
     assert!(dispatches(&again).is_empty());
 }
 
+/// A process whose retry budget allows nothing.
+fn without_retries() -> Harness {
+    let mut harness = Harness::new(1);
+    harness.state.settings.retry_ratio = 0.0;
+    harness.state.settings.retry_slack = 0.0;
+    harness
+}
+
+/// A call that is denied a retry is refused at once, and says whether it may have run.
+#[test]
+fn attempt_ended_no_retry_left_refuses() {
+    for (outcome, claim) in [
+        (Outcome::Declined(Decline::Full), Claim::NotRun),
+        (Outcome::Lost, Claim::Unknown),
+    ] {
+        let mut harness = without_retries();
+        let run = dispatch(&harness.arrive(IDEMPOTENT));
+        let effects = harness.end_attempt(run.attempt, outcome);
+        let refused = refusal(&effects).expect("a refusal");
+        assert_eq!(
+            (refused.claim, refused.reason),
+            (claim, Reason::NoRetryLeft)
+        );
+        assert_eq!(refused.retry_after.is_some(), claim == Claim::NotRun);
+    }
+}
+
+/// A stream that has started waits for a retry, since a refusal would cut it.
+#[test]
+fn attempt_ended_no_retry_left_stream_waits() {
+    let mut harness = without_retries();
+    let run = harness.start_stream(STREAM);
+    harness.apply(Event::StreamStarted {
+        attempt: run.attempt,
+    });
+    harness.stream_event(run.attempt, 1);
+    let effects = harness.end_attempt(run.attempt, Outcome::Lost);
+    assert!(!has(&effects, |effect| matches!(
+        effect,
+        Effect::AbortStream { .. }
+    )));
+}
+
 #[test]
 fn reconfigure_window_keeps_counts() {
     let mut budget = Budget::new(0.0, 10.0, WINDOW);
