budget: retries that are given back keep to what may be carried over

A test holds many and gives them back (release_earned_within_carry: with the limit one retry is left, without it all).

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -133,6 +133,8 @@
         if !self.allows(now, share, retries) {
             return None;
         }
+        // Given back retries, or a smaller share, may have left more.
+        self.earned = self.earned.min(self.carry_max(share));
         Some((0..retries).map(|_| self.hold()).collect())
     }
 
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -205,6 +205,26 @@
     assert!(budget.allows(ms(20_000), share(1), 5));
 }
 
+/// Earned retries that are given back are carried over within the same limit as others.
+#[test]
+fn release_earned_within_carry() {
+    let mut budget = Budget::new(RATIO, SLACK, WINDOW);
+    let new = Share {
+        is_new: true,
+        ..share(10)
+    };
+    let mut held = Vec::new();
+    for _ in 0..60 {
+        budget.record_request(new);
+        held.extend(budget.try_hold(ms(0), new, 1).into_iter().flatten());
+    }
+    assert!(held.len() > 5, "{} retries", held.len());
+    for retry in held {
+        budget.release(retry);
+    }
+    assert!(!budget.allows(ms(0), new, 2));
+}
+
 /// A VM that has just started has only what its requests have earned.
 #[test]
 fn try_hold_new_process() {
