budget: the test of given back retries takes them one by one

As first written it passed without the limit too, since a single question is limited anyway. Taken one by one, all ten are held without the limit; with it one is.

--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -222,7 +222,8 @@
     for retry in held {
         budget.release(retry);
     }
-    assert!(!budget.allows(ms(0), new, 2));
+    let again = (0..10).filter(|_| budget.try_hold(ms(0), new, 1).is_some());
+    assert_eq!(again.count(), 1);
 }
 
 /// A VM that has just started has only what its requests have earned.
