--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -3,6 +3,7 @@
 mod allocate;
 mod arrive;
 mod choose;
+mod claim;
 mod dispatch;
 mod finish;
 mod fleet;
