A runner's failure is forwarded where no retry is left

What callers saw: 502 from this system in place of the 500 that the runner had given, under its seal.

Cause: handle_answer dropped a runner's answer for a retry without asking whether the budget allows one. Now it asks first; a denial is counted and logged as others are. attempt_ended_no_retry_left_forwards_failure failed before.

--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -91,8 +91,8 @@
         }
     }
 
-    /// Forwards a complete response, or retries if it is a failure, the request is retryable and
-    /// there is time for another attempt as long as this one.
+    /// Forwards a complete response, or retries if it is a failure, the request is retryable, the
+    /// budget allows it and there is time for another attempt as long as this one.
     fn handle_answer(&mut self, ended: &EndedAttempt, status: u16) {
         let failed = status >= FAILURE_STATUS;
         self.observe(
@@ -114,7 +114,12 @@
         let can_forward = !call.progress.head_forwarded;
         let should_retry = failed && status != TIMEOUT_STATUS && call.can_retry_after_attempt();
         let has_time = call.remaining(self.now) > ended.took;
-        if !can_forward || (should_retry && has_time && !call.disconnected) {
+        let should_retry = should_retry && has_time && !call.disconnected;
+        let is_denied = should_retry && !self.can_retry_elsewhere(ended.number);
+        if can_forward && is_denied {
+            self.record_denied_retry(ended.number);
+        }
+        if !can_forward || (should_retry && !is_denied) {
             self.log_failure(ended, &format!("status {status}"));
             return self.continue_after_possible_run(
                 ended.number,
--- a/crates/relay/src/reduce/retry.rs
+++ b/crates/relay/src/reduce/retry.rs
@@ -22,8 +22,7 @@
         let endpoint = call.endpoint.clone();
         let (now, share) = (self.now, self.share());
         let Some(retries) = self.budget(&endpoint).try_hold(now, share, missing) else {
-            self.state.counters.retries_denied += 1;
-            self.log_denied_retry(number, &endpoint);
+            self.record_denied_retry(number);
             return false;
         };
         if let Some(call) = self.state.calls.get_mut(&number) {
@@ -32,8 +31,8 @@
         true
     }
 
-    /// Whether the budget allows a call to continue elsewhere once its attempt is aborted.
-    pub(super) fn can_retry_after_abort(&mut self, number: id::Call) -> bool {
+    /// Whether the budget allows a call to continue elsewhere once its attempt has ended or is aborted.
+    pub(super) fn can_retry_elsewhere(&mut self, number: id::Call) -> bool {
         let Some(call) = self.state.calls.get(&number) else {
             return false;
         };
@@ -73,14 +72,19 @@
         self.state.retry_share(self.now)
     }
 
-    /// Logs that a call was denied a retry, once in a row of denials.
-    fn log_denied_retry(&mut self, number: id::Call, endpoint: &id::Endpoint) {
+    /// Counts that a call was denied a retry, and logs it once in a row of denials.
+    pub(super) fn record_denied_retry(&mut self, number: id::Call) {
+        self.state.counters.retries_denied += 1;
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        let endpoint = call.endpoint.clone();
         let (now, share) = (self.now, self.share());
         let Usage {
             available,
             spent,
             held,
-        } = self.budget(endpoint).usage(now, share);
+        } = self.budget(&endpoint).usage(now, share);
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
         };
@@ -91,7 +95,7 @@
         self.log(
             Entry::new(Kind::RetryDenied)
                 .request(&id)
-                .endpoint(endpoint)
+                .endpoint(&endpoint)
                 .outcome(format!("{available:.2} left, {spent} spent, {held} held")),
         );
     }
--- a/crates/relay/src/reduce/timeout.rs
+++ b/crates/relay/src/reduce/timeout.rs
@@ -119,7 +119,7 @@
             return false;
         };
         let is_model = call.prompt.is_some();
-        if !self.can_retry_after_abort(number) {
+        if !self.can_retry_elsewhere(number) {
             return false;
         }
         let purpose = if is_model {
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -167,6 +167,18 @@
     }
 }
 
+/// Guards against a runner's answer that is replaced because no retry is left.
+#[test]
+fn attempt_ended_no_retry_left_forwards_failure() {
+    let mut harness = without_retries();
+    let run = dispatch(&harness.arrive(IDEMPOTENT));
+    let effects = harness.end_attempt(run.attempt, Outcome::Answered { status: 500 });
+    assert!(has(&effects, |effect| matches!(
+        effect,
+        Effect::ForwardResponse { .. }
+    )));
+}
+
 /// A stream that has started waits for a retry, since a refusal would cut it.
 #[test]
 fn attempt_ended_no_retry_left_stream_waits() {
