--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -106,20 +106,10 @@
         if !failed {
             self.record_latency(ended);
         }
-        let Some(call) = self.state.calls.get_mut(&ended.number) else {
-            return;
-        };
-        call.execution = Execution::MayHaveRun;
-        // A stream that has started can only be continued by another attempt.
-        let can_forward = !call.progress.head_forwarded;
-        let should_retry = failed && status != TIMEOUT_STATUS && call.can_retry_after_attempt();
-        let has_time = call.remaining(self.now) > ended.took;
-        let should_retry = should_retry && has_time && !call.disconnected;
-        let is_denied = should_retry && !self.can_retry_elsewhere(ended.number);
-        if can_forward && is_denied {
-            self.record_denied_retry(ended.number);
+        if let Some(call) = self.state.calls.get_mut(&ended.number) {
+            call.execution = Execution::MayHaveRun;
         }
-        if !can_forward || (should_retry && !is_denied) {
+        if self.must_continue_after(ended, status) {
             self.log_failure(ended, &format!("status {status}"));
             return self.continue_after_possible_run(
                 ended.number,
@@ -127,6 +117,33 @@
                 Reason::RunnersFailed,
             );
         }
+        self.forward_answer(ended, status);
+    }
+
+    /// Whether a call goes on at another runner, or ends, instead of its response being forwarded.
+    fn must_continue_after(&mut self, ended: &EndedAttempt, status: u16) -> bool {
+        let Some(call) = self.state.calls.get(&ended.number) else {
+            return false;
+        };
+        // A stream that has started can only be continued by another attempt.
+        if call.progress.head_forwarded {
+            return true;
+        }
+        let is_retryable = status >= FAILURE_STATUS
+            && status != TIMEOUT_STATUS
+            && call.can_retry_after_attempt()
+            && !call.disconnected;
+        if !is_retryable || call.remaining(self.now) <= ended.took {
+            return false;
+        }
+        let is_allowed = self.can_retry_elsewhere(ended.number);
+        if !is_allowed {
+            self.record_denied_retry(ended.number);
+        }
+        is_allowed
+    }
+
+    fn forward_answer(&mut self, ended: &EndedAttempt, status: u16) {
         self.state.counters.answered += 1;
         self.log(
             Entry::new(Kind::Answered)
@@ -137,7 +154,7 @@
                 .age(ended.took),
         );
         self.emit(Effect::ForwardResponse { call: ended.number });
-        let ending = if failed {
+        let ending = if status >= FAILURE_STATUS {
             Ending::Failed
         } else {
             Ending::Answered
