--- a/crates/hornbeamctl/src/commands/retries.rs
+++ b/crates/hornbeamctl/src/commands/retries.rs
@@ -11,7 +11,7 @@
 
 /// Length of the span.
 const SPAN: TimeDelta = TimeDelta::seconds(10);
-/// What ended an attempt that the log has no end of: it was answered, or was under way.
+/// Outcome of an attempt of which the log has no failure; it may also have been in flight.
 const ANSWERED: &str = "answered";
 /// Outcome of an attempt whose request may not have reached the runner.
 const UNWRITTEN: &str = "Unwritten";
