hornbeamctl: log files are read, and failed attempts recognised, in one place

retries::run had the loop of losses::run over its files again, and the two messages of a failed attempt stood three times. No output changes; the tests of losses, retries and explain pass as they are.

--- a/crates/hornbeamctl/src/commands/log_file.rs
+++ b/crates/hornbeamctl/src/commands/log_file.rs
@@ -53,6 +53,26 @@
     /// Target latency, in milliseconds.
     pub target_ms: Option<String>,
 }
+impl Line {
+    /// Whether it says that an attempt failed or was cancelled.
+    pub fn is_failed_attempt(&self) -> bool {
+        matches!(self.message.as_str(), "attempt_failed" | "given_up")
+    }
+}
+
+/// Reads the log lines of several files, one after the other; see [`read_lines`].
+///
+/// # Errors
+///
+/// [`Error::File`] if a file can't be read.
+pub fn read_files(paths: &[PathBuf]) -> Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for path in paths {
+        lines.extend(read_lines(path)?);
+    }
+    Ok(lines)
+}
+
 /// Reads the log lines of a file and skips all others. Text before the JSON names the process, for
 /// files that several processes write to.
 ///
--- a/crates/hornbeamctl/src/commands/losses.rs
+++ b/crates/hornbeamctl/src/commands/losses.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use crate::commands::log_file::{read_lines, Line, Timestamp};
+use crate::commands::log_file::{read_files, Line, Timestamp};
 use crate::error::{Error, Result};
 
 /// Length of the moments that losses are counted by, in seconds.
@@ -61,10 +61,7 @@
 ///
 /// [`Error::File`] if a file can't be read, [`Error::NotFound`] if none has a line on a request.
 pub fn run(files: &[PathBuf], json: bool) -> Result<()> {
-    let mut lines = Vec::new();
-    for path in files {
-        lines.extend(read_lines(path)?);
-    }
+    let lines = read_files(files)?;
     let rows = count(lines);
     if rows.is_empty() {
         let message = "no log line for any request".to_owned();
@@ -247,10 +244,10 @@
     /// What took longest before the first event or the answer.
     fn delay(&self) -> String {
         let until = self.find("first_event").map(|line| line.time);
-        let failed = self.lines.iter().find(|line| {
-            matches!(line.message.as_str(), "attempt_failed" | "given_up")
-                && until.is_none_or(|until| line.time <= until)
-        });
+        let failed = self
+            .lines
+            .iter()
+            .find(|line| line.is_failed_attempt() && until.is_none_or(|until| line.time <= until));
         if let Some(failed) = failed {
             let outcome = failed.attributes.outcome.as_deref().unwrap_or("?");
             return format!("an attempt failed ({outcome})");
@@ -283,7 +280,7 @@
         let paused_at = self.find("paused").map(|line| line.time);
         let started_at = self.find("first_event").map(|line| line.time);
         let moved = self.lines.iter().find(|line| {
-            matches!(line.message.as_str(), "attempt_failed" | "given_up")
+            line.is_failed_attempt()
                 && Some(line.time) >= started_at
                 && Some(line.time) <= paused_at
         });
--- a/crates/hornbeamctl/src/commands/retries.rs
+++ b/crates/hornbeamctl/src/commands/retries.rs
@@ -6,7 +6,7 @@
 
 use chrono::TimeDelta;
 
-use crate::commands::log_file::{read_lines, Line, Timestamp};
+use crate::commands::log_file::{read_files, Line, Timestamp};
 use crate::error::{Error, Result};
 
 /// Length of the span.
@@ -41,10 +41,7 @@
 ///
 /// [`Error::File`] if a file can't be read, [`Error::NotFound`] if none has a line on an attempt.
 pub fn run(files: &[PathBuf]) -> Result<()> {
-    let mut lines = Vec::new();
-    for path in files {
-        lines.extend(read_lines(path)?);
-    }
+    let mut lines = read_files(files)?;
     lines.sort_by_key(|line| line.time);
     let repeats = find_repeats(&collect_attempts(&lines));
     if repeats.is_empty() {
@@ -61,9 +58,8 @@
 fn collect_attempts(lines: &[Line]) -> BTreeMap<&str, Vec<Attempt>> {
     let mut outcomes: HashMap<(&str, &str), &str> = HashMap::new();
     for line in lines {
-        let ended = matches!(line.message.as_str(), "attempt_failed" | "given_up");
         if let (true, Some(request), Some(attempt), Some(outcome)) = (
-            ended,
+            line.is_failed_attempt(),
             line.attributes.request.as_deref(),
             line.attributes.attempt.as_deref(),
             line.attributes.outcome.as_deref(),
