Logs name the parts of prompts, and the runners that have ended

'accepted' names the parts. No decision changes.

InFlight replaces the table of builds: it holds the process of the runner and when its response began.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -185,5 +185,6 @@
         prompt: metadata.prompt,
         resume_after: metadata.resume_after,
         resumes: metadata.resumes,
+        parts: metadata.parts,
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,9 +11,11 @@
 use hornbeamtiller_http::body::{Channel, Sender, Truncated};
 use hornbeamtiller_http::cancel;
 use hornbeamtiller_http::client::{Client, Reuse};
-use hornbeamtiller_relay::event::{Dispatch, Effect, Event, KvCache};
+use hornbeamtiller_http::socket;
+use hornbeamtiller_relay::event::{Dispatch, Effect, Event, KvCache, Presence};
 use hornbeamtiller_relay::id::{Attempt, Call};
 use hornbeamtiller_relay::member::View;
+use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::reduce::reduce;
 use hornbeamtiller_relay::refusal::Refusal;
 use hornbeamtiller_relay::state::State;
@@ -27,6 +30,9 @@
 /// response.
 const KV_FREE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Timeout of a connection that checks whether a runner has ended.
+const PRESENCE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// The reducer's decision on how a caller's request is answered.
 #[derive(Debug)]
 pub enum Decision {
@@ -236,6 +242,7 @@
                 let connections = &self.0.connections;
                 connections.ask_origin(self, address, call, question)
             }
+            Effect::CheckRunner { instance, address } => self.check_runner(instance, address),
             Effect::Log(entry) => log_line::write(&entry),
             Effect::Measure(sample) => self.0.metrics.observe(sample),
             Effect::Exit => self.0.exited.set(true),
@@ -320,6 +327,22 @@
         });
     }
 
+    /// Checks whether anything listens at the address of a runner.
+    fn check_runner(&self, instance: Instance, address: std::net::SocketAddr) {
+        let driver = self.clone();
+        monoio::spawn(async move {
+            let presence = match socket::probe(address, PRESENCE_TIMEOUT).await {
+                Ok(()) => Presence::Listening,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Refused,
+                Err(error) => {
+                    log::info!(runner = &*instance.runner, error:% = error; "presence_unknown");
+                    Presence::Unknown
+                }
+            };
+            driver.apply(Event::RunnerChecked { instance, presence });
+        });
+    }
+
     fn publish_view(&self, address: std::net::SocketAddr, view: View) {
         self.0.connections.publish(self, address, view);
     }
--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -36,6 +36,9 @@
         if let Some(connected) = entry.connected {
             visitor.visit_pair(Key::from_str("connected"), Value::from(connected))?;
         }
+        if !entry.parts.0.is_empty() {
+            visitor.visit_pair(Key::from_str("parts"), Value::from_display(&entry.parts))?;
+        }
         if let Some(target) = entry.target {
             visitor.visit_pair(Key::from_str("target_ms"), Value::from(millis(target)))?;
         }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hornbeamtiller_relay::event::{Decline, Dispatch, KvCache, Prompt};
+use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::manifest::Manifest;
 use hornbeamtiller_relay::pool::Report;
 use hornbeamtiller_relay::refusal::{Reason, Refusal};
@@ -26,6 +27,8 @@
     pub resume_after: Option<u64>,
     /// Id of the request that brought the first event of that stream.
     pub resumes: Option<Arc<str>>,
+    /// The parts of the prompt, in order.
+    pub parts: Arc<[id::Part]>,
 }
 
 /// A caller's request, buffered until its response has ended so that it can be sent again.
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -153,6 +153,10 @@
         "runner_listed" => format!("runner list read: {outcome} (revision {version})"),
         // Logged for an open circuit breaker and for a prefill runner whose KV caches expire.
         "runner_rests" => format!("runner {runner} is in cooldown for {ms} ms: {outcome}"),
+        "runner_crashed" => format!(
+            "runner {runner} has ended; it had not begun to respond to requests with the parts {}",
+            field(&attributes.parts)
+        ),
         "source" => format!(
             "connection to the configuration service {outcome}; manifest {version} in force"
         ),
--- a/crates/hornbeamctl/src/commands/log_file.rs
+++ b/crates/hornbeamctl/src/commands/log_file.rs
@@ -56,6 +56,8 @@
     pub build: Option<String>,
     /// Target latency, in milliseconds.
     pub target_ms: Option<String>,
+    /// Parts of prompts.
+    pub parts: Option<String>,
 }
 impl Line {
     /// Whether it says that an attempt failed or was cancelled.
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -57,6 +57,19 @@
     TcpListener::bind_with_config(address, &options)
 }
 
+/// Opens a connection and closes it.
+///
+/// # Errors
+///
+/// The error of the operating system, or [`io::ErrorKind::TimedOut`].
+pub async fn probe(address: SocketAddr, timeout: Duration) -> io::Result<()> {
+    let connecting = TcpStream::connect_addr(address);
+    match monoio::time::timeout(timeout, connecting).await {
+        Ok(connected) => connected.map(drop),
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
 /// Sets the socket options of a connection. It is lost when sent bytes stay unacknowledged for
 /// `user_timeout`, or keepalive probes unanswered. With no `user_timeout` the system ends it for neither:
 /// the user of the connection has to end each exchange that takes too long.
--- a/crates/relay/src/allocation/group.rs
+++ b/crates/relay/src/allocation/group.rs
@@ -25,7 +25,7 @@
 }
 
 /// A hash that is the same in every process (FNV-1a, with a final mix).
-pub(crate) fn hash(bytes: &[u8], seed: u64) -> u64 {
+pub fn hash(bytes: &[u8], seed: u64) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     let start = OFFSET ^ seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/crates/relay/src/allocation/mod.rs
+++ b/crates/relay/src/allocation/mod.rs
@@ -20,8 +20,7 @@
 use crate::pool::Load;
 
 pub use allocator::Allocator;
-pub(crate) use group::hash;
-pub use group::{group_count, group_of, rank};
+pub use group::{group_count, group_of, hash, rank};
 
 /// Number of a group of engines.
 pub type Group = u32;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -163,6 +163,8 @@
     pub deadline: Duration,
     /// Prompt and output size, for a model request.
     pub prompt: Option<Prompt>,
+    /// The parts of its prompt, in order.
+    pub parts: Arc<[id::Part]>,
     /// The current phase.
     pub phase: Phase,
     /// Software version that began the stream, at which alone it may go on; none while nothing binds
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -1,5 +1,6 @@
 //! Log of decisions and their inputs; the driver writes the entries as log lines.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     RunnerListed,
     /// A runner gets no requests, or no prefills, for a while.
     RunnerRests,
+    /// The process of a runner has ended while it had requests.
+    RunnerCrashed,
     /// The configuration service became reachable or unreachable.
     Source,
     /// The status of a VM changed.
@@ -91,6 +94,26 @@
     pub build: Option<id::Build>,
     /// Whether an attempt of the request was connected to a runner.
     pub connected: Option<bool>,
+    /// Parts of prompts.
+    pub parts: Parts,
+}
+
+/// Parts of prompts; shown as hexadecimal numbers, the first few only.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Parts(pub Vec<id::Part>);
+
+/// Maximum number of parts that are shown.
+const PARTS_SHOWN_MAX: usize = 16;
+
+impl fmt::Display for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = self.0.iter().take(PARTS_SHOWN_MAX);
+        for (index, part) in shown.enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{part:x}")?;
+        }
+        Ok(())
+    }
 }
 
 impl Entry {
@@ -110,6 +133,7 @@
             charge: None,
             build: None,
             connected: None,
+            parts: Parts::default(),
         }
     }
 
@@ -179,6 +203,12 @@
         self
     }
 
+    /// Sets the parts of prompts.
+    pub fn parts(mut self, parts: impl IntoIterator<Item = id::Part>) -> Self {
+        self.parts = Parts(parts.into_iter().collect());
+        self
+    }
+
     /// Sets the target latency.
     pub fn target(mut self, target: Duration) -> Self {
         self.target = Some(target);
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -10,7 +10,7 @@
 use crate::manifest::{Kind as RouteKind, Manifest};
 use crate::member::{Descriptor as MemberDescriptor, View};
 use crate::origin::{Answer, Question, Record};
-use crate::pool::{Descriptor, Report};
+use crate::pool::{Descriptor, Instance, Report};
 use crate::refusal::Refusal;
 use crate::settings::Settings;
 
@@ -42,6 +42,8 @@
     pub resume_after: Option<u64>,
     /// Id of the request that brought the first event of the stream, if the caller names one.
     pub resumes: Option<Arc<str>>,
+    /// The parts of its prompt, in order; the last one belongs to the request alone.
+    pub parts: Arc<[id::Part]>,
 }
 
 impl Arrival {
@@ -114,6 +116,17 @@
     Ended,
 }
 
+/// Whether anything listens at the address of a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// A connection was established.
+    Listening,
+    /// The connection was refused, so the process has ended.
+    Refused,
+    /// Nothing was learnt in time.
+    Unknown,
+}
+
 /// An input of the reducer.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -224,6 +237,13 @@
         /// The answer.
         answer: Answer,
     },
+    /// It was checked whether the process of a runner has ended.
+    RunnerChecked {
+        /// The process.
+        instance: Instance,
+        /// What was found.
+        presence: Presence,
+    },
     /// A view could not be delivered to a peer, or was not acknowledged in time.
     PeerUnresponsive {
         /// Address of the peer.
@@ -404,6 +424,13 @@
         /// The question.
         question: Question,
     },
+    /// Checks whether the process of a runner has ended.
+    CheckRunner {
+        /// The process.
+        instance: Instance,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Writes an entry of the decision log.
     Log(Entry),
     /// Records a duration in a histogram.
--- a/crates/relay/src/id.rs
+++ b/crates/relay/src/id.rs
@@ -21,6 +21,8 @@
 /// Number of a stream over all tries of its caller: a hash of the id of the request that brought its
 /// first event.
 pub type Stream = u64;
+/// Id of a part of a prompt; prompts that have the part in common name the same id.
+pub type Part = u64;
 /// Name of an entry VM.
 pub type Vm = Arc<str>;
 /// Number of one incarnation of a VM, taken from the clock at its start. Of two incarnations of one
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod breaker;
 pub mod budget;
 pub mod call;
+pub mod crash;
 pub mod decision_log;
 pub mod event;
 pub mod id;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -17,6 +17,15 @@
     Decode,
 }
 
+/// The process of a runner, which may start anew under its name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Instance {
+    /// Name of the runner.
+    pub runner: id::Runner,
+    /// Start time in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+}
+
 /// Description of a runner, an entry of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Descriptor {
@@ -44,6 +53,14 @@
 }
 
 impl Descriptor {
+    /// The process of the runner.
+    pub fn instance(&self) -> Instance {
+        Instance {
+            runner: self.runner.clone(),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+
     /// Whether the runner has the software version that is required, if one is.
     pub fn is_of_build(&self, required: Option<&id::Build>) -> bool {
         required.is_none_or(|build| *build == self.build)
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -47,6 +47,7 @@
             arrived_at: self.now,
             deadline: self.now + limit,
             prompt: arrival.prompt.filter(|_| is_model),
+            parts: arrival.parts.clone(),
             phase: Phase::Waiting { retry_at: self.now },
             build: None,
             standby: None,
@@ -75,6 +76,7 @@
                 .version(call.manifest_version)
                 .outcome(&call.route.name)
                 .tokens(call.prompt.map(|prompt| prompt.tokens))
+                .parts(call.parts.iter().copied())
                 .target(call.route.target_latency),
         );
         let is_resumed = call.route.kind == RouteKind::Streaming && arrival.is_resumption();
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::placement::{self, Headroom, Purpose};
 use crate::pool::{Load, Runner};
 use crate::refusal::Reason;
+use crate::state::InFlight;
 
 use super::timeout::{prefill_timeout, response_timeout};
 use super::Reducer;
@@ -222,8 +223,12 @@
         let attempts = &mut self.state.counters.attempts;
         *attempts.entry((endpoint, charge)).or_default() += 1;
         self.state.by_attempt.insert(attempt, number);
-        let build = runner.descriptor.build.clone();
-        self.state.builds.insert(attempt, build);
+        let in_flight = InFlight {
+            build: runner.descriptor.build.clone(),
+            instance: runner.descriptor.instance(),
+            begun_at: None,
+        };
+        self.state.in_flight.insert(attempt, in_flight);
         self.emit(Effect::Dispatch(Dispatch {
             attempt,
             call: number,
--- a/crates/relay/src/reduce/finish.rs
+++ b/crates/relay/src/reduce/finish.rs
@@ -145,7 +145,7 @@
     /// Removes an attempt that is no longer in flight, with its load.
     pub(super) fn release_attempt(&mut self, attempt: id::Attempt) {
         self.state.by_attempt.remove(&attempt);
-        self.state.builds.remove(&attempt);
+        self.state.in_flight.remove(&attempt);
         self.discharge(attempt);
     }
 
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -5,6 +5,7 @@
 mod build;
 mod choose;
 mod claim;
+mod crash;
 mod dispatch;
 mod finish;
 mod fleet;
@@ -70,6 +71,9 @@
             address,
             answer,
         } => reducer.handle_origin_answer(call, address, answer),
+        Event::RunnerChecked { instance, presence } => {
+            reducer.handle_runner_check(&instance, presence)
+        }
         Event::SettingsReloaded { settings, seeds } => reducer.handle_settings(settings, seeds),
         Event::Leave => reducer.start_leaving(),
     }
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -11,6 +11,7 @@
 use crate::id;
 use crate::pool::Report;
 use crate::refusal::Reason;
+use crate::state::InFlight;
 
 use super::retry::arrival_of;
 use super::Reducer;
@@ -33,7 +34,7 @@
     pub(super) number: id::Call,
     attempt: id::Attempt,
     pub(super) runner: id::Runner,
-    build: id::Build,
+    pub(super) in_flight: InFlight,
     id: Arc<str>,
     is_prefill: bool,
     is_standby: bool,
@@ -54,6 +55,9 @@
         if ended.is_standby && is_answer {
             self.resume_standby(ended.number);
         }
+        if outcome == Outcome::Lost {
+            self.record_loss(&ended);
+        }
         let queued_tokens = self.prefill_tokens_at(&ended.runner);
         // An attempt on standby is counted already.
         if !ended.is_standby {
@@ -101,11 +105,12 @@
                 },
             ) => (false, *started_at, runner),
         };
+        let in_flight = self.state.in_flight.get(&attempt)?;
         Some(EndedAttempt {
             number,
             attempt,
             runner: runner.clone(),
-            build: self.state.builds.get(&attempt)?.clone(),
+            in_flight: in_flight.clone(),
             id: call.id.clone(),
             is_prefill,
             is_standby: standby.is_some(),
@@ -225,7 +230,7 @@
         if let Some(call) = self.state.calls.get_mut(&ended.number) {
             call.kv = Some(KvCache {
                 runner: ended.runner.clone(),
-                build: ended.build.clone(),
+                build: ended.in_flight.build.clone(),
                 address,
                 handle,
                 created_at,
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -46,6 +46,7 @@
         };
         self.keep_attempt(number, attempt);
         self.discharge_prefill(attempt);
+        self.record_begin(attempt);
         self.mark_seen(attempt);
         // Capacity for a move that is not needed any more.
         self.drop_grant(number);
@@ -75,7 +76,8 @@
         }
         call.progress.last_position = position.or(call.progress.last_position);
         if call.build.is_none() {
-            call.build = self.state.builds.get(&attempt).cloned();
+            let in_flight = self.state.in_flight.get(&attempt);
+            call.build = in_flight.map(|in_flight| in_flight.build.clone());
         }
         if is_first_pause {
             let entry = Entry::new(Kind::Paused).request(&id).attempt(attempt);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,13 +10,14 @@
 use crate::allocation::{Allocator, Claim, GrantNumber};
 use crate::budget::{Budget, Charge, Share};
 use crate::call::Call;
+use crate::crash::Loss;
 use crate::event::Directory;
 use crate::id;
 use crate::manifest::Manifest;
 use crate::member::{Descriptor, Status, Table};
 use crate::origin;
 use crate::policy::Policy;
-use crate::pool::{Load, Pool};
+use crate::pool::{Instance, Load, Pool};
 use crate::settings::Settings;
 
 /// Number of VMs that poll the configuration service at a short interval.
@@ -91,6 +92,17 @@
     pub is_unacknowledged: bool,
 }
 
+/// The runner of an attempt in flight, as listed when it was dispatched.
+#[derive(Debug, Clone)]
+pub struct InFlight {
+    /// Its software version.
+    pub build: id::Build,
+    /// The process that runs there.
+    pub instance: Instance,
+    /// When the first event of its stream was received.
+    pub begun_at: Option<Duration>,
+}
+
 /// The complete state of one process.
 #[derive(Debug)]
 pub struct State {
@@ -124,10 +136,12 @@
     pub calls: BTreeMap<id::Call, Call>,
     /// Calls by attempt in flight.
     pub by_attempt: HashMap<id::Attempt, id::Call>,
-    /// Software version of the runner of each attempt in flight, as listed when it was dispatched.
-    pub builds: HashMap<id::Attempt, id::Build>,
+    /// The attempts in flight.
+    pub in_flight: HashMap<id::Attempt, InFlight>,
     /// Load that attempts in flight put on engines.
     pub charges: HashMap<id::Attempt, Vec<(id::Runner, Load)>>,
+    /// Attempts lost at runners of which it is being checked whether they have ended.
+    pub losses: HashMap<Instance, Loss>,
     /// Loads last reported by other VMs.
     pub peer_reports: HashMap<id::Vm, PeerReport>,
     /// Whether this VM's load has changed since it was last published.
@@ -184,8 +198,9 @@
             probe_count: 0,
             calls: BTreeMap::new(),
             by_attempt: HashMap::new(),
-            builds: HashMap::new(),
+            in_flight: HashMap::new(),
             charges: HashMap::new(),
+            losses: HashMap::new(),
             peer_reports: HashMap::new(),
             load_changed: false,
             load_published_at: Duration::ZERO,
--- a/crates/relay/tests/once.rs
+++ b/crates/relay/tests/once.rs
@@ -553,7 +553,7 @@
     assert!(harness.state.calls.is_empty(), "calls are left");
     assert!(harness.state.by_attempt.is_empty(), "attempts are left");
     assert!(harness.state.charges.is_empty(), "load is left");
-    assert!(harness.state.builds.is_empty(), "builds are left");
+    assert!(harness.state.in_flight.is_empty(), "attempts are left");
     let share = harness.state.retry_share(harness.now);
     let mut budgets = harness.state.budgets.values();
     assert!(
