--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -64,6 +64,8 @@
 
 struct Inner {
     listener: Socket,
+    /// Whether it has stopped listening.
+    is_closed: Cell<bool>,
     impairment: Cell<Impairment>,
     /// Connections with a lower number forward nothing any more.
     stalled_below: Cell<u64>,
@@ -119,6 +121,15 @@
             .for_each(|waiter| _ = waiter.send(()));
     }
 
+    /// Stops listening and closes all connections, as the exit of the target's process would.
+    pub fn close(self) {
+        self.inner.is_closed.set(true);
+        if let Err(error) = self.inner.listener.shutdown(std::net::Shutdown::Both) {
+            log::warn!("a relay can't stop listening: {error}");
+        }
+        self.reset();
+    }
+
     /// Closes all open connections.
     pub fn reset(&self) {
         self.inner.connections.borrow_mut().clear();
@@ -129,6 +140,7 @@
     fn new(listener: Socket) -> Self {
         Self {
             listener,
+            is_closed: Cell::default(),
             impairment: Cell::default(),
             stalled_below: Cell::default(),
             last_connection: Cell::default(),
@@ -187,7 +199,11 @@
 
 async fn accept(listener: TcpListener, target: Rc<Cell<SocketAddr>>, inner: Rc<Inner>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = listener.accept().await;
+        if inner.is_closed.get() {
+            return;
+        }
+        let Ok((stream, _)) = accepted else {
             monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
