Allocation: engines that have left do not split those that serve into groups

Cause: the number of groups counted all entries of the list, also those of runners that have left, which stay for 30 s. With 12 engines and 7 replaced there were two groups, one with most decode engines and one prefill engine. Whoever replaces engines (a release, crashes) gets there with half of 16. Class: state of what has gone taken for capacity.

Now only engines that accept requests are counted. Test: ask_groups_without_departed_engines, which asked for 4 groups before (1 is right).

--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -161,7 +161,11 @@
     }
 
     pub(super) fn layout(&self) -> Layout {
-        let engines = self.state.pool.iter().filter(|runner| is_engine(runner));
+        let engines = self
+            .state
+            .pool
+            .iter()
+            .filter(|runner| is_ready_engine(runner));
         let group_engines = self.state.policy.group_engines;
         let groups = allocation::group_count(engines.count(), group_engines);
         let vms = self.allocator_candidates();
@@ -329,9 +333,7 @@
     }
 }
 
-fn is_engine(runner: &Runner) -> bool {
-    matches!(
-        runner.descriptor.role,
-        Some(Role::Prefill) | Some(Role::Decode)
-    )
+fn is_ready_engine(runner: &Runner) -> bool {
+    let is_ready = runner.status == pool::Status::Ready;
+    is_ready && matches!(runner.descriptor.role, Some(Role::Prefill | Role::Decode))
 }
--- a/crates/relay/tests/allocation.rs
+++ b/crates/relay/tests/allocation.rs
@@ -9,9 +9,10 @@
 use hornbeamtiller_relay::allocation::{
     group_count, group_of, rank, Allocator, Ask, Claim, Grant, Limits, Urgency,
 };
-use hornbeamtiller_relay::event::Effect;
+use hornbeamtiller_relay::event::{Effect, Event};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::manifest::Engine;
+use hornbeamtiller_relay::member::Descriptor as MemberDescriptor;
 use hornbeamtiller_relay::pool::{self, Load, Pool, Role};
 use proptest::prelude::*;
 use support::fleet::Fleet;
@@ -412,3 +413,36 @@
         fleet.messages
     );
 }
+
+/// Guards against engines that have been replaced and still count, so that those that serve are split into
+/// groups of which one has most decode engines and another most prefill engines.
+#[test]
+fn ask_groups_without_departed_engines() {
+    let mut harness = Harness::new(1);
+    let allocator = MemberDescriptor {
+        weight: u32::MAX,
+        ..member("vm-2", 2, 1)
+    };
+    harness.receive_view(allocator, false);
+    for number in 0..30 {
+        let name = format!("decode-{number}");
+        let mut descriptor = descriptor(&name, "llm", 100 + number, Some(Role::Decode));
+        descriptor.revision = 20 + u64::from(number);
+        harness.apply(Event::RunnerUpdated { descriptor });
+        let runner = name.into();
+        let revision = 60 + u64::from(number);
+        harness.apply(Event::RunnerRemoved { runner, revision });
+    }
+    let effects = harness.arrive(STREAM);
+    let claim = effects.iter().find_map(|effect| match effect {
+        Effect::SendClaim { claim, .. } => Some(claim),
+        _ => None,
+    });
+    let groups: Vec<u32> = claim
+        .expect("a claim")
+        .asks
+        .iter()
+        .map(|ask| ask.groups)
+        .collect();
+    assert_eq!(groups, [1]);
+}
