A body that ends with its connection is complete only if its runner has not ended

What callers would see: an answer or a stream without a length, whose runner crashes between two events, was passed on as complete: a closed connection ends such a body, whoever closed it. A part of prompts that crashes its runner after an event would be cleared by it, too.

Once such a body has ended, one connection is tried to its runner: refused means that its process has ended, and the attempt is lost, so that a stream goes on from its last event, or is cut, and a call gets 502.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,10 +6,11 @@
 use bytes::{Bytes, BytesMut};
 use hornbeamtiller_http::client::{self, Response, Reuse};
 use hornbeamtiller_http::sse;
-use hornbeamtiller_relay::event::{Dispatch, Event, Operation, Outcome};
+use hornbeamtiller_relay::event::{Dispatch, Event, Operation, Outcome, Presence};
 use hornbeamtiller_relay::pool::Report;
 
 use crate::driver::{Driver, Payload};
+use crate::presence;
 use crate::protocol::{CallerRequest, Protocol, ResponseKind};
 
 /// Maximum size of a buffered response body, in bytes.
@@ -101,7 +102,14 @@
         log::info!(target: "relay", request, runner = &**runner, attempt, cause; "exchange_failed");
     }
 
+    /// Whether a body that has ended may be only a part: it ended with its connection, and so did the runner's
+    /// process.
+    async fn may_be_cut(&self, ends_with_connection: bool) -> bool {
+        ends_with_connection && presence::check(self.dispatch.address).await == Presence::Refused
+    }
+
     async fn forward_buffered(&self, response: Response, reported: Option<Report>) {
+        let ends_with_connection = response.ends_with_connection();
         let (mut head, body) = match response.collect(RESPONSE_BYTES_MAX, self.timeout).await {
             Ok(complete) => complete,
             Err(error) => {
@@ -109,6 +117,10 @@
                 return self.end(Outcome::Lost, reported);
             }
         };
+        if self.may_be_cut(ends_with_connection).await {
+            self.log_failure(Failure::RunnerEnded);
+            return self.end(Outcome::Lost, reported);
+        }
         if self.dispatch.operation == Operation::Prefill {
             let outcome = match self.driver.protocol().parse_cache_handle(&body) {
                 Some(handle) => Outcome::Prefilled { handle },
@@ -126,6 +138,7 @@
     }
 
     async fn forward_stream(&self, mut response: Response, reported: Option<Report>) {
+        let ends_with_connection = response.ends_with_connection();
         let mut head = http::Response::new(()).into_parts().0;
         std::mem::swap(&mut head, &mut response.head);
         self.driver.protocol().strip_response_head(&mut head);
@@ -162,6 +175,9 @@
         let outcome = if parser.has_partial_block() || unsent_head.is_some() {
             self.log_failure(Failure::Incomplete);
             Outcome::Lost
+        } else if self.may_be_cut(ends_with_connection).await {
+            self.log_failure(Failure::RunnerEnded);
+            Outcome::Lost
         } else {
             Outcome::Ended
         };
@@ -177,6 +193,8 @@
     Unusable,
     /// The stream ended within an event or before the first one.
     Incomplete,
+    /// The body ended with the connection, and the runner's process has ended.
+    RunnerEnded,
 }
 
 impl From<client::Cause> for Failure {
@@ -191,6 +209,7 @@
             Self::Exchange(cause) => cause.into(),
             Self::Unusable => "unusable",
             Self::Incomplete => "incomplete",
+            Self::RunnerEnded => "runner_ended",
         }
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,8 +10,7 @@
 use hornbeamtiller_http::body::{Channel, Sender, Truncated};
 use hornbeamtiller_http::cancel;
 use hornbeamtiller_http::client::{Client, Reuse};
-use hornbeamtiller_http::socket;
-use hornbeamtiller_relay::event::{Dispatch, Effect, Event, KvCache, Presence};
+use hornbeamtiller_relay::event::{Dispatch, Effect, Event, KvCache};
 use hornbeamtiller_relay::id::{Attempt, Call};
 use hornbeamtiller_relay::member::View;
 use hornbeamtiller_relay::pool::Instance;
@@ -24,15 +22,12 @@
 use crate::metrics::Metrics;
 use crate::peer::Connections;
 use crate::protocol::{CallerRequest, Protocol};
-use crate::{attempt, log_line};
+use crate::{attempt, log_line, presence};
 
 /// Timeout of the request that frees a KV cache at a prefill runner, and of each chunk of its
 /// response.
 const KV_FREE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout of a connection that checks whether a runner has ended.
-const PRESENCE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// The reducer's decision on how a caller's request is answered.
 #[derive(Debug)]
 pub enum Decision {
@@ -331,14 +326,7 @@
     fn check_runner(&self, instance: Instance, address: std::net::SocketAddr) {
         let driver = self.clone();
         monoio::spawn(async move {
-            let presence = match socket::probe(address, PRESENCE_TIMEOUT).await {
-                Ok(()) => Presence::Listening,
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Refused,
-                Err(error) => {
-                    log::info!(runner = &*instance.runner, error:% = error; "presence_unknown");
-                    Presence::Unknown
-                }
-            };
+            let presence = presence::check(address).await;
             driver.apply(Event::RunnerChecked { instance, presence });
         });
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod log_line;
 pub mod metrics;
 mod peer;
+mod presence;
 pub mod protocol;
 pub mod settings;
 
--- /dev/null
+++ b/crates/gateway/src/presence.rs
@@ -0,0 +1,23 @@
+//! Whether the process of a runner has ended.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hornbeamtiller_http::socket;
+use hornbeamtiller_relay::event::Presence;
+
+/// Timeout of the connection that shows whether anything listens.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Tries to connect to a runner. Only a refusal proves that it has ended.
+pub async fn check(address: SocketAddr) -> Presence {
+    match socket::probe(address, TIMEOUT).await {
+        Ok(()) => Presence::Listening,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Refused,
+        Err(error) => {
+            log::info!(runner_address:% = address, error:% = error; "presence_unknown");
+            Presence::Unknown
+        }
+    }
+}
--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::Request;
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
@@ -288,6 +289,13 @@
 }
 
 impl Response {
+    /// Whether the body has neither a length nor chunks and ends with the connection. The end of such a body
+    /// looks the same if the server's process has ended.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Waits for the next chunk of the body; `None` at its end.
     ///
     /// # Errors
