Logs say which limits runners name

Server-Limit is parsed on every response of a runner to its own request (platform/): a finite number above 0; anything else is passed over with 'limit_unreadable'. 'limit_named' says when it changes. A response that was sent for before the limit was named does not lift it. As Server-Load, the header is kept from callers. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,8 +6,10 @@
 use bytes::{Bytes, BytesMut};
 use hornbeamtiller_http::client::{self, Response, Reuse};
 use hornbeamtiller_http::sse;
-use hornbeamtiller_relay::event::{Dispatch, Event, Operation, Outcome, Presence};
+use hornbeamtiller_relay::event::{Decline, Dispatch, Event, Operation, Outcome, Presence};
+use hornbeamtiller_relay::limit::Statement;
 use hornbeamtiller_relay::pool::Report;
+use hornbeamtiller_relay::state::State;
 
 use crate::driver::{Driver, Payload};
 use crate::presence;
@@ -64,7 +66,14 @@
         };
         let protocol = self.driver.protocol();
         let reported = protocol.parse_load(&response.head);
-        match protocol.classify_response(&self.caller_request, &self.dispatch, &response.head) {
+        let kind = protocol.classify_response(&self.caller_request, &self.dispatch, &response.head);
+        if !matches!(
+            kind,
+            ResponseKind::Mismatched | ResponseKind::Declined(Decline::Displaced)
+        ) {
+            self.state_limit(&response.head);
+        }
+        match kind {
             ResponseKind::Declined(decline) => {
                 discard_body(response, self.timeout).await;
                 self.end(Outcome::Declined(decline), reported);
@@ -79,6 +88,21 @@
         }
     }
 
+    /// Reports what a response says of its runner's limit, unless there is none and never was one.
+    fn state_limit(&self, head: &http::response::Parts) {
+        let Some(statement) = self.driver.protocol().parse_limit(head) else {
+            return;
+        };
+        let attempt = self.dispatch.attempt;
+        let is_known = |state: &State| {
+            let in_flight = state.in_flight.get(&attempt);
+            in_flight.is_some_and(|in_flight| state.limits.contains(&in_flight.instance))
+        };
+        if statement != Statement::Unlimited || self.driver.with_state(is_known) {
+            self.driver.apply(Event::LimitStated { attempt, statement });
+        }
+    }
+
     fn end(&self, outcome: Outcome, reported: Option<Report>) {
         self.end_with(outcome, reported, Payload::Empty);
     }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hornbeamtiller_relay::event::{Decline, Dispatch, KvCache, Prompt};
 use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::limit::Statement;
 use hornbeamtiller_relay::manifest::Manifest;
 use hornbeamtiller_relay::pool::Report;
 use hornbeamtiller_relay::refusal::{Reason, Refusal};
@@ -87,6 +88,9 @@
     /// Parses the load that a runner reports in its response.
     fn parse_load(&self, head: &response::Parts) -> Option<Report>;
 
+    /// Parses what a runner says of its limit; `None` if that can't be understood.
+    fn parse_limit(&self, head: &response::Parts) -> Option<Statement>;
+
     /// Removes hop-by-hop headers, and those meant for the gateway alone, from a runner's response.
     fn strip_response_head(&self, head: &mut response::Parts);
 
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -157,6 +157,7 @@
             "runner {runner} has ended; it had not begun to respond to requests with the parts {}",
             field(&attributes.parts)
         ),
+        "limit_named" => format!("limit of {runner}: {outcome}"),
         "part_tried" => format!("quarantined part {} let through once", field(&attributes.parts)),
         "part_quarantined" => format!("part {} quarantined: {outcome}", field(&attributes.parts)),
         "part_released" => format!("part {} released: {outcome}", field(&attributes.parts)),
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -51,6 +51,8 @@
     RunnerListed,
     /// A runner gets no requests, or no prefills, for a while.
     RunnerRests,
+    /// The limit that a runner names has changed.
+    LimitNamed,
     /// The process of a runner has ended while it had requests.
     RunnerCrashed,
     /// Runners are sent no requests with a part of prompts any more.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -7,6 +7,7 @@
 use crate::allocation::{Batch, Claim};
 use crate::decision_log::Entry;
 use crate::id;
+use crate::limit::Statement;
 use crate::manifest::{Kind as RouteKind, Manifest};
 use crate::member::{Descriptor as MemberDescriptor, View};
 use crate::origin::{Answer, Question, Record};
@@ -237,6 +238,13 @@
         /// The answer.
         answer: Answer,
     },
+    /// A response of a runner says something of its limit.
+    LimitStated {
+        /// The attempt.
+        attempt: id::Attempt,
+        /// What it says.
+        statement: Statement,
+    },
     /// It was checked whether the process of a runner has ended.
     RunnerChecked {
         /// The process.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod decision_log;
 pub mod event;
 pub mod id;
+pub mod limit;
 pub mod manifest;
 pub mod member;
 pub mod origin;
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -239,6 +239,7 @@
         let in_flight = InFlight {
             build: runner.descriptor.build.clone(),
             instance: runner.descriptor.instance(),
+            sent_at: self.now,
             begun_at: None,
             is_sound: false,
         };
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -10,6 +10,7 @@
 mod finish;
 mod fleet;
 mod leave;
+mod limit;
 mod load;
 mod origin;
 mod outcome;
@@ -72,6 +73,9 @@
             address,
             answer,
         } => reducer.handle_origin_answer(call, address, answer),
+        Event::LimitStated { attempt, statement } => {
+            reducer.handle_limit_statement(attempt, statement)
+        }
         Event::RunnerChecked { instance, presence } => {
             reducer.handle_runner_check(&instance, presence)
         }
@@ -113,6 +117,7 @@
         self.tick_allocator();
         self.tick_origins();
         self.tick_crashes();
+        self.tick_limits();
         self.tick_leave();
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,6 +13,7 @@
 use crate::crash::{Evidence, Loss, Quarantine, BEGIN_MARGIN};
 use crate::event::Directory;
 use crate::id;
+use crate::limit;
 use crate::manifest::Manifest;
 use crate::member::{Descriptor, Status, Table};
 use crate::origin;
@@ -110,6 +111,8 @@
     pub build: id::Build,
     /// The process that runs there.
     pub instance: Instance,
+    /// When the attempt was dispatched.
+    pub sent_at: Duration,
     /// When the first event of its stream was received.
     pub begun_at: Option<Duration>,
     /// Whether its prompt has been recorded as sound, since its response went on for a moment.
@@ -162,6 +165,8 @@
     pub charges: HashMap<id::Attempt, Vec<(id::Runner, Load)>>,
     /// Attempts lost at runners of which it is being checked whether they have ended.
     pub losses: HashMap<Instance, Loss>,
+    /// Limits that runners name.
+    pub limits: limit::Table,
     /// Crashes of runners, and what may have caused them.
     pub evidence: Evidence,
     /// Parts of prompts that no runner is sent.
@@ -229,6 +234,7 @@
             in_flight: HashMap::new(),
             charges: HashMap::new(),
             losses: HashMap::new(),
+            limits: limit::Table::default(),
             evidence: Evidence::default(),
             quarantine: Quarantine::default(),
             untold: Untold::default(),
