--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -9,6 +9,7 @@
     Arrival, Decline, Dispatch, Effect, Event, Operation, Outcome, Presence,
 };
 use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::limit::{Rate, Statement};
 use hornbeamtiller_relay::member::{Descriptor, Status, View};
 use hornbeamtiller_relay::pool::{self, Role};
 use hornbeamtiller_relay::refusal::Refusal;
@@ -55,8 +56,15 @@
     pub sent_at: BTreeMap<(usize, id::Call), Duration>,
     /// Calls whose stream was begun by the first runner that was to generate it.
     pub begun: BTreeSet<(usize, id::Call)>,
-    /// How calls were refused.
+    /// How calls were refused, and when.
     pub refusals: BTreeMap<(usize, id::Call), Refusal>,
+    pub refused_at: BTreeMap<(usize, id::Call), Duration>,
+    /// When plain calls were answered.
+    pub answered: BTreeMap<(usize, id::Call), Duration>,
+    /// Limits that plain runners name.
+    pub limits: BTreeMap<id::Runner, Rate>,
+    /// Requests at plain runners, by VM and time.
+    pub plain_arrivals: BTreeMap<id::Runner, Vec<(usize, Duration)>>,
     /// The streams that callers have events of.
     pub streams: BTreeMap<(usize, id::Call), Stream>,
     pub started_after: Vec<Duration>,
@@ -111,6 +119,8 @@
 const PREFILL_TIME: Duration = Duration::from_millis(60);
 /// Time that an engine takes to begin a stream.
 const BEGIN_TIME: Duration = Duration::from_millis(60);
+/// Time that a plain runner takes.
+const PLAIN_TIME: Duration = Duration::from_millis(60);
 /// Timeout of a message between VMs.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that a message between VMs, or to or from an engine, takes.
@@ -170,6 +180,10 @@
             sent_at: BTreeMap::new(),
             begun: BTreeSet::new(),
             refusals: BTreeMap::new(),
+            refused_at: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            limits: BTreeMap::new(),
+            plain_arrivals: BTreeMap::new(),
         };
         for listed in &engines {
             fleet.start_engine(listed, Duration::ZERO);
@@ -296,6 +310,10 @@
             Effect::CheckRunner { instance, .. } => self.check_engine(vm, instance),
             Effect::Refuse { call, refusal } => {
                 self.refusals.insert((vm, call), refusal);
+                self.refused_at.insert((vm, call), self.now);
+            }
+            Effect::ForwardResponse { call } => {
+                self.answered.insert((vm, call), self.now);
             }
             Effect::EndStream { call } => {
                 self.streams.entry((vm, call)).or_default().ended = true;
@@ -407,7 +425,16 @@
             call: dispatch.call,
         };
         match dispatch.operation {
-            Operation::Plain => {}
+            Operation::Plain => {
+                self.running.insert((vm, attempt), running);
+                let limit = self.limits.get(&dispatch.runner).copied();
+                let statement = limit.map_or(Statement::Unlimited, Statement::Limited);
+                let arrivals = self.plain_arrivals.entry(dispatch.runner).or_default();
+                arrivals.push((vm, now));
+                let stated = Event::LimitStated { attempt, statement };
+                self.deliver_after(PLAIN_TIME, vm, stated);
+                self.deliver_after(PLAIN_TIME, vm, ended(Outcome::Answered { status: 200 }));
+            }
             Operation::Prefill => {
                 self.prefills += 1;
                 engine.free_at = engine.free_at.max(now) + PREFILL_TIME;
@@ -486,6 +513,21 @@
         self.arrive_with(vm, call, &[]);
     }
 
+    /// Delivers a request to a plain service.
+    pub fn arrive_plain(&mut self, vm: usize, call: id::Call, path: &str) {
+        self.arrived_at.insert((vm, call), self.now);
+        let arrival = Arrival {
+            prompt: None,
+            ..super::stream_arrival(call, path)
+        };
+        self.apply(vm, Event::Arrived(arrival));
+    }
+
+    /// Asks a VM to leave.
+    pub fn leave(&mut self, vm: usize) {
+        self.apply(vm, Event::Leave);
+    }
+
     /// Delivers a request whose prompt has these parts.
     pub fn arrive_with(&mut self, vm: usize, call: id::Call, parts: &[id::Part]) {
         self.arrived_at.insert((vm, call), self.now);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fleet;
+pub mod limits;
 pub mod poison;
 pub mod resume;
 pub mod storm;
