Runners that name a limit get no more than that from all VMs together (LIMIT)

Placement goes by latency, load and failures, and the third runner failed its requests, so that all seven VMs sent most to the two that were in need. Class: a bound on the sum over all VMs that no VM keeps.

Why this works: VMs tell each other of limits in their views, in the way that they tell of crashes; an answer that was sent for before a limit was named does not lift it. For each plain runner with a limit the VM that ranks highest issues permits at its rate, in the order in which VMs ask, and starts a second after it took over; asks end with the calls they are for, permits that nobody needs are given back, and others lapse after half a second, so that none are saved up. An engine's allocator counts its grants. A VM that reaches less than half of the fleet issues its part. Where all runners of an endpoint name limits the most urgent call goes first, and calls that will get no permit in time are refused at once, to come back when this VM's share will have served those before. Nothing is asked or told where no runner names a limit.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -237,6 +237,22 @@
                 let connections = &self.0.connections;
                 connections.ask_origin(self, address, call, question)
             }
+            Effect::AskPermit {
+                address,
+                instance,
+                asker,
+            } => {
+                let connections = &self.0.connections;
+                connections.ask_permit(self, address, instance, asker)
+            }
+            Effect::SendPermit { address, instance } => {
+                let connections = &self.0.connections;
+                connections.send_permit(self, address, instance, false)
+            }
+            Effect::ReturnPermit { address, instance } => {
+                let connections = &self.0.connections;
+                connections.send_permit(self, address, instance, true)
+            }
             Effect::CheckRunner { instance, address } => self.check_runner(instance, address),
             Effect::Log(entry) => log_line::write(&entry),
             Effect::Measure(sample) => self.0.metrics.observe(sample),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -19,8 +19,10 @@
 use hornbeamtiller_relay::allocation::{Batch, Claim};
 use hornbeamtiller_relay::event::Event;
 use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::limit::Asker;
 use hornbeamtiller_relay::member;
 use hornbeamtiller_relay::origin::{Answer, Question, Record};
+use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_wire::fleet_capnp::fleet;
 use hornbeamtiller_wire::io::{Connection, WriteCounter};
 use hornbeamtiller_wire::{allocation, origin, view};
@@ -180,6 +182,44 @@
         });
     }
 
+    /// Asks a peer for a permit. One that does not come is asked for again.
+    pub fn ask_permit<P: Protocol>(
+        &self,
+        driver: &Driver<P>,
+        address: SocketAddr,
+        instance: Instance,
+        asker: Asker,
+    ) {
+        let driver = driver.clone();
+        monoio::spawn(async move {
+            let asked = call_ask_permit(&driver, address, &instance, &asker);
+            let asked = monoio::time::timeout(CALL_TIMEOUT, asked).await;
+            if let Err(error) = asked.unwrap_or(Err(Error::TimedOut)) {
+                driver.connections().forget_broken(address, &error);
+                log::info!(peer:% = address, error:% = error; "permit_not_asked");
+            }
+        });
+    }
+
+    /// Sends a permit, or gives one back. One that is lost is not used.
+    pub fn send_permit<P: Protocol>(
+        &self,
+        driver: &Driver<P>,
+        address: SocketAddr,
+        instance: Instance,
+        is_returned: bool,
+    ) {
+        let driver = driver.clone();
+        monoio::spawn(async move {
+            let sent = call_permit(&driver, address, &instance, is_returned);
+            let sent = monoio::time::timeout(CALL_TIMEOUT, sent).await;
+            if let Err(error) = sent.unwrap_or(Err(Error::TimedOut)) {
+                driver.connections().forget_broken(address, &error);
+                log::info!(peer:% = address, error:% = error; "permit_lost");
+            }
+        });
+    }
+
     /// Closes a connection after a failure other than a timeout.
     fn forget_broken(&self, address: SocketAddr, error: &Error) {
         if !matches!(error, Error::TimedOut) {
@@ -257,6 +297,38 @@
     Ok(origin::read_answer(response.get()?.get_answer()?)?)
 }
 
+async fn call_ask_permit<P: Protocol>(
+    driver: &Driver<P>,
+    address: SocketAddr,
+    instance: &Instance,
+    asker: &Asker,
+) -> Result<(), Error> {
+    let session = open_session(driver, address).await?;
+    let mut request = session.fleet.ask_permit_request();
+    let mut params = request.get();
+    params.set_runner(&*instance.runner);
+    params.set_born(instance.started_at_ms);
+    params.set_vm(&*asker.vm);
+    params.set_peer_address(asker.address.to_string().as_str());
+    request.send().promise.await?;
+    Ok(())
+}
+
+async fn call_permit<P: Protocol>(
+    driver: &Driver<P>,
+    address: SocketAddr,
+    instance: &Instance,
+    is_returned: bool,
+) -> Result<(), Error> {
+    let session = open_session(driver, address).await?;
+    let mut request = session.fleet.permit_request();
+    request.get().set_is_returned(is_returned);
+    request.get().set_runner(&*instance.runner);
+    request.get().set_born(instance.started_at_ms);
+    request.send().promise.await?;
+    Ok(())
+}
+
 /// The session with a peer, opened if there is none.
 async fn open_session<P: Protocol>(
     driver: &Driver<P>,
@@ -412,6 +484,47 @@
         origin::write_answer(&answer, results.get().init_answer());
         Ok(())
     }
+
+    async fn ask_permit(
+        self: CapRc<Self>,
+        params: fleet::AskPermitParams,
+        _results: fleet::AskPermitResults,
+    ) -> Result<(), capnp::Error> {
+        self.calls.set(self.calls.get() + 1);
+        let params = params.get()?;
+        let address = params.get_peer_address()?.to_str()?.parse();
+        let asker = Asker {
+            vm: params.get_vm()?.to_str()?.into(),
+            address: address.map_err(|error: std::net::AddrParseError| {
+                capnp::Error::failed(error.to_string())
+            })?,
+        };
+        let instance = Instance {
+            runner: params.get_runner()?.to_str()?.into(),
+            started_at_ms: params.get_born(),
+        };
+        self.driver.apply(Event::PermitAsked { instance, asker });
+        Ok(())
+    }
+
+    async fn permit(
+        self: CapRc<Self>,
+        params: fleet::PermitParams,
+        _results: fleet::PermitResults,
+    ) -> Result<(), capnp::Error> {
+        self.calls.set(self.calls.get() + 1);
+        let params = params.get()?;
+        let instance = Instance {
+            runner: params.get_runner()?.to_str()?.into(),
+            started_at_ms: params.get_born(),
+        };
+        self.driver.apply(if params.get_is_returned() {
+            Event::PermitReturned { instance }
+        } else {
+            Event::PermitReceived { instance }
+        });
+        Ok(())
+    }
 }
 
 impl<P: Protocol> FleetService<P> {
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -183,6 +183,7 @@
         "build_gone" => "no runner of the software version that began the stream was left",
         "prompt_quarantined" => "a part of its prompt crashes runners",
         "timed_out" => "the deadline passed",
+        "limited" => "the runners name limits, and others were sent to them first",
         "no_retry_left" => "the retry budget had no retry left",
         "leaving" => "the process was shutting down",
         "origin_unknown" => "no VM knew which software version began the stream",
--- a/crates/relay/src/allocation/allocator.rs
+++ b/crates/relay/src/allocation/allocator.rs
@@ -67,15 +67,17 @@
     /// Grants capacity to the calls that wait, as far as there is any.
     ///
     /// Calls that can still meet their target latency go first, the most urgent one ahead. The others
-    /// use only what these leave, the longest waiting ahead.
+    /// use only what these leave, the longest waiting ahead. `allowances` is how many requests the engines that
+    /// name a limit may get now.
     pub fn allocate(
         &mut self,
         pool: &Pool,
         engines: &BTreeMap<id::Endpoint, Engine>,
         limits: Limits,
+        allowances: HashMap<id::Runner, u32>,
         now: Duration,
     ) -> Vec<Delivery> {
-        let mut round = Round::new(pool, engines, limits, self.loads(), now);
+        let mut round = Round::new(pool, engines, limits, self.loads(), allowances, now);
         let mut deliveries: BTreeMap<id::Vm, Delivery> = BTreeMap::new();
         for (urgency, vm, ask) in self.waiting(now) {
             let Some(placement) = round.place(&ask, urgency) else {
--- a/crates/relay/src/allocation/round.rs
+++ b/crates/relay/src/allocation/round.rs
@@ -39,6 +39,8 @@
     now: Duration,
     /// The load at each engine, with what this pass has granted.
     loads: HashMap<id::Runner, Load>,
+    /// Requests that the engines which name a limit may still get.
+    allowances: HashMap<id::Runner, u32>,
     /// Size of the smallest call of each kind that found no room; a larger one finds none either.
     refused: HashMap<Kind, u64>,
 }
@@ -50,6 +52,7 @@
         engines: &'a BTreeMap<id::Endpoint, Engine>,
         limits: Limits,
         loads: HashMap<id::Runner, Load>,
+        allowances: HashMap<id::Runner, u32>,
         now: Duration,
     ) -> Self {
         Self {
@@ -58,6 +61,7 @@
             limits,
             now,
             loads,
+            allowances,
             refused: HashMap::new(),
         }
     }
@@ -83,6 +87,7 @@
         let search = Search {
             pool: self.pool,
             loads: &self.loads,
+            allowances: &self.allowances,
             ask,
             kv_across_builds: self.limits.kv_across_builds,
             now: self.now,
@@ -100,6 +105,9 @@
         let added = added_loads(ask, &decode, prefill.as_ref());
         for (runner, load) in &added {
             self.loads.entry(runner.clone()).or_default().add(*load);
+            if let Some(left) = self.allowances.get_mut(runner) {
+                *left = left.saturating_sub(1);
+            }
         }
         Some(Placement {
             decode,
@@ -152,6 +160,7 @@
 struct Search<'a> {
     pool: &'a Pool,
     loads: &'a HashMap<id::Runner, Load>,
+    allowances: &'a HashMap<id::Runner, u32>,
     ask: &'a Ask,
     kv_across_builds: bool,
     now: Duration,
@@ -175,7 +184,7 @@
 
     /// The engines of a role and of the build in the group that accept requests.
     fn engines_of_group(&self, role: Role) -> impl Iterator<Item = &'a Runner> + Clone {
-        let (ask, now) = (self.ask, self.now);
+        let (ask, now, allowances) = (self.ask, self.now, self.allowances);
         let purpose = match role {
             Role::Prefill => placement::Purpose::Prefill,
             Role::Decode => placement::Purpose::Decode,
@@ -185,6 +194,7 @@
                 && runner.descriptor.is_of_build(ask.build.as_ref())
                 && runner.status == Status::Ready
                 && !runner.displaced
+                && allowances.get(&runner.descriptor.runner) != Some(&0)
                 && !placement::is_cooling_down(runner, purpose, now)
                 && group_of(&runner.descriptor.runner, ask.groups) == ask.group
         })
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -7,7 +7,7 @@
 use crate::allocation::{Batch, Claim};
 use crate::decision_log::Entry;
 use crate::id;
-use crate::limit::Statement;
+use crate::limit::{Asker, Statement};
 use crate::manifest::{Kind as RouteKind, Manifest};
 use crate::member::{Descriptor as MemberDescriptor, View};
 use crate::origin::{Answer, Question, Record};
@@ -245,6 +245,23 @@
         /// What it says.
         statement: Statement,
     },
+    /// A VM asks for a permit for a request to a runner.
+    PermitAsked {
+        /// The runner.
+        instance: Instance,
+        /// The VM.
+        asker: Asker,
+    },
+    /// This VM gets a permit for a request to a runner.
+    PermitReceived {
+        /// The runner.
+        instance: Instance,
+    },
+    /// A VM gives back a permit that it did not use.
+    PermitReturned {
+        /// The runner.
+        instance: Instance,
+    },
     /// It was checked whether the process of a runner has ended.
     RunnerChecked {
         /// The process.
@@ -432,6 +449,29 @@
         /// The question.
         question: Question,
     },
+    /// Asks a peer for a permit for a request to a runner.
+    AskPermit {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// The runner.
+        instance: Instance,
+        /// This VM.
+        asker: Asker,
+    },
+    /// Sends a permit for a request to a runner.
+    SendPermit {
+        /// Address of the VM.
+        address: SocketAddr,
+        /// The runner.
+        instance: Instance,
+    },
+    /// Gives back a permit that was not used.
+    ReturnPermit {
+        /// Address of the VM that issues permits for the runner.
+        address: SocketAddr,
+        /// The runner.
+        instance: Instance,
+    },
     /// Checks whether the process of a runner has ended.
     CheckRunner {
         /// The process.
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -11,6 +11,7 @@
 
 use crate::crash;
 use crate::id;
+use crate::limit;
 use crate::manifest::Manifest;
 use crate::pool;
 
@@ -80,8 +81,10 @@
     /// Calls at the sender that wait for engine capacity, without those that can no longer meet
     /// their target latency.
     pub waiting_calls: u32,
-    /// Digest of the parts that the sender knows to be quarantined.
-    pub quarantine: u64,
+    /// Digest of the quarantined parts and the limits that the sender knows.
+    pub digest: u64,
+    /// Limits of runners that the sender has news of, or that the receiver may lack.
+    pub limits: Vec<limit::Record>,
     /// What the sender knows of crashes, if it has news or the receiver is known to lack some.
     pub crashes: Option<crash::Report>,
     /// Whether a reply is requested.
@@ -102,7 +105,8 @@
             source_reached: self.source_reached,
             loads: self.loads,
             waiting_calls: self.waiting_calls,
-            quarantine: self.quarantine,
+            digest: self.digest,
+            limits: self.limits,
             crashes: self.crashes,
             reply_requested: self.reply_requested,
         }
@@ -122,8 +126,8 @@
     pub unacknowledged_views: u32,
     /// When it last left a view unacknowledged.
     pub missed_at: Option<Duration>,
-    /// When it was last told all that is known of crashes.
-    pub crashes_told_at: Option<Duration>,
+    /// When it was last told all that is known of crashes and limits.
+    pub informed_at: Option<Duration>,
     /// Version of its manifest, as of its last message.
     pub manifest_version: id::Version,
     /// Revision of its list of runners, as of its last message.
@@ -183,7 +187,7 @@
                     changed_at: now,
                     unacknowledged_views: 0,
                     missed_at: None,
-                    crashes_told_at: None,
+                    informed_at: None,
                     manifest_version: 0,
                     revision: 0,
                     last_change: 0,
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -184,6 +184,7 @@
 ) -> impl Iterator<Item = &'a Runner> + use<'a, 'q> {
     pool.at_endpoint(query.endpoint)
         .filter(|runner| query.purpose.accepts(runner.descriptor.role) && !runner.displaced)
+        .filter(|runner| !runner.is_held_back)
         .filter(|runner| runner.descriptor.is_of_build(query.build))
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -147,6 +147,9 @@
     pub kv_cooldown_until: Duration,
     /// Whether another runner responded at its address.
     pub displaced: bool,
+    /// Whether it names a limit and this VM has no permit for a request to it. Engines get requests by
+    /// grants.
+    pub is_held_back: bool,
 }
 
 /// Assumed prefill rate in tokens per millisecond, until one was observed.
@@ -200,6 +203,7 @@
             last_seen_at: None,
             kv_cooldown_until: Duration::ZERO,
             displaced: false,
+            is_held_back: false,
         }
     }
 }
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -249,10 +249,16 @@
             memory_fraction_late: self.state.policy.memory_fraction_late,
             kv_across_builds: self.state.policy.kv_across_builds,
         };
+        let allowances = self.engine_allowances();
         let state = &mut *self.state;
-        let deliveries = state
-            .allocator
-            .allocate(&state.pool, &engines, limits, self.now);
+        let allocator = &mut state.allocator;
+        let deliveries = allocator.allocate(&state.pool, &engines, limits, allowances, self.now);
+        for grant in deliveries.iter().flat_map(|delivery| &delivery.grants) {
+            self.spend_allowance(&grant.decode);
+            if let Some(prefill) = &grant.prefill {
+                self.spend_allowance(prefill);
+            }
+        }
         let local = self.state.local.vm.clone();
         for delivery in deliveries {
             let batch = Batch {
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -8,6 +8,7 @@
 use crate::event::{Effect, Presence};
 use crate::id;
 use crate::pool::{Instance, Status};
+use crate::state::Untold;
 
 use super::outcome::EndedAttempt;
 use super::Reducer;
@@ -166,28 +167,20 @@
     pub(super) fn tick_crashes(&mut self) {
         self.state.evidence.expire(self.now);
         self.quarantine_culprits();
-        self.tell_crashes();
     }
 
-    /// Tells some other VMs what this one has learnt since the last tick; they tell others.
-    fn tell_crashes(&mut self) {
-        let untold = std::mem::take(&mut self.state.untold);
+    /// What this VM has learnt of crashes, if anything, of these runners and parts.
+    pub(super) fn describe_news(&self, untold: &Untold) -> Option<Report> {
         let evidence = &self.state.evidence;
         let crashes = untold.crashes.iter();
+        let parts = untold.parts.iter();
         let report = Report {
             crashes: crashes
                 .filter_map(|instance| evidence.describe(instance, self.now))
                 .collect(),
-            parts: untold
-                .parts
-                .iter()
-                .map(|part| self.describe_part(*part))
-                .collect(),
+            parts: parts.map(|part| self.describe_part(*part)).collect(),
         };
-        if report.is_empty() {
-            return;
-        }
-        self.publish_crashes(&report);
+        (!report.is_empty()).then_some(report)
     }
 
     fn describe_part(&self, part: id::Part) -> Record {
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -77,6 +77,8 @@
             return;
         };
         if call.prompt.is_none() {
+            let endpoint = call.endpoint.clone();
+            self.ask_for_permits(&endpoint);
             return match self.pick(number, Purpose::Plain) {
                 Some(runner) => self.start_run(number, &runner),
                 None => self.wait_for_capacity(number),
@@ -236,9 +238,11 @@
         let attempts = &mut self.state.counters.attempts;
         *attempts.entry((endpoint, charge)).or_default() += 1;
         self.state.by_attempt.insert(attempt, number);
+        let instance = runner.descriptor.instance();
+        self.state.permits.take(&instance, self.now);
         let in_flight = InFlight {
             build: runner.descriptor.build.clone(),
-            instance: runner.descriptor.instance(),
+            instance,
             sent_at: self.now,
             begun_at: None,
             is_sound: false,
@@ -284,6 +288,7 @@
             };
             return self.fail_call(number, reason);
         }
+        let is_plain = call.prompt.is_none();
         let is_first_wait =
             matches!(call.phase, Phase::Waiting { retry_at } if retry_at == call.arrived_at);
         call.phase = Phase::Waiting {
@@ -294,6 +299,9 @@
             let id = call.id.clone();
             self.log(Entry::new(Kind::Waits).request(&id));
         }
+        if is_plain {
+            self.refuse_surplus(number, max_wait);
+        }
     }
 
     pub(super) fn has_standby(&self, number: id::Call) -> bool {
--- a/crates/relay/src/reduce/finish.rs
+++ b/crates/relay/src/reduce/finish.rs
@@ -74,7 +74,10 @@
             .is_some_and(|call| call.phase.attempt().is_some());
         self.abort_attempt(number);
         self.abort_standby(number);
-        let jitter = self.state.rng.random_range(0.8..1.4);
+        let retry_after = match reason {
+            Reason::Limited => self.return_after(number),
+            _ => RETRY_AFTER_BASE.mul_f64(self.state.rng.random_range(0.8..1.4)),
+        };
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
         };
@@ -95,8 +98,7 @@
             self.emit(Effect::AbortStream { call: number });
             self.record_duration(number, Ending::StreamCut);
         } else {
-            let refusal =
-                Refusal::for_call(call.execution, reason, RETRY_AFTER_BASE.mul_f64(jitter));
+            let refusal = Refusal::for_call(call.execution, reason, retry_after);
             self.count_refusal(refusal);
             let ending = match refusal.claim {
                 Claim::NotRun => Ending::NotRun,
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -9,6 +9,7 @@
 use crate::decision_log::{Entry, Kind};
 use crate::event::Effect;
 use crate::id;
+use crate::limit;
 use crate::member::{Descriptor, Member, Status, View};
 
 use super::Reducer;
@@ -188,7 +189,8 @@
             } else {
                 0
             },
-            quarantine: self.state.quarantine.digest(),
+            digest: self.digest(),
+            limits: Vec::new(),
             crashes: None,
             reply_requested: false,
         }
@@ -206,7 +208,8 @@
             source_reached,
             loads,
             waiting_calls,
-            quarantine,
+            digest,
+            limits,
             crashes,
             reply_requested,
         } = view;
@@ -243,9 +246,17 @@
         if let Some(report) = crashes {
             self.handle_crash_report(report);
         }
-        let differs = quarantine != self.state.quarantine.digest();
+        self.handle_limits(limits);
+        let differs = digest != self.digest();
         self.state.introduced |= serves && !differs;
-        let crashes = self.crashes_to_tell(&peer, is_first || differs);
+        let is_informed = self.informs(&peer, is_first || differs);
+        let crashes = is_informed.then(|| self.describe_crashes()).flatten();
+        let limits = if is_informed {
+            self.describe_limits()
+        } else {
+            Vec::new()
+        };
+        let has_news = crashes.is_some() || !limits.is_empty();
         let peer_versions = PeerVersions::new(source_reached, manifest_version, revision);
         let is_behind = !source_reached
             && (manifest_version < self.manifest_version() || revision < self.state.pool.revision);
@@ -255,7 +266,7 @@
         } else {
             DESCRIPTORS_MAX
         };
-        if reply_requested || is_behind || crashes.is_some() {
+        if reply_requested || is_behind || has_news {
             let address = self
                 .state
                 .members
@@ -263,6 +274,7 @@
                 .map(|member| member.descriptor.peer_address);
             let view = View {
                 crashes,
+                limits,
                 ..self.view(peer_versions, limit, false)
             };
             if let Some(address) = address {
@@ -271,21 +283,33 @@
         }
     }
 
-    /// What a peer that may lack it is told of crashes; not more often than it is probed.
-    fn crashes_to_tell(&mut self, peer: &id::Vm, may_lack: bool) -> Option<crash::Report> {
+    /// A number that differs between VMs that know different crashes' parts or limits, 0 if there are none.
+    fn digest(&self) -> u64 {
+        self.state.quarantine.digest() ^ self.state.limits.digest()
+    }
+
+    /// Whether a peer that may lack it is now told all that is known of crashes and limits; not more often
+    /// than it is probed.
+    fn informs(&mut self, peer: &id::Vm, may_lack: bool) -> bool {
         let now = self.now;
-        let member = self.state.members.get_mut(peer)?;
-        let is_told = member
-            .crashes_told_at
-            .is_some_and(|at| at + PROBE_INTERVAL > now);
-        if !may_lack || is_told {
-            return None;
-        }
-        let report = self.describe_crashes()?;
-        if let Some(member) = self.state.members.get_mut(peer) {
-            member.crashes_told_at = Some(now);
+        let Some(member) = self.state.members.get_mut(peer).filter(|_| may_lack) else {
+            return false;
+        };
+        let informed_at = member.informed_at;
+        let is_due = informed_at.is_none_or(|at| at + PROBE_INTERVAL <= now);
+        if is_due {
+            member.informed_at = Some(now);
         }
-        Some(report)
+        is_due
+    }
+
+    /// All limits that this VM knows.
+    fn describe_limits(&self) -> Vec<limit::Record> {
+        let limits = &self.state.limits;
+        let instances = limits.instances();
+        instances
+            .filter_map(|instance| limits.describe(instance, self.now))
+            .collect()
     }
 
     fn merge(&mut self, descriptor: Descriptor) {
@@ -352,6 +376,20 @@
         }
     }
 
+    /// Tells some other VMs what this one has learnt of crashes and limits since the last tick; they tell others.
+    pub(super) fn tell_news(&mut self) {
+        let untold = std::mem::take(&mut self.state.untold);
+        let crashes = self.describe_news(&untold);
+        let known = &self.state.limits;
+        let changed = untold.limits.iter();
+        let limits: Vec<limit::Record> = changed
+            .filter_map(|instance| known.describe(instance, self.now))
+            .collect();
+        if crashes.is_some() || !limits.is_empty() {
+            self.publish_news(&crashes, &limits);
+        }
+    }
+
     /// A random sample of the other VMs.
     fn sample_members(&mut self) -> Vec<id::Vm> {
         let members = self
@@ -363,15 +401,20 @@
         members.choose_multiple(&mut self.state.rng, PUBLISH_FANOUT)
     }
 
-    /// Sends a random sample of the other VMs what this one has learnt of crashes.
-    pub(super) fn publish_crashes(&mut self, report: &crash::Report) {
+    /// Sends a random sample of the other VMs what this one has learnt of crashes and limits.
+    pub(super) fn publish_news(
+        &mut self,
+        crashes: &Option<crash::Report>,
+        limits: &[limit::Record],
+    ) {
         for vm in self.sample_members() {
             let Some(member) = self.state.members.get(&vm) else {
                 continue;
             };
             let address = member.descriptor.peer_address;
             let view = View {
-                crashes: Some(report.clone()),
+                crashes: crashes.clone(),
+                limits: limits.to_vec(),
                 ..self.load_view()
             };
             self.emit(Effect::PublishView { address, view });
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -76,6 +76,9 @@
         Event::LimitStated { attempt, statement } => {
             reducer.handle_limit_statement(attempt, statement)
         }
+        Event::PermitAsked { instance, asker } => reducer.handle_permit_ask(instance, asker),
+        Event::PermitReceived { instance } => reducer.handle_permit(instance),
+        Event::PermitReturned { instance } => reducer.handle_returned_permit(&instance),
         Event::RunnerChecked { instance, presence } => {
             reducer.handle_runner_check(&instance, presence)
         }
@@ -118,6 +121,7 @@
         self.tick_origins();
         self.tick_crashes();
         self.tick_limits();
+        self.tell_news();
         self.tick_leave();
     }
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -22,6 +22,8 @@
     NoRunner,
     /// No runner had capacity in time, or the request was dispatched too many times.
     Full,
+    /// The runners name limits, and other requests are sent to them first.
+    Limited,
     /// The retry budget has no retry left.
     NoRetryLeft,
     /// The runners that were tried failed.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -95,13 +95,15 @@
     pub is_unacknowledged: bool,
 }
 
-/// What other VMs are still to be told of crashes.
+/// What other VMs are still to be told of crashes and limits.
 #[derive(Debug, Clone, Default)]
 pub struct Untold {
     /// Runners that have crashed.
     pub crashes: BTreeSet<Instance>,
     /// Parts of which more is known.
     pub parts: BTreeSet<id::Part>,
+    /// Runners whose limit has changed.
+    pub limits: BTreeSet<Instance>,
 }
 
 /// The runner of an attempt in flight, as listed when it was dispatched.
@@ -167,6 +169,12 @@
     pub losses: HashMap<Instance, Loss>,
     /// Limits that runners name.
     pub limits: limit::Table,
+    /// The permits that this VM issues.
+    pub issuer: limit::Issuer,
+    /// The permits that this VM has.
+    pub permits: limit::Permits,
+    /// When the last call that was refused for a limit is expected to be served, by endpoint.
+    pub returns: HashMap<id::Endpoint, Duration>,
     /// Crashes of runners, and what may have caused them.
     pub evidence: Evidence,
     /// Parts of prompts that no runner is sent.
@@ -235,6 +243,9 @@
             charges: HashMap::new(),
             losses: HashMap::new(),
             limits: limit::Table::default(),
+            issuer: limit::Issuer::default(),
+            permits: limit::Permits::default(),
+            returns: HashMap::new(),
             evidence: Evidence::default(),
             quarantine: Quarantine::default(),
             untold: Untold::default(),
--- a/crates/relay/tests/allocation.rs
+++ b/crates/relay/tests/allocation.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use hornbeamtiller_relay::allocation::{
@@ -78,7 +78,7 @@
 }
 
 fn allocate_from(pool: &Pool, allocator: &mut Allocator, now: Duration) -> Vec<(id::Vm, Grant)> {
-    let deliveries = allocator.allocate(pool, &engines(), LIMITS, now);
+    let deliveries = allocator.allocate(pool, &engines(), LIMITS, HashMap::new(), now);
     let by_vm = deliveries.into_iter().flat_map(|delivery| {
         let vm = delivery.vm;
         let grants = delivery.grants.into_iter();
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -6,13 +6,11 @@
 
 use hornbeamtiller_relay::crash::{Crash, Evidence, Report, Suspect, BEGIN_MARGIN};
 use hornbeamtiller_relay::decision_log::Kind;
-use hornbeamtiller_relay::event::{Arrival, Dispatch, Effect, Event, Outcome, Presence};
+use hornbeamtiller_relay::event::{Dispatch, Effect, Event, Outcome, Presence};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
-use support::{
-    dispatch, ms, prefilled, refusal, stream_arrival, Harness, STREAM, STREAM_NOT_RESUMABLE,
-};
+use support::{dispatch, ms, prefilled, refusal, Harness, STREAM, STREAM_NOT_RESUMABLE};
 
 /// The first part of all prompts.
 const FIRST: id::Part = 0xf;
@@ -20,16 +18,7 @@
 const SECOND: id::Part = 0xa;
 
 fn arrive(harness: &mut Harness, parts: &[id::Part]) -> Vec<Effect> {
-    arrive_at(harness, STREAM_NOT_RESUMABLE, parts)
-}
-
-fn arrive_at(harness: &mut Harness, path: &str, parts: &[id::Part]) -> Vec<Effect> {
-    harness.last_call += 1;
-    let arrival = stream_arrival(harness.last_call, path);
-    harness.apply(Event::Arrived(Arrival {
-        parts: parts.into(),
-        ..arrival
-    }))
+    harness.arrive_with_parts(STREAM_NOT_RESUMABLE, parts)
 }
 
 /// Delivers a request with these shared parts, up to the attempt that generates its stream.
@@ -40,7 +29,7 @@
 fn generate_at(harness: &mut Harness, path: &str, shared: &[id::Part]) -> Dispatch {
     let mut parts = shared.to_vec();
     parts.push(1_000 + harness.last_call);
-    let prefill = dispatch(&arrive_at(harness, path, &parts));
+    let prefill = dispatch(&harness.arrive_with_parts(path, &parts));
     harness.now += ms(50);
     dispatch(&harness.end_attempt(prefill.attempt, prefilled()))
 }
@@ -421,7 +410,7 @@
     let effects = other.apply(Event::ViewReceived { view: probe });
     let mut view = support::view(peer, false);
     view.crashes = told_views(&effects).pop();
-    view.quarantine = other.state.quarantine.digest();
+    view.digest = other.state.quarantine.digest();
     let effects = harness.apply(Event::ViewReceived { view });
     let refused = refusal(&effects).expect("a refusal");
     assert_eq!(refused.reason, Reason::PromptQuarantined);
@@ -434,7 +423,7 @@
     let mut harness = Harness::new(1);
     quarantine(&mut harness, &[FIRST, SECOND]);
     let mut view = support::view(support::member("vm-2", 2, 1), false);
-    view.quarantine = 7;
+    view.digest = 7;
     view.crashes = Some(Report::default());
     let mut answers = 0;
     for _ in 0..100 {
@@ -455,7 +444,7 @@
         let effects = harness.advance(ms(400));
         assert!(told_views(&effects).is_empty());
         let views = effects.iter().filter_map(|effect| match effect {
-            Effect::PublishView { view, .. } => Some(view.quarantine),
+            Effect::PublishView { view, .. } => Some(view.digest),
             _ => None,
         });
         assert!(views.into_iter().all(|digest| digest == 0));
--- a/crates/relay/tests/once.rs
+++ b/crates/relay/tests/once.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeamtiller_relay::event::{Decline, Effect, Event, Operation, Outcome};
+use hornbeamtiller_relay::event::{Decline, Effect, Event, Operation, Outcome, Presence};
 use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::limit::Statement;
 use hornbeamtiller_relay::pool::Descriptor;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
 use proptest::prelude::*;
@@ -188,6 +189,12 @@
     Silence(u16),
     /// An engine changes: it comes back at a build, drains, or is removed.
     List(u8, u8),
+    /// A runner names a limit in its response to an attempt, or none.
+    Limit(u8, u8),
+    /// This VM gets a permit for a plain runner.
+    Permit(u8),
+    /// The runners of attempts that were lost have ended, or have not.
+    Check(bool),
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -199,6 +206,9 @@
         4 => (1_u16..600).prop_map(Step::Advance),
         1 => (700_u16..4_000).prop_map(Step::Silence),
         2 => (any::<u8>(), any::<u8>()).prop_map(|(which, how)| Step::List(which, how)),
+        1 => (any::<u8>(), any::<u8>()).prop_map(|(which, how)| Step::Limit(which, how)),
+        1 => any::<u8>().prop_map(Step::Permit),
+        2 => any::<bool>().prop_map(Step::Check),
     ];
     proptest::collection::vec(one, 1..120)
 }
@@ -472,7 +482,38 @@
                     ..CallRecord::default()
                 };
                 checker.calls.insert(harness.last_call + 1, record);
-                harness.arrive(path)
+                let own = 1_000 + harness.last_call;
+                harness.arrive_with_parts(path, &[1, u64::from(kind / 4 % 3), own])
+            }
+            Step::Limit(which, how) => {
+                let Some((attempt, _)) = checker.pick_open(which) else {
+                    continue;
+                };
+                let statement = match how % 4 {
+                    0 => Statement::Unlimited,
+                    _ => Statement::Limited(f64::from(how % 4)),
+                };
+                harness.apply(Event::LimitStated { attempt, statement })
+            }
+            Step::Permit(which) => {
+                let plain = &support::descriptors()[..PLAIN_RUNNERS];
+                let runner = &plain[usize::from(which) % plain.len()];
+                let instance = runner.instance();
+                harness.apply(Event::PermitReceived { instance })
+            }
+            Step::Check(has_ended) => {
+                let mut lost: Vec<_> = harness.state.losses.keys().cloned().collect();
+                lost.sort();
+                let presence = if has_ended {
+                    Presence::Refused
+                } else {
+                    Presence::Listening
+                };
+                let mut effects = Vec::new();
+                for instance in lost {
+                    effects.extend(harness.apply(Event::RunnerChecked { instance, presence }));
+                }
+                effects
             }
             Step::End(which, how) => {
                 let Some((attempt, record)) = checker.pick_open(which) else {
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -307,6 +307,17 @@
             Effect::PublishView { address, view } => {
                 self.send(vm, address, Event::ViewReceived { view });
             }
+            Effect::AskPermit {
+                address,
+                instance,
+                asker,
+            } => self.send(vm, address, Event::PermitAsked { instance, asker }),
+            Effect::SendPermit { address, instance } => {
+                self.send(vm, address, Event::PermitReceived { instance });
+            }
+            Effect::ReturnPermit { address, instance } => {
+                self.send(vm, address, Event::PermitReturned { instance });
+            }
             Effect::CheckRunner { instance, .. } => self.check_engine(vm, instance),
             Effect::Refuse { call, refusal } => {
                 self.refusals.insert((vm, call), refusal);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -299,6 +299,18 @@
         }))
     }
 
+    /// Delivers a request whose prompt has these parts.
+    pub fn arrive_with_parts(&mut self, path: &str, parts: &[id::Part]) -> Vec<Effect> {
+        self.last_call += 1;
+        let arrival = stream_arrival(self.last_call, path);
+        let prompt = arrival.prompt.filter(|_| path.starts_with("/stream"));
+        self.apply(Event::Arrived(Arrival {
+            prompt,
+            parts: parts.into(),
+            ..arrival
+        }))
+    }
+
     pub fn end_attempt(&mut self, attempt: id::Attempt, outcome: Outcome) -> Vec<Effect> {
         self.apply(Event::AttemptEnded {
             attempt,
@@ -361,7 +373,8 @@
         source_reached: true,
         loads: Vec::new(),
         waiting_calls: 0,
-        quarantine: 0,
+        digest: 0,
+        limits: Vec::new(),
         crashes: None,
         reply_requested,
     }
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -16,6 +16,10 @@
   findOrigin @4 (stream :UInt64, endpoint :Text) -> (answer :OriginAnswer);
   # Says where a stream began, by the number of the stream (0 if the caller did not name it) and the
   # endpoint at which it is to go on.
+  askPermit @5 (runner :Text, born :UInt64, vm :Text, peerAddress :Text) -> ();
+  # Asks for a permit for a request to a runner that names a limit. It comes as a call the other way.
+  permit @6 (runner :Text, born :UInt64, isReturned :Bool) -> ();
+  # Takes a permit for a request to a runner, or takes back one that the receiver has issued.
 }
 
 enum Standing {
@@ -83,11 +87,21 @@
   waiting @10 :UInt32;
   changed @11 :UInt64;
   # Position of the last change of the list of runners that the sender knows.
-  quarantine @12 :UInt64;
-  # Digest of the parts that the sender knows to be quarantined.
+  digest @12 :UInt64;
+  # Of the quarantined parts and the limits that the sender knows.
   hasCrashes @13 :Bool;
   crashes @14 :List(Crash);
   parts @15 :List(Part);
+  limits @16 :List(Limit);
+}
+
+struct Limit {
+  # How many requests a second a runner takes from all VMs together.
+  runner @0 :Text;
+  born @1 :UInt64;
+  rate @2 :Float64;
+  # 0 if it has stopped to name one.
+  ageMillis @3 :UInt32;
 }
 
 struct Suspect {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod crash;
 pub mod handshake;
 pub mod io;
+pub mod limit;
 pub mod origin;
 pub mod view;
 
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -13,6 +13,7 @@
 
 use crate::crash;
 use crate::fleet_capnp as schema;
+use crate::limit;
 
 /// A view as it is sent, with the manifest in the configuration service's own encoding.
 pub type View = member::View<Arc<[u8]>>;
@@ -52,7 +53,11 @@
     for (index, (runner, load)) in view.loads.iter().enumerate() {
         write_load(runner, *load, loads.reborrow().get(index as u32));
     }
-    out.set_quarantine(view.quarantine);
+    out.set_digest(view.digest);
+    let mut limits = out.reborrow().init_limits(view.limits.len() as u32);
+    for (index, record) in view.limits.iter().enumerate() {
+        limit::write(record, limits.reborrow().get(index as u32));
+    }
     if let Some(report) = &view.crashes {
         crash::write(report, out.reborrow());
     }
@@ -134,7 +139,12 @@
             .iter()
             .map(read_load)
             .collect::<Result<_, _>>()?,
-        quarantine: view.get_quarantine(),
+        digest: view.get_digest(),
+        limits: view
+            .get_limits()?
+            .iter()
+            .map(limit::read)
+            .collect::<Result<_, _>>()?,
         crashes: crash::read(view)?,
         reply_requested: view.get_asks(),
     })
