--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,7 +89,7 @@
             ..Limits::default()
         };
         let callers = Server::spawn(callers, limits, caller::Api::new(driver.clone()));
-        let peers = peer::spawn(peers, driver.clone());
+        let peers = peer::service::spawn(peers, driver.clone());
         monoio::spawn(run_timer(driver.clone()));
         Ok(Self {
             driver,
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -32,6 +32,8 @@
 const INITIAL_DESCRIPTORS_MAX: usize = 64;
 /// Number of VMs to which a change is published immediately.
 const PUBLISH_FANOUT: usize = 8;
+/// Share of the fleet that a VM has to reach to know what most others know.
+pub(super) const MAJORITY: f64 = 0.5;
 /// How long a VM that is down is remembered.
 const DOWN_RETENTION: Duration = Duration::from_secs(60);
 
@@ -283,7 +285,16 @@
         }
     }
 
-    /// A number that differs between VMs that know different crashes' parts or limits, 0 if there are none.
+    /// The share of the fleet that this VM reaches, itself included.
+    pub(super) fn reached_share(&self) -> f64 {
+        let members = self.state.members.iter();
+        let reached = members
+            .filter(|member| member.descriptor.status != Status::Down)
+            .filter(|member| member.unacknowledged_views == 0);
+        (reached.count() + 1) as f64 / self.state.members.peak_size.max(1) as f64
+    }
+
+    /// A number that differs between VMs that know different quarantined parts or limits, 0 if there are none.
     fn digest(&self) -> u64 {
         self.state.quarantine.digest() ^ self.state.limits.digest()
     }
--- a/crates/relay/src/reduce/limit.rs
+++ b/crates/relay/src/reduce/limit.rs
@@ -16,6 +16,7 @@
 use crate::pool::{self, Instance, Runner};
 use crate::refusal::Reason;
 
+use super::fleet::MAJORITY;
 use super::Reducer;
 
 /// Bounds of the delay after which a call that was refused for a limit is to come back.
@@ -172,14 +173,9 @@
     /// The part of the fleet that this VM issues permits for: all of it, or what it reaches if that is less
     /// than half, since others do the same.
     fn fleet_share(&self) -> f64 {
-        let members = self.state.members.iter();
-        let reached = members
-            .filter(|member| member.descriptor.status != Status::Down)
-            .filter(|member| member.unacknowledged_views == 0);
-        let reached = reached.count() + 1;
-        let all = self.state.members.peak_size.max(1);
-        if 2 * reached < all {
-            reached as f64 / all as f64
+        let reached = self.reached_share();
+        if reached < MAJORITY {
+            reached
         } else {
             1.0
         }
--- a/crates/relay/src/reduce/quarantine.rs
+++ b/crates/relay/src/reduce/quarantine.rs
@@ -10,6 +10,7 @@
 use crate::origin;
 use crate::refusal::Reason;
 
+use super::fleet::MAJORITY;
 use super::Reducer;
 
 /// How long a process that has just started waits for a VM that serves already to tell what it knows.
@@ -43,22 +44,12 @@
     /// Whether this VM has not run for long enough to know which parts are sound, or reaches less than half of
     /// the fleet.
     fn is_uninformed(&self) -> bool {
-        let members = self.state.members.iter();
-        let reached = members
-            .filter(|member| member.descriptor.status != Status::Down)
-            .filter(|member| member.unacknowledged_views == 0);
-        self.now < LEARNING_TIME || 2 * (reached.count() + 1) < self.state.members.peak_size
+        self.now < LEARNING_TIME || self.reached_share() < MAJORITY
     }
 
     /// Ends the calls with a part that has just been quarantined and that no runner may be running.
     pub(super) fn enforce_quarantine(&mut self, part: id::Part, cause: &str) {
-        let generation = self.state.quarantine.generation(part);
-        self.log(
-            Entry::new(Kind::PartQuarantined)
-                .parts([part])
-                .version(generation.into())
-                .outcome(cause),
-        );
+        self.log_quarantine(Kind::PartQuarantined, part, cause);
         let calls = self.state.calls.iter();
         let held: Vec<id::Call> = calls
             .filter(|(_, call)| !matches!(call.phase, Phase::Run { .. }))
@@ -121,13 +112,13 @@
     }
 
     pub(super) fn log_release(&mut self, part: id::Part, cause: &str) {
+        self.log_quarantine(Kind::PartReleased, part, cause);
+    }
+
+    fn log_quarantine(&mut self, kind: Kind, part: id::Part, cause: &str) {
         let generation = self.state.quarantine.generation(part);
-        self.log(
-            Entry::new(Kind::PartReleased)
-                .parts([part])
-                .version(generation.into())
-                .outcome(cause),
-        );
+        let entry = Entry::new(kind).parts([part]).version(generation.into());
+        self.log(entry.outcome(cause));
     }
 
     /// Whether this VM has heard which parts are quarantined, or nobody can tell.
