Quarantine: the replacement of a silent run is aborted before its call goes back to that run

When a part is quarantined while a call with it has a run on standby and its replacement is being prefilled, the call went back to the run and the prefill stayed in flight: its end would have been taken for that of the run, and another run started beside it. Now the replacement is aborted first. quarantine_aborts_replacement_of_silent_run failed before.

--- a/crates/relay/src/reduce/quarantine.rs
+++ b/crates/relay/src/reduce/quarantine.rs
@@ -58,6 +58,7 @@
             .collect();
         for number in held {
             if self.is_quarantined(number) {
+                self.abort_attempt(number);
                 self.fall_back(number, Reason::PromptQuarantined);
             }
         }
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_relay::crash::{Crash, Evidence, Report, Suspect, BEGIN_MARGIN};
+use hornbeamtiller_relay::crash::{Crash, Evidence, Hold, Record, Report, Suspect, BEGIN_MARGIN};
 use hornbeamtiller_relay::decision_log::Kind;
 use hornbeamtiller_relay::event::{Dispatch, Effect, Event, Outcome, Presence};
 use hornbeamtiller_relay::id;
@@ -484,3 +484,39 @@
     let culprit = evidence.find_culprit(ms(60_000), |_| false, false);
     assert_eq!(culprit.map(|culprit| culprit.part), Some(SECOND));
 }
+
+/// Guards against a prefill that goes on beside the run on standby, to which its call goes back.
+#[test]
+fn quarantine_aborts_replacement_of_silent_run() {
+    let mut harness = Harness::new(1);
+    let run = generate_at(&mut harness, STREAM, &[FIRST, SECOND]);
+    let attempt = run.attempt;
+    harness.apply(Event::StreamStarted { attempt });
+    harness.stream_event(attempt, 1);
+    let mut replacement = None;
+    while replacement.is_none() {
+        let effects = harness.advance(ms(15));
+        replacement = support::dispatches(&effects).first().cloned();
+    }
+    let replacement = replacement.expect("a replacement");
+    let hold = Hold {
+        generation: 1,
+        is_active: true,
+        age: Duration::ZERO,
+        was_sound: false,
+    };
+    let mut told = support::view(support::member("vm-2", 2, 1), false);
+    told.crashes = Some(Report {
+        crashes: Vec::new(),
+        parts: vec![Record {
+            part: SECOND,
+            sound_age: None,
+            hold: Some(hold),
+        }],
+    });
+    let effects = harness.apply(Event::ViewReceived { view: told });
+    let aborts = |effect: &Effect| matches!(effect, Effect::AbortAttempt { attempt } if *attempt == replacement.attempt);
+    assert!(support::has(&effects, aborts), "{effects:?}");
+    assert!(harness.state.by_attempt.contains_key(&attempt));
+    assert_eq!(harness.state.by_attempt.len(), 1);
+}
