One place each for a serving VM, a listed process, news of crashes and limits, and milliseconds on the wire

Whether a process is the listed one stood three times: Pool::find. The conversion to milliseconds stood three times in wire. Where no runner names a limit, no list of an endpoint's limited runners is made for each plain call any more. A number has a name.

--- a/crates/relay/src/limit/mod.rs
+++ b/crates/relay/src/limit/mod.rs
@@ -61,6 +61,11 @@
         self.limits.get(instance)?.rate
     }
 
+    /// Whether no process names a limit or has named one.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// Whether a process names a limit or has named one.
     pub fn contains(&self, instance: &Instance) -> bool {
         self.limits.contains_key(instance)
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -138,6 +138,18 @@
     pub source_reached: bool,
 }
 
+impl Member {
+    /// Whether it acknowledges views, as far as is known.
+    pub fn is_reached(&self) -> bool {
+        self.unacknowledged_views == 0
+    }
+
+    /// Whether it accepts callers and acknowledges views.
+    pub fn is_serving(&self) -> bool {
+        self.descriptor.status == Status::Ready && self.is_reached()
+    }
+}
+
 /// The other VMs of the fleet.
 #[derive(Debug, Default)]
 pub struct Table {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Whether the process of the runner is this one.
+    pub fn is_of_instance(&self, instance: &Instance) -> bool {
+        self.runner == instance.runner && self.started_at_ms == instance.started_at_ms
+    }
+
     /// Whether the runner has the software version that is required, if one is.
     pub fn is_of_build(&self, required: Option<&id::Build>) -> bool {
         required.is_none_or(|build| *build == self.build)
@@ -243,6 +248,12 @@
         self.runners.get(runner)
     }
 
+    /// Looks up a runner, if this process is the one that is listed.
+    pub fn find(&self, instance: &Instance) -> Option<&Runner> {
+        let runner = self.get(&instance.runner)?;
+        runner.descriptor.is_of_instance(instance).then_some(runner)
+    }
+
     /// Looks up a runner for modification.
     pub fn get_mut(&mut self, runner: &id::Runner) -> Option<&mut Runner> {
         self.runners.get_mut(runner)
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -11,7 +11,6 @@
 use crate::event::Effect;
 use crate::id;
 use crate::manifest::Engine;
-use crate::member::Status;
 use crate::placement::{self, Purpose};
 use crate::pool::{self, Load, Role, Runner};
 
@@ -191,9 +190,7 @@
             .state
             .members
             .iter()
-            .filter(|member| {
-                member.descriptor.status == Status::Ready && member.unacknowledged_views == 0
-            })
+            .filter(|member| member.is_serving())
             .filter(|member| is_candidate(&member.descriptor.vm))
             .map(|member| (member.descriptor.vm.clone(), member.descriptor.weight))
             .collect();
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -65,9 +65,8 @@
 
     /// The address of a runner that is listed as serving; one that leaves may end at any time.
     fn serving_address(&self, instance: &Instance) -> Option<SocketAddr> {
-        let runner = self.state.pool.get(&instance.runner)?;
-        let is_same = runner.descriptor.started_at_ms == instance.started_at_ms;
-        let is_serving = runner.status == Status::Ready && is_same;
+        let runner = self.state.pool.find(instance)?;
+        let is_serving = runner.status == Status::Ready;
         is_serving.then_some(runner.descriptor.address)
     }
 
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -5,17 +5,16 @@
 
 use rand::seq::IteratorRandom as _;
 
-use crate::crash;
 use crate::decision_log::{Entry, Kind};
 use crate::event::Effect;
 use crate::id;
-use crate::limit;
 use crate::member::{Descriptor, Member, Status, View};
 
+use super::news::News;
 use super::Reducer;
 
 /// Interval between probes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between queries of seeds that are not known as members.
 const SEED_QUERY_INTERVAL: Duration = Duration::from_millis(500);
 /// Consecutive views without an acknowledgement after which a VM is considered down.
@@ -251,13 +250,7 @@
         self.handle_limits(limits);
         let differs = digest != self.digest();
         self.state.introduced |= serves && !differs;
-        let is_informed = self.informs(&peer, is_first || differs);
-        let crashes = is_informed.then(|| self.describe_crashes()).flatten();
-        let limits = if is_informed {
-            self.describe_limits()
-        } else {
-            Vec::new()
-        };
+        let News { crashes, limits } = self.news_for(&peer, is_first || differs);
         let has_news = crashes.is_some() || !limits.is_empty();
         let peer_versions = PeerVersions::new(source_reached, manifest_version, revision);
         let is_behind = !source_reached
@@ -290,39 +283,10 @@
         let members = self.state.members.iter();
         let reached = members
             .filter(|member| member.descriptor.status != Status::Down)
-            .filter(|member| member.unacknowledged_views == 0);
+            .filter(|member| member.is_reached());
         (reached.count() + 1) as f64 / self.state.members.peak_size.max(1) as f64
     }
 
-    /// A number that differs between VMs that know different quarantined parts or limits, 0 if there are none.
-    fn digest(&self) -> u64 {
-        self.state.quarantine.digest() ^ self.state.limits.digest()
-    }
-
-    /// Whether a peer that may lack it is now told all that is known of crashes and limits; not more often
-    /// than it is probed.
-    fn informs(&mut self, peer: &id::Vm, may_lack: bool) -> bool {
-        let now = self.now;
-        let Some(member) = self.state.members.get_mut(peer).filter(|_| may_lack) else {
-            return false;
-        };
-        let informed_at = member.informed_at;
-        let is_due = informed_at.is_none_or(|at| at + PROBE_INTERVAL <= now);
-        if is_due {
-            member.informed_at = Some(now);
-        }
-        is_due
-    }
-
-    /// All limits that this VM knows.
-    fn describe_limits(&self) -> Vec<limit::Record> {
-        let limits = &self.state.limits;
-        let instances = limits.instances();
-        instances
-            .filter_map(|instance| limits.describe(instance, self.now))
-            .collect()
-    }
-
     fn merge(&mut self, descriptor: Descriptor) {
         if descriptor.vm == self.state.local.vm {
             return self.refute(&descriptor);
@@ -387,22 +351,8 @@
         }
     }
 
-    /// Tells some other VMs what this one has learnt of crashes and limits since the last tick; they tell others.
-    pub(super) fn tell_news(&mut self) {
-        let untold = std::mem::take(&mut self.state.untold);
-        let crashes = self.describe_news(&untold);
-        let known = &self.state.limits;
-        let changed = untold.limits.iter();
-        let limits: Vec<limit::Record> = changed
-            .filter_map(|instance| known.describe(instance, self.now))
-            .collect();
-        if crashes.is_some() || !limits.is_empty() {
-            self.publish_news(&crashes, &limits);
-        }
-    }
-
     /// A random sample of the other VMs.
-    fn sample_members(&mut self) -> Vec<id::Vm> {
+    pub(super) fn sample_members(&mut self) -> Vec<id::Vm> {
         let members = self
             .state
             .members
@@ -412,26 +362,6 @@
         members.choose_multiple(&mut self.state.rng, PUBLISH_FANOUT)
     }
 
-    /// Sends a random sample of the other VMs what this one has learnt of crashes and limits.
-    pub(super) fn publish_news(
-        &mut self,
-        crashes: &Option<crash::Report>,
-        limits: &[limit::Record],
-    ) {
-        for vm in self.sample_members() {
-            let Some(member) = self.state.members.get(&vm) else {
-                continue;
-            };
-            let address = member.descriptor.peer_address;
-            let view = View {
-                crashes: crashes.clone(),
-                limits: limits.to_vec(),
-                ..self.load_view()
-            };
-            self.emit(Effect::PublishView { address, view });
-        }
-    }
-
     /// Publishes the status of this VM if it has changed.
     pub(super) fn publish_status(&mut self) {
         let status = if self.state.exited {
--- a/crates/relay/src/reduce/limit.rs
+++ b/crates/relay/src/reduce/limit.rs
@@ -22,6 +22,8 @@
 /// Bounds of the delay after which a call that was refused for a limit is to come back.
 const RETURN_AFTER_MIN: Duration = Duration::from_millis(200);
 const RETURN_AFTER_MAX: Duration = Duration::from_secs(5);
+/// Longest time that one call counts for, in seconds.
+const TURN_SECONDS_MAX: f64 = 60.0;
 /// Random factor of that delay.
 const RETURN_JITTER: std::ops::Range<f64> = 0.8..1.4;
 
@@ -73,7 +75,7 @@
                 continue;
             };
             let is_limited = state.limits.rate(instance).is_some();
-            let is_current = runner.descriptor.instance() == *instance;
+            let is_current = runner.descriptor.is_of_instance(instance);
             let has_permit = state.permits.has(instance, self.now);
             if is_current {
                 runner.is_held_back = is_limited && !has_permit;
@@ -83,6 +85,9 @@
 
     /// The runners of an endpoint that name a limit, and their rates.
     fn limited_at(&self, endpoint: &id::Endpoint) -> Vec<(Instance, Rate)> {
+        if self.state.limits.is_empty() {
+            return Vec::new();
+        }
         let runners = self.state.pool.at_endpoint(endpoint);
         let instances = runners.map(|runner| runner.descriptor.instance());
         let limited = instances.filter_map(|instance| {
@@ -126,9 +131,11 @@
     /// this VM does.
     fn issuer_of(&self, runner: &id::Runner) -> Option<SocketAddr> {
         let key = origin::stream(runner);
-        let members = self.state.members.iter().filter(|member| {
-            member.descriptor.status == Status::Ready && member.unacknowledged_views == 0
-        });
+        let members = self
+            .state
+            .members
+            .iter()
+            .filter(|member| member.is_serving());
         let others = members.map(|member| &member.descriptor);
         let local = self.state.is_ready().then_some(&self.state.local);
         let issuer = others
@@ -279,7 +286,7 @@
         let serving = vms.filter(|member| member.descriptor.status == Status::Ready);
         let share = rate / (serving.count() + 1) as f64;
         let turn = self.state.returns.entry(endpoint).or_insert(now);
-        *turn = (*turn).max(now) + Duration::from_secs_f64((1.0 / share).min(60.0));
+        *turn = (*turn).max(now) + Duration::from_secs_f64((1.0 / share).min(TURN_SECONDS_MAX));
         let delay = turn.saturating_sub(now).min(RETURN_AFTER_MAX);
         *turn = (*turn).min(now + RETURN_AFTER_MAX);
         let jitter = self.state.rng.random_range(RETURN_JITTER);
@@ -314,10 +321,7 @@
     pub(super) fn tick_limits(&mut self) {
         let state = &mut *self.state;
         let pool = &state.pool;
-        let is_listed = |instance: &Instance| {
-            let runner = pool.get(&instance.runner);
-            runner.is_some_and(|runner| runner.descriptor.instance() == *instance)
-        };
+        let is_listed = |instance: &Instance| pool.find(instance).is_some();
         state.limits.retain(is_listed);
         state.issuer.retain(self.now, is_listed);
         state.permits.retain(is_listed);
--- a/crates/relay/src/reduce/load.rs
+++ b/crates/relay/src/reduce/load.rs
@@ -85,9 +85,7 @@
             .state
             .members
             .iter()
-            .filter(|member| {
-                member.descriptor.status < Status::Down && member.unacknowledged_views == 0
-            })
+            .filter(|member| member.descriptor.status < Status::Down && member.is_reached())
             .map(|member| member.descriptor.peer_address)
             .collect();
         if peers.len() >= self.state.policy.load_sharing_vms_max {
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -12,6 +12,7 @@
 mod leave;
 mod limit;
 mod load;
+mod news;
 mod origin;
 mod outcome;
 mod quarantine;
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -59,7 +59,7 @@
         self.state.origins.evict(self.now);
         let mut messages: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in std::mem::take(&mut self.state.untold_origins) {
-            let ranked = self.rank_members(record.stream, is_told);
+            let ranked = self.rank_members(record.stream, Member::is_serving);
             for member in ranked.into_iter().take(REPLICAS) {
                 let records = messages.entry(member.descriptor.peer_address).or_default();
                 records.push(record.clone());
@@ -90,7 +90,7 @@
         }
         let mut messages: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in records {
-            let mut ranked = self.rank_members(record.stream, is_told);
+            let mut ranked = self.rank_members(record.stream, Member::is_serving);
             ranked.retain(|member| member.descriptor.peer_address != address);
             // The first of those that remain were told already.
             if let Some(member) = ranked.get(REPLICAS - 1) {
@@ -307,11 +307,6 @@
     }
 }
 
-/// Whether a VM is told origins of streams.
-fn is_told(member: &Member) -> bool {
-    member.descriptor.status == Status::Ready && member.unacknowledged_views == 0
-}
-
 /// Whether a VM may have been told origins of streams.
 fn is_asked(member: &Member) -> bool {
     matches!(member.descriptor.status, Status::Ready | Status::Leaving)
--- a/crates/relay/src/reduce/quarantine.rs
+++ b/crates/relay/src/reduce/quarantine.rs
@@ -6,7 +6,6 @@
 use crate::crash::{shared_parts, Culprit};
 use crate::decision_log::{Entry, Kind};
 use crate::id;
-use crate::member::Status;
 use crate::origin;
 use crate::refusal::Reason;
 
@@ -105,9 +104,11 @@
     /// Whether this VM lets requests with a part through: by its own view of the fleet, one VM does.
     fn is_trial_here(&self, part: id::Part) -> bool {
         let local = origin::rank(&self.state.local.vm, part);
-        let mut others = self.state.members.iter().filter(|member| {
-            member.descriptor.status == Status::Ready && member.unacknowledged_views == 0
-        });
+        let mut others = self
+            .state
+            .members
+            .iter()
+            .filter(|member| member.is_serving());
         self.state.is_ready()
             && others.all(|member| origin::rank(&member.descriptor.vm, part) < local)
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -15,7 +15,7 @@
 use crate::id;
 use crate::limit;
 use crate::manifest::Manifest;
-use crate::member::{Descriptor, Status, Table};
+use crate::member::{Descriptor, Table};
 use crate::origin;
 use crate::policy::Policy;
 use crate::pool::{Instance, Load, Pool};
@@ -179,9 +179,9 @@
     pub evidence: Evidence,
     /// Parts of prompts that no runner is sent.
     pub quarantine: Quarantine,
-    /// What other VMs are still to be told of crashes and parts.
+    /// What other VMs are still to be told.
     pub untold: Untold,
-    /// Whether a VM that serves has sent its view since the start.
+    /// Whether a VM that serves has agreed with this one on parts and limits since the start.
     pub introduced: bool,
     /// Loads last reported by other VMs.
     pub peer_reports: HashMap<id::Vm, PeerReport>,
@@ -321,10 +321,7 @@
     /// others learn from the views of these that they are behind.
     pub fn is_frequent_poller(&self) -> bool {
         let preceding = self.members.iter().filter(|member| {
-            member.descriptor.vm < self.local.vm
-                && member.descriptor.status == Status::Ready
-                && member.unacknowledged_views == 0
-                && member.source_reached
+            member.descriptor.vm < self.local.vm && member.is_serving() && member.source_reached
         });
         preceding.count() < FREQUENT_POLLERS
     }
@@ -351,9 +348,7 @@
         let mut members: Vec<Descriptor> = self
             .members
             .iter()
-            .filter(|member| {
-                member.descriptor.status == Status::Ready && member.unacknowledged_views == 0
-            })
+            .filter(|member| member.is_serving())
             .map(|member| member.descriptor.clone())
             .collect();
         if self.is_ready() {
--- a/crates/wire/src/crash.rs
+++ b/crates/wire/src/crash.rs
@@ -6,7 +6,7 @@
 use hornbeamtiller_relay::pool::Instance;
 
 use crate::fleet_capnp as schema;
-use crate::view::Error;
+use crate::view::{millis, Error};
 
 /// Generation on the wire of a part that never was quarantined.
 const GENERATION_NONE: u32 = 0;
@@ -52,10 +52,6 @@
     out.set_was_sound(hold.was_sound);
 }
 
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Decodes the report of a view, if it has one.
 ///
 /// # Errors
--- a/crates/wire/src/limit.rs
+++ b/crates/wire/src/limit.rs
@@ -6,7 +6,7 @@
 use hornbeamtiller_relay::pool::Instance;
 
 use crate::fleet_capnp as schema;
-use crate::view::Error;
+use crate::view::{millis, Error};
 
 /// Rate on the wire of a runner that has stopped to name one.
 const RATE_NONE: Rate = 0.0;
@@ -16,7 +16,7 @@
     out.set_runner(&*record.instance.runner);
     out.set_born(record.instance.started_at_ms);
     out.set_rate(record.rate.unwrap_or(RATE_NONE));
-    out.set_age_millis(u32::try_from(record.age.as_millis()).unwrap_or(u32::MAX));
+    out.set_age_millis(millis(record.age));
 }
 
 /// Decodes a record. A rate that is no number above 0 counts as none.
--- a/crates/wire/src/origin.rs
+++ b/crates/wire/src/origin.rs
@@ -6,7 +6,7 @@
 use hornbeamtiller_relay::origin::{Answer, Origin, Record};
 
 use crate::fleet_capnp as schema;
-use crate::view::Error;
+use crate::view::{millis, Error};
 
 /// Number on the wire in place of a stream that is not named.
 const STREAM_UNNAMED: id::Stream = 0;
@@ -21,7 +21,7 @@
         out.set_stream(record.stream);
         out.set_endpoint(&*record.origin.endpoint);
         out.set_build(&*record.origin.build);
-        out.set_lifetime_millis(u32::try_from(record.lifetime.as_millis()).unwrap_or(u32::MAX));
+        out.set_lifetime_millis(millis(record.lifetime));
     }
 }
 
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -6,6 +6,7 @@
 use std::net::AddrParseError;
 use std::str::Utf8Error;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::member::{self, Descriptor, Status};
@@ -35,6 +36,11 @@
     InvalidAddress(#[from] AddrParseError),
 }
 
+/// Encodes a duration, in milliseconds.
+pub(crate) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Encodes a view.
 pub fn write(view: &View, mut out: schema::view::Builder<'_>) {
     write_member(&view.sender, out.reborrow().init_from());
