Logs name what a caller asks for, by a fingerprint

An accepted request has a hash of method, host, path with query, credentials, prompt and body, the same each time that its caller asks again; id, time limit and trace are left out. Keyed by HORNBEAMTILLER_KEY where all VMs are given one.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -111,6 +111,7 @@
             .map_err(Refusal::invalid)?;
         let body = self.read_body(body).await?;
         let path: Arc<str> = head.uri.path().into();
+        let fingerprint = self.driver.fingerprint_key().hash(&head, &metadata, &body);
         let caller_request = CallerRequest {
             head,
             body,
@@ -122,8 +123,12 @@
             call,
             armed: true,
         };
-        self.driver
-            .apply(Event::Arrived(build_arrival(call, path, metadata)));
+        self.driver.apply(Event::Arrived(build_arrival(
+            call,
+            path,
+            fingerprint,
+            metadata,
+        )));
         match self.receive_decision(decision).await {
             Decision::Buffered(head, body) => {
                 guard.armed = false;
@@ -175,7 +180,12 @@
     }
 }
 
-fn build_arrival(call: id::Call, path: Arc<str>, metadata: Metadata) -> Arrival {
+fn build_arrival(
+    call: id::Call,
+    path: Arc<str>,
+    fingerprint: id::Fingerprint,
+    metadata: Metadata,
+) -> Arrival {
     Arrival {
         call,
         id: metadata.id,
@@ -186,5 +196,6 @@
         resume_after: metadata.resume_after,
         resumes: metadata.resumes,
         parts: metadata.parts,
+        fingerprint,
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Connections;
 use crate::protocol::{CallerRequest, Protocol};
-use crate::{attempt, log_line, presence};
+use crate::{attempt, fingerprint, log_line, presence};
 
 /// Timeout of the request that frees a KV cache at a prefill runner, and of each chunk of its
 /// response.
@@ -79,13 +79,20 @@
     attempts: RefCell<HashMap<Attempt, cancel::Guard>>,
     connections: Connections,
     metrics: Metrics,
+    fingerprint_key: fingerprint::Key,
     last_call: Cell<Call>,
     exited: Cell<bool>,
 }
 
 impl<P: Protocol> Driver<P> {
     /// Creates the driver of a process.
-    pub fn new(protocol: P, state: State, client: Client, metrics: Metrics) -> Self {
+    pub fn new(
+        protocol: P,
+        state: State,
+        client: Client,
+        metrics: Metrics,
+        fingerprint_key: fingerprint::Key,
+    ) -> Self {
         Self(Rc::new(Inner {
             protocol,
             state: RefCell::new(state),
@@ -95,6 +102,7 @@
             attempts: RefCell::default(),
             connections: Connections::default(),
             metrics,
+            fingerprint_key,
             last_call: Cell::new(0),
             exited: Cell::new(false),
         }))
@@ -115,6 +123,11 @@
         &self.0.client
     }
 
+    /// The key under which requests are hashed.
+    pub fn fingerprint_key(&self) -> &fingerprint::Key {
+        &self.0.fingerprint_key
+    }
+
     /// The connections to peers.
     pub(crate) fn connections(&self) -> &Connections {
         &self.0.connections
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -80,7 +80,7 @@
             idle_per_address_max: RUNNER_IDLE_CONNECTIONS_MAX,
             user_timeout: None,
         });
-        let driver = Driver::new(protocol, state, client, metrics);
+        let driver = Driver::new(protocol, state, client, metrics, settings.fingerprint_key);
         let limits = Limits {
             connections: settings.connections_max,
             head_bytes: HEAD_BYTES_MAX,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 pub mod caller;
 pub mod driver;
+pub mod fingerprint;
 pub mod gateway;
 mod log_line;
 pub mod metrics;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use hornbeamtiller_relay::policy::Policy;
 use hornbeamtiller_relay::{id, settings};
 
+use crate::fingerprint;
+
 /// Settings of one process.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -24,6 +26,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Maximum number of concurrent caller connections.
     pub connections_max: usize,
+    /// The key under which requests are hashed, the same on all VMs.
+    pub fingerprint_key: fingerprint::Key,
     /// Seed of the random number generator.
     pub seed: u64,
 }
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -56,6 +56,15 @@
         /// The settings file.
         #[arg(long, env = "HORNBEAMTILLER_SETTINGS")]
         settings: PathBuf,
+        /// Secret text, the same on all VMs, under which requests are hashed: log lines name requests by these
+        /// hashes.
+        #[arg(
+            long,
+            env = "HORNBEAMTILLER_KEY",
+            hide_env_values = true,
+            default_value = ""
+        )]
+        key: String,
         /// Changes a parameter of the decisions, as NAME=VALUE; for experiments only.
         #[arg(long, value_name = "NAME=VALUE", hide = true)]
         experiment: Vec<String>,
@@ -95,11 +104,12 @@
         (
             Some(Command::Gateway {
                 settings,
+                key,
                 experiment,
             }),
             _,
         ) => match parse_policy(&experiment) {
-            Ok(policy) => run_gateway(&settings, policy),
+            Ok(policy) => run_gateway(&settings, policy, &key),
             Err(fault) => {
                 eprintln!("hornbeamtiller: --experiment: {fault}");
                 return ExitCode::from(EXIT_INVALID_SETTINGS);
@@ -160,7 +170,7 @@
         .change_context(Error::Runtime)?
 }
 
-fn run_gateway(settings: &Path, policy: Policy) -> Result<(), Report<Error>> {
+fn run_gateway(settings: &Path, policy: Policy, key: &str) -> Result<(), Report<Error>> {
     logging::init(Output::Stdout).change_context(Error::Logging)?;
     let stop_requested = install_signal_handlers().change_context(Error::Signals)?;
     let reload_requested = Arc::new(AtomicBool::new(false));
@@ -169,6 +179,7 @@
     hornbeamtiller_http::runtime::block_on(serve_gateway(
         settings,
         policy,
+        key,
         stop_requested,
         reload_requested,
     ))
@@ -178,10 +189,11 @@
 async fn serve_gateway(
     settings: &Path,
     policy: Policy,
+    key: &str,
     stop_requested: Arc<AtomicBool>,
     reload_requested: Arc<AtomicBool>,
 ) -> Result<(), Report<Error>> {
-    let process = Process::open(settings, policy).change_context(Error::Start)?;
+    let process = Process::open(settings, policy, key).change_context(Error::Start)?;
     log::info!("started");
     let mut last_poll = Instant::now();
     while !stop_requested.load(Ordering::Relaxed) {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -166,6 +166,8 @@
     pub prompt: Option<Prompt>,
     /// The parts of its prompt, in order.
     pub parts: Arc<[id::Part]>,
+    /// What the caller asks for.
+    pub fingerprint: id::Fingerprint,
     /// The current phase.
     pub phase: Phase,
     /// Software version that began the stream, at which alone it may go on; none while nothing binds
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -104,6 +104,18 @@
     pub connected: Option<bool>,
     /// Parts of prompts.
     pub parts: Parts,
+    /// What the caller of the request asks for.
+    pub fingerprint: Option<Fingerprint>,
+}
+
+/// What a caller asks for; shown as a hexadecimal number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fingerprint(pub id::Fingerprint);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
 }
 
 /// Parts of prompts; shown as hexadecimal numbers, the first few only.
@@ -142,6 +154,7 @@
             build: None,
             connected: None,
             parts: Parts::default(),
+            fingerprint: None,
         }
     }
 
@@ -217,6 +230,12 @@
         self
     }
 
+    /// Sets what the caller asks for.
+    pub fn fingerprint(mut self, fingerprint: id::Fingerprint) -> Self {
+        self.fingerprint = Some(Fingerprint(fingerprint));
+        self
+    }
+
     /// Sets the target latency.
     pub fn target(mut self, target: Duration) -> Self {
         self.target = Some(target);
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -45,6 +45,8 @@
     pub resumes: Option<Arc<str>>,
     /// The parts of its prompt, in order; the last one belongs to the request alone.
     pub parts: Arc<[id::Part]>,
+    /// What the caller asks for.
+    pub fingerprint: id::Fingerprint,
 }
 
 impl Arrival {
--- a/crates/relay/src/id.rs
+++ b/crates/relay/src/id.rs
@@ -23,6 +23,8 @@
 pub type Stream = u64;
 /// Id of a part of a prompt; prompts that have the part in common name the same id.
 pub type Part = u64;
+/// Number of what a caller asks for: a hash that is the same each time that the caller asks for the same again.
+pub type Fingerprint = u64;
 /// Name of an entry VM.
 pub type Vm = Arc<str>;
 /// Number of one incarnation of a VM, taken from the clock at its start. Of two incarnations of one
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -48,6 +48,7 @@
             deadline: self.now + limit,
             prompt: arrival.prompt.filter(|_| is_model),
             parts: arrival.parts.clone(),
+            fingerprint: arrival.fingerprint,
             phase: Phase::Waiting { retry_at: self.now },
             build: None,
             standby: None,
@@ -79,6 +80,7 @@
                 .outcome(&call.route.name)
                 .tokens(call.prompt.map(|prompt| prompt.tokens))
                 .parts(call.parts.iter().copied())
+                .fingerprint(call.fingerprint)
                 .target(call.route.target_latency),
         );
         let is_resumed = call.route.kind == RouteKind::Streaming && arrival.is_resumption();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -358,6 +358,7 @@
         resume_after: None,
         resumes: None,
         parts: Arc::from([]),
+        fingerprint: call,
     }
 }
 
