--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -49,7 +49,12 @@
     pub cut: BTreeSet<usize>,
     /// Parts that crash each engine that begins a stream with them.
     pub poison: BTreeSet<id::Part>,
-    /// Engines that have crashed: when, and of which part.
+    /// What plain requests ask for that crash each runner which runs them.
+    pub crashing: BTreeSet<id::Fingerprint>,
+    fingerprints: BTreeMap<(usize, id::Call), id::Fingerprint>,
+    /// Requests that reached plain runners.
+    pub reached: Vec<(Duration, usize, id::Call)>,
+    /// Engines that have crashed: when, and of which part or request.
     pub crashes: Vec<(Duration, id::Runner, id::Part)>,
     parts: BTreeMap<(usize, id::Call), Arc<[id::Part]>>,
     /// When calls were first sent to an engine.
@@ -175,6 +180,9 @@
             foreign_caches: 0,
             cut: BTreeSet::new(),
             poison: BTreeSet::new(),
+            crashing: BTreeSet::new(),
+            fingerprints: BTreeMap::new(),
+            reached: Vec::new(),
             crashes: Vec::new(),
             parts: BTreeMap::new(),
             sent_at: BTreeMap::new(),
@@ -438,6 +446,11 @@
         match dispatch.operation {
             Operation::Plain => {
                 self.running.insert((vm, attempt), running);
+                self.reached.push((now, vm, dispatch.call));
+                if let Some(cause) = self.find_crashing(call) {
+                    let at = now + BEGIN_TIME;
+                    return self.crash_at.push((at, dispatch.runner, cause));
+                }
                 let limit = self.limits.get(&dispatch.runner).copied();
                 let statement = limit.map_or(Statement::Unlimited, Statement::Limited);
                 let arrivals = self.plain_arrivals.entry(dispatch.runner).or_default();
@@ -486,6 +499,12 @@
         }
     }
 
+    /// What a call asks for, if that crashes runners.
+    fn find_crashing(&self, call: (usize, id::Call)) -> Option<id::Fingerprint> {
+        let asked = self.fingerprints.get(&call).copied();
+        asked.filter(|fingerprint| self.crashing.contains(fingerprint))
+    }
+
     /// The part of a call's prompt that crashes engines.
     fn find_poison(&self, call: (usize, id::Call)) -> Option<id::Part> {
         let parts = self.parts.get(&call)?;
@@ -534,6 +553,25 @@
         self.apply(vm, Event::Arrived(arrival));
     }
 
+    /// Delivers a request to a plain service that asks for what this number stands for.
+    pub fn arrive_asking(
+        &mut self,
+        vm: usize,
+        call: id::Call,
+        path: &str,
+        fingerprint: id::Fingerprint,
+    ) {
+        self.arrived_at.insert((vm, call), self.now);
+        self.fingerprints.insert((vm, call), fingerprint);
+        let arrival = Arrival {
+            prompt: None,
+            time_limit: Some(ms(1_500)),
+            fingerprint,
+            ..super::stream_arrival(call, path)
+        };
+        self.apply(vm, Event::Arrived(arrival));
+    }
+
     /// Asks a VM to leave.
     pub fn leave(&mut self, vm: usize) {
         self.apply(vm, Event::Leave);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -311,6 +311,18 @@
         }))
     }
 
+    /// Delivers a request that asks for what this number stands for.
+    pub fn arrive_asking(&mut self, path: &str, fingerprint: id::Fingerprint) -> Vec<Effect> {
+        self.last_call += 1;
+        let arrival = stream_arrival(self.last_call, path);
+        let prompt = arrival.prompt.filter(|_| path.starts_with("/stream"));
+        self.apply(Event::Arrived(Arrival {
+            prompt,
+            fingerprint,
+            ..arrival
+        }))
+    }
+
     pub fn end_attempt(&mut self, attempt: id::Attempt, outcome: Outcome) -> Vec<Effect> {
         self.apply(Event::AttemptEnded {
             attempt,
--- a/crates/relay/tests/support/poison.rs
+++ b/crates/relay/tests/support/poison.rs
@@ -1,4 +1,4 @@
-//! A fleet under requests of which some have a part in their prompt that crashes engines.
+//! A fleet under requests of which some crash engines: by a part of their prompt, or as a whole.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::fleet::Fleet;
-use super::{descriptor, ms, take_due};
+use super::{descriptor, ms, take_due, IDEMPOTENT, NON_IDEMPOTENT};
 
 /// Time between two ticks of the VMs.
 const TICK: Duration = Duration::from_millis(10);
@@ -26,11 +26,20 @@
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
 /// Crashes after which a part has to be known.
 const CRASHES_MAX: usize = 5;
+/// Crashes after which a request has to be known.
+const CRASHES_MAX_PLAIN: usize = 3;
+/// Plain runners.
+const PLAIN_RUNNERS: u8 = 3;
+/// Share of the plain requests that ask for what others asked for, and for how many different things.
+const REPEATED_SHARE: f64 = 0.6;
+const REPEATED: u64 = 30;
+/// Share of the plain requests that may be repeated.
+const IDEMPOTENT_SHARE: f64 = 0.4;
 /// First parts of sound prompts; the first of them is also that of the others.
 const FIRST_PARTS: u64 = 6;
 /// Second parts of sound prompts.
 const SECOND_PARTS: u64 = 60;
-/// The part that crashes engines.
+/// The part or request that crashes engines.
 pub const POISON: id::Part = 0xbad;
 
 /// What happens to the fleet.
@@ -44,17 +53,25 @@
     Crash { engines: u8, gap: Duration },
 }
 
+/// What requests are for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Service {
+    Streams,
+    Plain,
+}
+
 /// A play.
 #[derive(Debug, Clone)]
 pub struct Play {
     pub seed: u64,
     pub vms: usize,
+    pub service: Service,
     /// Sound requests per second.
     pub sound: f64,
-    /// Requests per second with a part that crashes engines, and when they come.
+    /// Requests per second that crash engines, and when they come.
     pub poison: f64,
     pub poisoned: Vec<std::ops::Range<Duration>>,
-    /// Parts that take turns in these requests.
+    /// Parts that take turns in these requests, or what these ask for in turns.
     pub culprits: Vec<id::Part>,
     pub incidents: Vec<(Duration, Incident)>,
     pub length: Duration,
@@ -65,6 +82,7 @@
         Self {
             seed: 1,
             vms: 8,
+            service: Service::Streams,
             sound: 25.0,
             poison: 5.0,
             poisoned: vec![ms(11_000)..ms(30_000)],
@@ -80,7 +98,7 @@
     vm: usize,
     call: id::Call,
     at: Duration,
-    /// The part of it that crashes engines.
+    /// What of it crashes engines.
     culprit: Option<id::Part>,
     first: id::Part,
 }
@@ -88,8 +106,9 @@
 /// What was seen.
 pub struct Report {
     pub fleet: Fleet,
+    service: Service,
     sent: Vec<Sent>,
-    /// Crashes by the part that caused them.
+    /// Crashes by what caused them.
     crashes: BTreeMap<id::Part, Vec<Duration>>,
     /// When VMs were out of touch.
     out_of_touch: Vec<(usize, std::ops::Range<Duration>)>,
@@ -109,6 +128,25 @@
     last_call: id::Call,
 }
 
+/// The engines that decode and prefill, or the plain runners.
+fn list_engines(service: Service) -> Vec<pool::Descriptor> {
+    let mut engines = Vec::new();
+    if service == Service::Plain {
+        let numbers = 0..PLAIN_RUNNERS;
+        return numbers
+            .map(|number| descriptor(&format!("pay-{number}"), "pay", 10 + number, None))
+            .collect();
+    }
+    for (role, count) in ENGINES {
+        for number in 0..count {
+            let host = 10 + engines.len() as u8;
+            let name = format!("{role}-{number}");
+            engines.push(descriptor(&name, "llm", host, Some(role)));
+        }
+    }
+    engines
+}
+
 /// Plays and reports.
 pub fn play(play: &Play) -> Report {
     let mut world = World::new(play.clone());
@@ -120,20 +158,18 @@
 
 impl World {
     fn new(play: Play) -> Self {
-        let mut engines = Vec::new();
-        for (role, count) in ENGINES {
-            for number in 0..count {
-                let host = 10 + engines.len() as u8;
-                let name = format!("{role}-{number}");
-                engines.push(descriptor(&name, "llm", host, Some(role)));
-            }
-        }
+        let engines = list_engines(play.service);
         let mut fleet = Fleet::with_engines(play.vms, engines.clone());
-        fleet.poison = play.culprits.iter().copied().collect();
+        let culprits = play.culprits.iter().copied().collect();
+        match play.service {
+            Service::Streams => fleet.poison = culprits,
+            Service::Plain => fleet.crashing = culprits,
+        }
         Self {
             rng: SmallRng::seed_from_u64(play.seed),
             report: Report {
                 fleet,
+                service: play.service,
                 sent: Vec::new(),
                 crashes: BTreeMap::new(),
                 out_of_touch: Vec::new(),
@@ -193,7 +229,7 @@
         let decode: Vec<id::Runner> = self
             .engines
             .iter()
-            .filter(|engine| engine.role == Some(Role::Decode))
+            .filter(|engine| engine.role != Some(Role::Prefill))
             .map(|engine| engine.runner.clone())
             .collect();
         if decode.is_empty() {
@@ -260,7 +296,59 @@
     }
 
     fn send_requests(&mut self) {
+        match self.play.service {
+            Service::Streams => self.send_streams(),
+            Service::Plain => self.send_plain(),
+        }
+    }
+
+    fn count_crashing(&mut self) -> u32 {
         let now = self.report.fleet.now;
+        let is_due = self.play.poisoned.iter().any(|time| time.contains(&now));
+        self.draw_count(if is_due { self.play.poison } else { 0.0 })
+    }
+
+    fn send_plain(&mut self) {
+        for _ in 0..self.draw_count(self.play.sound) {
+            let common = self.rng.random_range(0.0..1.0_f64).powi(2);
+            let fingerprint = match self.rng.random_bool(REPEATED_SHARE) {
+                true => 1_000 + (common * REPEATED as f64) as u64,
+                false => 1_000_000 + self.last_call,
+            };
+            let path = match self.rng.random_bool(IDEMPOTENT_SHARE) {
+                true => IDEMPOTENT,
+                false => NON_IDEMPOTENT,
+            };
+            self.ask(path, fingerprint, None);
+        }
+        for _ in 0..self.count_crashing() {
+            let culprits = &self.play.culprits;
+            let culprit = culprits[self.rng.random_range(0..culprits.len())];
+            self.ask(IDEMPOTENT, culprit, Some(culprit));
+        }
+    }
+
+    fn ask(&mut self, path: &str, fingerprint: id::Fingerprint, culprit: Option<id::Fingerprint>) {
+        let (vm, call) = self.draw_call(culprit, 0);
+        self.report.fleet.arrive_asking(vm, call, path, fingerprint);
+    }
+
+    /// Draws the VM of the next call, and notes it.
+    fn draw_call(&mut self, culprit: Option<id::Part>, first: id::Part) -> (usize, id::Call) {
+        self.last_call += 1;
+        let call = self.last_call;
+        let vm = self.rng.random_range(0..self.report.fleet.vms.len());
+        self.report.sent.push(Sent {
+            vm,
+            call,
+            at: self.report.fleet.now,
+            culprit,
+            first,
+        });
+        (vm, call)
+    }
+
+    fn send_streams(&mut self) {
         for _ in 0..self.draw_count(self.play.sound) {
             let first = self.rng.random_range(1..=FIRST_PARTS);
             // Some parts are far more common than others.
@@ -268,9 +356,7 @@
             let second = 1_000 + (common * SECOND_PARTS as f64) as u64;
             self.send(&[first, second], None);
         }
-        let is_poisoned = self.play.poisoned.iter().any(|time| time.contains(&now));
-        let count = self.draw_count(if is_poisoned { self.play.poison } else { 0.0 });
-        for _ in 0..count {
+        for _ in 0..self.count_crashing() {
             let culprits = &self.play.culprits;
             let part = culprits[self.rng.random_range(0..culprits.len())];
             let second = 1_000 + self.rng.random_range(0..SECOND_PARTS);
@@ -284,19 +370,9 @@
     }
 
     fn send(&mut self, shared: &[id::Part], culprit: Option<id::Part>) {
-        let at = self.report.fleet.now;
-        self.last_call += 1;
-        let call = self.last_call;
-        let vm = self.rng.random_range(0..self.report.fleet.vms.len());
+        let (vm, call) = self.draw_call(culprit, shared[0]);
         let mut parts = shared.to_vec();
         parts.push(1_000_000 + call);
-        self.report.sent.push(Sent {
-            vm,
-            call,
-            at,
-            culprit,
-            first: shared[0],
-        });
         self.report.fleet.arrive_with(vm, call, &parts);
     }
 }
@@ -307,8 +383,39 @@
         !out.any(|(other, time)| *other == vm && time.contains(&at))
     }
 
-    /// Number of requests with a part that were sent to engines later than allowed after its fifth crash.
+    /// Number of arrivals at plain runners of what crashes them, later than allowed after its third crash.
+    pub fn reached_too_late(&self, culprit: id::Fingerprint) -> usize {
+        let crashes = self.crashes.get(&culprit);
+        let Some(third) = crashes.and_then(|crashes| crashes.get(CRASHES_MAX_PLAIN - 1)) else {
+            return 0;
+        };
+        let asks = self.sent.iter().filter(|sent| {
+            let is_late = sent.at > *third + STABILITY_WINDOW;
+            sent.culprit == Some(culprit) && is_late && self.is_in_touch(sent.vm, sent.at)
+        });
+        let late: BTreeSet<(usize, id::Call)> = asks.map(|sent| (sent.vm, sent.call)).collect();
+        let reached = self.fleet.reached.iter();
+        reached
+            .filter(|(_, vm, call)| late.contains(&(*vm, *call)))
+            .count()
+    }
+
+    /// Share of the sound plain requests of a time that were answered.
+    pub fn answered_share(&self, time: std::ops::Range<Duration>) -> f64 {
+        let is_counted = |sent: &&Sent| sent.culprit.is_none() && time.contains(&sent.at);
+        let counted: Vec<&Sent> = self.sent.iter().filter(is_counted).collect();
+        let answered = counted
+            .iter()
+            .filter(|sent| self.fleet.answered.contains_key(&(sent.vm, sent.call)));
+        answered.count() as f64 / counted.len().max(1) as f64
+    }
+
+    /// Number of requests with a part that were sent to engines later than allowed after its fifth crash, or of
+    /// arrivals at plain runners.
     pub fn sent_too_late(&self, part: id::Part) -> usize {
+        if self.service == Service::Plain {
+            return self.reached_too_late(part);
+        }
         let crashes = self.crashes.get(&part);
         let Some(fifth) = crashes.and_then(|crashes| crashes.get(CRASHES_MAX - 1)) else {
             return 0;
@@ -321,7 +428,7 @@
         late.count()
     }
 
-    /// Number of crashes that a part has caused.
+    /// Number of crashes that a part or a request has caused.
     pub fn crashes_of(&self, part: id::Part) -> usize {
         self.crashes.get(&part).map_or(0, Vec::len)
     }
