--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -39,8 +39,8 @@
         if !entry.parts.0.is_empty() {
             visitor.visit_pair(Key::from_str("parts"), Value::from_display(&entry.parts))?;
         }
-        if let Some(fingerprint) = &entry.fingerprint {
-            let value = Value::from_display(fingerprint);
+        if !entry.fingerprints.0.is_empty() {
+            let value = Value::from_display(&entry.fingerprints);
             visitor.visit_pair(Key::from_str("fingerprint"), value)?;
         }
         if let Some(target) = entry.target {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use hornbeamtiller_relay::crash::Feature;
 use hornbeamtiller_relay::event::Sample;
 use hornbeamtiller_relay::pool::Status;
 use hornbeamtiller_relay::state::State;
@@ -29,7 +30,8 @@
     calls: IntGauge,
     members: IntGauge,
     streams: IntGauge,
-    quarantined: IntGauge,
+    quarantined_parts: IntGauge,
+    quarantined_requests: IntGauge,
     manifest: IntGauge,
     runners: IntGaugeVec,
     request_seconds: HistogramVec,
@@ -80,10 +82,14 @@
         let calls = IntGauge::new("calls", "Requests in progress.")?;
         let members = IntGauge::new("members", "Known peers in the fleet.")?;
         let streams = IntGauge::new("streams_known", "Streams whose origin is known.")?;
-        let quarantined = IntGauge::new(
+        let quarantined_parts = IntGauge::new(
             "parts_quarantined",
             "Parts of prompts with which no request is sent to a runner.",
         )?;
+        let quarantined_requests = IntGauge::new(
+            "requests_quarantined",
+            "Requests that are not sent to a runner, as they crashed some.",
+        )?;
         let manifest = IntGauge::new("manifest_version", "Version of the manifest in force.")?;
         let runners =
             IntGaugeVec::new(Opts::new("runners", "Known runners, by state."), &["state"])?;
@@ -109,7 +115,15 @@
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(origins.clone()))?;
         registry.register(Box::new(retry_budget.clone()))?;
-        for gauge in [&ready, &calls, &members, &streams, &quarantined, &manifest] {
+        for gauge in [
+            &ready,
+            &calls,
+            &members,
+            &streams,
+            &quarantined_parts,
+            &quarantined_requests,
+            &manifest,
+        ] {
             registry.register(Box::new(gauge.clone()))?;
         }
         Ok(Self {
@@ -123,7 +137,8 @@
             calls,
             members,
             streams,
-            quarantined,
+            quarantined_parts,
+            quarantined_requests,
             manifest,
             runners,
             request_seconds,
@@ -217,7 +232,12 @@
         self.ready.set(i64::from(state.is_ready()));
         self.calls.set(state.calls.len() as i64);
         self.streams.set(state.origins.len() as i64);
-        self.quarantined.set(state.quarantine.len() as i64);
+        let (requests, parts): (Vec<Feature>, Vec<Feature>) = state
+            .quarantine
+            .active()
+            .partition(|feature| feature.is_request());
+        self.quarantined_parts.set(parts.len() as i64);
+        self.quarantined_requests.set(requests.len() as i64);
         self.members.set(state.members.iter().count() as i64);
         let version = state
             .manifest
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -116,7 +116,11 @@
         field(&attributes.ms),
     );
     match line.message.as_str() {
-        "accepted" => format!("request received in full; route {outcome} of manifest {version}"),
+        "accepted" => {
+            let asked = attributes.fingerprint.iter();
+            let asked: String = asked.map(|asked| format!("; fingerprint {asked}")).collect();
+            format!("request received in full; route {outcome} of manifest {version}{asked}")
+        }
         "dispatched" => format!(
             "attempt {attempt}: {outcome} request dispatched to {runner} (entry revision {version}, load \
              reported {ms} ms ago)"
@@ -154,12 +158,23 @@
         // Logged for an open circuit breaker and for a prefill runner whose KV caches expire.
         "runner_rests" => format!("runner {runner} is in cooldown for {ms} ms: {outcome}"),
         "runner_crashed" => format!(
-            "runner {runner} has ended; it had not begun to respond to requests with the parts {}",
+            "runner {runner} has ended; it had not begun to respond to the requests {}, with the parts {}",
+            field(&attributes.fingerprint),
             field(&attributes.parts)
         ),
         "limit_named" => format!("limit of {runner}: {outcome}"),
         "part_tried" => format!("quarantined part {} let through once", field(&attributes.parts)),
         "part_quarantined" => format!("part {} quarantined: {outcome}", field(&attributes.parts)),
+        "request_tried" => format!(
+            "quarantined request {} let through once",
+            field(&attributes.fingerprint)
+        ),
+        "request_quarantined" => {
+            format!("request {} quarantined: {outcome}", field(&attributes.fingerprint))
+        }
+        "request_released" => {
+            format!("request {} released: {outcome}", field(&attributes.fingerprint))
+        }
         "part_released" => format!("part {} released: {outcome}", field(&attributes.parts)),
         "source" => format!(
             "connection to the configuration service {outcome}; manifest {version} in force"
@@ -182,6 +197,7 @@
         "runners_failed" => "the runners that were tried returned no usable response",
         "build_gone" => "no runner of the software version that began the stream was left",
         "prompt_quarantined" => "a part of its prompt crashes runners",
+        "request_quarantined" => "the same request crashed runners before",
         "timed_out" => "the deadline passed",
         "limited" => "the runners name limits, and others were sent to them first",
         "no_retry_left" => "the retry budget had no retry left",
--- a/crates/hornbeamctl/src/commands/log_file.rs
+++ b/crates/hornbeamctl/src/commands/log_file.rs
@@ -58,6 +58,8 @@
     pub target_ms: Option<String>,
     /// Parts of prompts.
     pub parts: Option<String>,
+    /// Fingerprints of requests.
+    pub fingerprint: Option<String>,
 }
 impl Line {
     /// Whether it says that an attempt failed or was cancelled.
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,6 +5,7 @@
 
 use crate::allocation;
 use crate::arrivals::{Arrivals, Step};
+use crate::crash::Feature;
 use crate::event::{KvCache, Prompt};
 use crate::id;
 use crate::manifest::Route;
@@ -193,7 +194,7 @@
     pub tried: Vec<id::Runner>,
     /// The processes at which an attempt was lost before its response had gone on for a moment.
     pub lost_at: Vec<Instance>,
-    /// Whether it is let through to find out whether its quarantined part still crashes runners.
+    /// Whether it is let through to find out whether what is quarantined of it still crashes runners.
     pub is_trial: bool,
     /// Its KV cache at a prefill runner.
     pub kv: Option<KvCache>,
@@ -213,6 +214,11 @@
 }
 
 impl Call {
+    /// What of it may crash a runner.
+    pub fn features(&self) -> impl Iterator<Item = Feature> + '_ {
+        Feature::of(&self.parts, self.fingerprint)
+    }
+
     /// What the next attempt is for, if none is in flight; `has_kv` is whether the prompt is prefilled.
     pub fn next_step(&self, has_kv: bool) -> Step {
         if self.prompt.is_none() || has_kv || self.kv_unavailable {
--- a/crates/relay/src/crash/evidence.rs
+++ b/crates/relay/src/crash/evidence.rs
@@ -1,24 +1,29 @@
-//! Crashes and their suspects, and the part that explains them.
+//! Crashes and their suspects, and the part or request that explains them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Crash, Recent, Suspect};
+use super::{Circumstance, Crash, Feature, Recent, Suspect};
 use crate::allocation::hash;
-use crate::id;
 use crate::pool::Instance;
 
-/// Crashes at which a part has to be suspect before it is quarantined.
+/// Crashes at which a part or a request has to be suspect before it is quarantined.
 const CRASHES_MIN: u32 = 3;
-/// The same for a part of which responses went on before, or where what most others know may be missing.
+/// The same if responses went on before, or where what most others know may be missing.
 const CRASHES_MIN_DOUBTFUL: u32 = 5;
-/// Share of the crashes of its time that a part has to explain; where runners crash for other reasons, each
-/// part is there at a few of them.
+/// Share of the crashes of its time that a suspect has to explain; where runners crash for other reasons, each
+/// is there at a few of them.
 const SHARE_MIN: f64 = 0.5;
-/// The same for a part that explains as many crashes as a doubtful one has to.
+/// The same for one that explains as many crashes as a doubtful one has to.
 const SHARE_MIN_MANY: f64 = 0.25;
-/// Crashes closer to each other count as one: what ends several runners at a moment is not a prompt.
+/// Crashes closer to each other count as one: what ends several runners at a moment is not what they were sent.
+/// A request that was never responded to is at several runners at once only if it was sent again and again, so
+/// its crashes all count.
 const CRASH_SPACING: Duration = Duration::from_millis(100);
+/// The time of a request begins this long before its first crash and ends as long after its last: a request is
+/// sent again within moments to where runners crash one after the other.
+const REQUEST_MARGIN: Duration = Duration::from_secs(1);
 /// How long a crash waits for what other VMs know of it.
 const SETTLING_TIME: Duration = Duration::from_millis(300);
 /// How long a crash is remembered.
@@ -32,31 +37,31 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Mark {
-    position: u32,
+    circumstance: Circumstance,
     was_sound: bool,
 }
 
 #[derive(Debug, Clone)]
 struct Observed {
     at: Duration,
-    suspects: BTreeMap<id::Part, Mark>,
+    suspects: BTreeMap<Feature, Mark>,
 }
 
-/// A part that explains crashes.
+/// A part or a request that explains crashes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Culprit {
-    /// The part.
-    pub part: id::Part,
+    /// What it is.
+    pub feature: Feature,
     /// Crashes that it explains.
     pub crashes: u32,
-    /// Whether responses to prompts with it had gone on before.
+    /// Whether responses to requests with it had gone on before.
     pub was_sound: bool,
-    position: u32,
+    circumstance: Circumstance,
     /// The share of the crashes of its time that it explains.
     share: f64,
 }
 
-/// The crashes that a VM knows of, and the parts that are sound.
+/// The crashes that a VM knows of, and what is sound.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
     crashes: BTreeMap<Instance, Observed>,
@@ -69,9 +74,9 @@
         self.crashes.contains_key(instance)
     }
 
-    /// When a response to a prompt with a part last went on.
-    pub fn sound_at(&self, part: id::Part) -> Option<Duration> {
-        self.sound.get(part)
+    /// When a response to a request with a feature last went on.
+    pub fn sound_at(&self, feature: Feature) -> Option<Duration> {
+        self.sound.get(feature)
     }
 
     /// Adds a crash, or what another VM knows of it; returns whether anything is new.
@@ -82,8 +87,9 @@
             // Those that were there at other crashes, and a choice of others that differs between crashes.
             let seed = hash(crash.instance.runner.as_bytes(), 0);
             suspects.sort_by_cached_key(|suspect| {
-                let part = suspect.part;
-                (!self.is_suspect(part), hash(&part.to_le_bytes(), seed))
+                let feature = suspect.feature;
+                let choice = hash(&feature.key().to_le_bytes(), seed);
+                (!self.is_suspect(feature), choice)
             });
         }
         let is_new = !self.crashes.contains_key(&crash.instance);
@@ -116,69 +122,62 @@
         self.crashes.retain(|_, crash| crash.at + LIFETIME > now);
     }
 
-    /// Whether a part was there at a crash that nothing has cleared it of.
-    fn is_suspect(&self, part: id::Part) -> bool {
-        let sound_at = self.sound.get(part);
+    /// Whether a suspect was there at a crash that nothing has cleared it of.
+    fn is_suspect(&self, feature: Feature) -> bool {
+        let sound_at = self.sound.get(feature);
         let mut crashes = self.crashes.values();
-        crashes.any(|crash| crash.suspects(part, sound_at))
+        crashes.any(|crash| crash.suspects(feature, sound_at))
     }
 
-    /// Records that a response to a prompt with a part went on; returns whether that clears the part of a
-    /// crash.
-    pub fn clear(&mut self, part: id::Part, at: Duration) -> bool {
-        let before = self.sound.get(part);
+    /// Records that a response to a request with a feature went on; returns whether that clears it of a crash.
+    pub fn clear(&mut self, feature: Feature, at: Duration) -> bool {
+        let before = self.sound.get(feature);
         let mut crashes = self.crashes.values();
-        let is_news = crashes.any(|crash| crash.at <= at && crash.suspects(part, before));
-        self.sound.insert(part, at);
+        let is_news = crashes.any(|crash| crash.at <= at && crash.suspects(feature, before));
+        self.sound.insert(feature, at);
         is_news
     }
 
-    /// The part that explains most of the crashes that no quarantined part explains, if any explains enough of
-    /// them. `is_partial` is whether this VM may not know which parts are sound.
+    /// The part or request that explains most of the crashes that nothing quarantined explains, if any explains
+    /// enough of them. `is_partial` is whether this VM may not know what is sound.
     pub fn find_culprit(
         &self,
         now: Duration,
-        is_quarantined: impl Fn(id::Part) -> bool,
+        is_quarantined: impl Fn(Feature) -> bool,
         is_partial: bool,
     ) -> Option<Culprit> {
         let is_unexplained = |crash: &&Observed| {
             let is_settled = crash.at + SETTLING_TIME <= now;
-            is_settled && !crash.suspects.keys().any(|part| is_quarantined(*part))
+            is_settled
+                && !crash
+                    .suspects
+                    .keys()
+                    .any(|feature| is_quarantined(*feature))
         };
         let mut crashes: Vec<&Observed> = self.crashes.values().filter(is_unexplained).collect();
         crashes.retain(|crash| !crash.suspects.is_empty());
         crashes.sort_by_key(|crash| crash.at);
         let candidates = self.count_crashes(&crashes);
-        let culprits = candidates.into_iter().map(|(part, candidate)| Culprit {
-            part,
-            crashes: candidate.moments,
-            was_sound: candidate.was_sound,
-            position: candidate.position,
-            share: candidate.share(&crashes),
-        });
-        // Of parts that are always together, the later one is the likelier.
-        let order = |culprit: &Culprit| {
-            let once_sound = culprit.was_sound;
-            (!once_sound, culprit.crashes, culprit.position, culprit.part)
-        };
+        let culprits = candidates
+            .into_iter()
+            .map(|(feature, candidate)| candidate.into_culprit(feature, &crashes));
         culprits
             .filter(|culprit| culprit.is_certain(is_partial))
-            .max_by_key(order)
+            .max_by_key(Culprit::order)
     }
 
-    /// The parts that were there at these crashes, the earliest first, and that nothing has cleared since.
-    fn count_crashes(&self, crashes: &[&Observed]) -> BTreeMap<id::Part, Candidate> {
-        let mut candidates: BTreeMap<id::Part, Candidate> = BTreeMap::new();
+    /// What was there at these crashes, the earliest first, and nothing has cleared since.
+    fn count_crashes(&self, crashes: &[&Observed]) -> BTreeMap<Feature, Candidate> {
+        let mut candidates: BTreeMap<Feature, Candidate> = BTreeMap::new();
         for crash in crashes {
-            for (part, mark) in &crash.suspects {
-                let sound_at = self.sound.get(*part);
-                if !crash.suspects(*part, sound_at) {
+            for (feature, mark) in &crash.suspects {
+                let sound_at = self.sound.get(*feature);
+                if !crash.suspects(*feature, sound_at) {
                     continue;
                 }
-                let candidate = candidates.entry(*part).or_default();
+                let candidate = candidates.entry(*feature).or_default();
                 candidate.was_sound |= mark.was_sound || sound_at.is_some();
-                candidate.position = candidate.position.max(mark.position);
-                candidate.count(crash.at);
+                candidate.count(crash.at, mark.circumstance);
             }
         }
         candidates
@@ -187,10 +186,10 @@
     /// A crash as other VMs are told of it; none if nothing is suspect.
     pub fn describe(&self, instance: &Instance, now: Duration) -> Option<Crash> {
         let observed = self.crashes.get(instance)?;
-        let suspects = observed.suspects.iter().map(|(part, mark)| Suspect {
-            part: *part,
-            position: mark.position,
-            was_sound: mark.was_sound || self.sound.get(*part).is_some(),
+        let suspects = observed.suspects.iter().map(|(feature, mark)| Suspect {
+            feature: *feature,
+            circumstance: mark.circumstance,
+            was_sound: mark.was_sound || self.sound.get(*feature).is_some(),
         });
         let crash = Crash {
             instance: instance.clone(),
@@ -203,7 +202,7 @@
     /// The latest crashes, as other VMs are told of them.
     pub fn describe_all(&self, now: Duration) -> Vec<Crash> {
         let mut latest: Vec<(&Instance, &Observed)> = self.crashes.iter().collect();
-        latest.sort_by_key(|(_, crash)| std::cmp::Reverse(crash.at));
+        latest.sort_by_key(|(_, crash)| Reverse(crash.at));
         latest.truncate(CRASHES_TOLD_MAX);
         let crashes = latest.into_iter();
         crashes
@@ -214,34 +213,34 @@
 
 impl Observed {
     fn add(&mut self, suspect: Suspect) -> bool {
-        let is_known = self.suspects.contains_key(&suspect.part);
+        let is_known = self.suspects.contains_key(&suspect.feature);
         if !is_known && self.suspects.len() >= SUSPECTS_MAX {
             return false;
         }
         let mark = Mark {
-            position: suspect.position,
+            circumstance: suspect.circumstance,
             was_sound: suspect.was_sound,
         };
-        let known = self.suspects.entry(suspect.part).or_insert(mark);
+        let known = self.suspects.entry(suspect.feature).or_insert(mark);
         let is_news = !is_known
-            || suspect.position > known.position
+            || known.circumstance.merge(suspect.circumstance)
             || (suspect.was_sound && !known.was_sound);
-        known.position = known.position.max(suspect.position);
         known.was_sound |= suspect.was_sound;
         is_news
     }
 
-    /// Whether a part was there that no later response has cleared.
-    fn suspects(&self, part: id::Part, sound_at: Option<Duration>) -> bool {
-        self.suspects.contains_key(&part) && sound_at.is_none_or(|sound_at| sound_at < self.at)
+    /// Whether a suspect was there that no later response has cleared.
+    fn suspects(&self, feature: Feature, sound_at: Option<Duration>) -> bool {
+        let is_there = self.suspects.contains_key(&feature);
+        is_there && sound_at.is_none_or(|sound_at| sound_at < self.at)
     }
 }
 
-/// A part that was there at crashes.
+/// What was there at crashes.
 #[derive(Debug, Default)]
 struct Candidate {
     /// Crashes at which it was there.
-    crashes: usize,
+    crashes: u32,
     /// The same, of which those that follow each other closely count as one.
     moments: u32,
     counted_at: Duration,
@@ -249,10 +248,12 @@
     last_at: Duration,
     was_sound: bool,
     position: u32,
+    /// The longest time that a runner had had it before it crashed.
+    held: Duration,
 }
 
 impl Candidate {
-    fn count(&mut self, at: Duration) {
+    fn count(&mut self, at: Duration, circumstance: Circumstance) {
         if self.crashes == 0 {
             self.first_at = at;
         }
@@ -262,17 +263,51 @@
             self.moments += 1;
             self.counted_at = at;
         }
+        self.position = self.position.max(circumstance.position);
+        self.held = self.held.max(circumstance.held);
     }
 
-    /// The share of the crashes between its first and its last one at which it was there.
-    fn share(&self, crashes: &[&Observed]) -> f64 {
-        let time = self.first_at..=self.last_at;
+    /// The share of the crashes of its time at which it was there.
+    fn share(&self, crashes: &[&Observed], margin: Duration) -> f64 {
+        let time = self.first_at.saturating_sub(margin)..=self.last_at + margin;
         let all = crashes.iter().filter(|crash| time.contains(&crash.at));
-        self.crashes as f64 / all.count().max(1) as f64
+        f64::from(self.crashes) / all.count().max(1) as f64
+    }
+
+    fn into_culprit(self, feature: Feature, crashes: &[&Observed]) -> Culprit {
+        let margin = match feature {
+            Feature::Part(_) => Duration::ZERO,
+            Feature::Request(_) => REQUEST_MARGIN,
+        };
+        let all_count = feature.is_request() && !self.was_sound;
+        Culprit {
+            feature,
+            crashes: if all_count {
+                self.crashes
+            } else {
+                self.moments
+            },
+            was_sound: self.was_sound,
+            circumstance: Circumstance {
+                position: self.position,
+                held: self.held,
+            },
+            share: self.share(crashes, margin),
+        }
     }
 }
 
 impl Culprit {
+    /// The likelier of two culprits has the higher order: what explains more, a request before a part that it
+    /// has, of requests the one that runners had had the shortest, of parts the later one.
+    fn order(&self) -> impl Ord {
+        let Circumstance { position, held } = self.circumstance;
+        let is_request = self.feature.is_request();
+        let shortest = Reverse(if is_request { held } else { Duration::ZERO });
+        let clearness = (!self.was_sound, self.crashes, is_request);
+        (clearness, shortest, position, self.feature)
+    }
+
     fn is_certain(&self, is_partial: bool) -> bool {
         let min = match (self.was_sound, is_partial) {
             (false, false) => CRASHES_MIN,
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -1,25 +1,26 @@
-//! Crashes of runners, and the parts of prompts that cause them.
+//! Crashes of runners, and the requests that cause them.
 //!
-//! A part of a prompt may crash each runner that begins to respond to it, so that a few requests take down a
-//! whole pool. What a runner had been given when it crashed is suspect: the shared parts of the requests that
-//! it had not begun to respond to, or only just. VMs tell each other of crashes and suspects, and a crash that
-//! several of them see is one. Responses that go on clear their parts of earlier crashes. A part that was
-//! there at several crashes, one after the other, and that nothing has cleared, is quarantined: requests with it
-//! are refused by all VMs.
+//! A request may crash each runner that begins to respond to it, and come again; or a part of a prompt does, so
+//! that a few requests with it take down a whole pool. What a runner had been given when it crashed is suspect:
+//! the requests that it had not begun to respond to, or only just, and the shared parts of their prompts. VMs
+//! tell each other of crashes and suspects, and a crash that several of them see is one. Responses that go on
+//! clear their requests and parts of earlier crashes. What was there at several crashes, and nothing has cleared,
+//! is quarantined: such requests are refused by all VMs.
 //!
-//! A sound part that is quarantined by mistake can't clear itself, so at times one VM lets one request through.
+//! What is sound and quarantined by mistake can't clear itself, so at times one VM lets one request through.
 
 mod evidence;
+mod feature;
 mod quarantine;
 mod recent;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::id;
 use crate::pool::Instance;
 
 pub use evidence::{Culprit, Evidence};
+pub use feature::{shared_parts, Feature};
 pub use quarantine::Quarantine;
 pub use recent::Recent;
 
@@ -28,28 +29,56 @@
 /// Crashes at the beginning of its response after which a call is sent to no other runner.
 pub const CRASHES_PER_CALL_MAX: usize = 2;
 
-/// The parts that may crash a runner: all but the last, which belongs to the request alone.
-pub fn shared_parts(parts: &[id::Part]) -> &[id::Part] {
-    parts.split_last().map_or(&[], |(_, shared)| shared)
-}
+/// How long a runner may still be at work on a request that it was no longer asked to run.
+pub const ABANDONED_TIME: Duration = Duration::from_millis(500);
 
 /// What this VM lost at a runner, while it is checked whether that has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Loss {
     /// When the first attempt was lost.
     pub at: Duration,
-    /// Shared parts of the requests to which the runner had not begun to respond, with their positions.
-    pub suspects: BTreeMap<id::Part, u32>,
+    /// What may have crashed the runner, if it has crashed.
+    pub suspects: BTreeMap<Feature, Circumstance>,
+}
+
+impl Loss {
+    /// Adds the suspects of another request.
+    pub fn add(&mut self, suspects: BTreeMap<Feature, Circumstance>) {
+        for (feature, circumstance) in suspects {
+            let known = self.suspects.entry(feature).or_insert(circumstance);
+            known.merge(circumstance);
+        }
+    }
 }
 
-/// A shared part of a request that a runner had when it crashed.
+/// How a runner had a suspect when it crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Suspect {
-    /// The part.
-    pub part: id::Part,
-    /// Its position in the prompt, from 0.
+pub struct Circumstance {
+    /// Position in the features of the request, from 0.
     pub position: u32,
-    /// Whether responses to prompts with it had gone on before.
+    /// How long it had had the latest such request.
+    pub held: Duration,
+}
+
+impl Circumstance {
+    /// Takes over how another request was there; returns whether that changes anything.
+    pub fn merge(&mut self, other: Self) -> bool {
+        let merged = Self {
+            position: self.position.max(other.position),
+            held: self.held.min(other.held),
+        };
+        std::mem::replace(self, merged) != merged
+    }
+}
+
+/// Something of a request that a runner had when it crashed, and had not begun to respond to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Suspect {
+    /// What it is.
+    pub feature: Feature,
+    /// How the runner had it.
+    pub circumstance: Circumstance,
+    /// Whether responses to requests with it had gone on before.
     pub was_sound: bool,
 }
 
@@ -64,18 +93,18 @@
     pub suspects: Vec<Suspect>,
 }
 
-/// What is known of a part, as told to other VMs.
+/// What is known of a part or a request, as told to other VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Record {
-    /// The part.
-    pub part: id::Part,
-    /// How long ago a response to a prompt with it last went on.
+    /// What it is.
+    pub feature: Feature,
+    /// How long ago a response to a request with it last went on.
     pub sound_age: Option<Duration>,
     /// Its quarantine, if it ever was in one.
     pub hold: Option<Hold>,
 }
 
-/// The quarantine of a part, as told to other VMs.
+/// A quarantine, as told to other VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hold {
     /// Number of times that it was quarantined, or that a request was let through.
@@ -84,22 +113,22 @@
     pub is_active: bool,
     /// How long ago this generation began.
     pub age: Duration,
-    /// Whether responses to prompts with it had gone on before.
+    /// Whether responses to requests with it had gone on before.
     pub was_sound: bool,
 }
 
-/// Crashes and parts, as told to other VMs.
+/// Crashes, parts and requests, as told to other VMs.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
     /// Crashes.
     pub crashes: Vec<Crash>,
-    /// Parts.
-    pub parts: Vec<Record>,
+    /// Parts and requests.
+    pub features: Vec<Record>,
 }
 
 impl Report {
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.parts.is_empty()
+        self.crashes.is_empty() && self.features.is_empty()
     }
 }
--- a/crates/relay/src/crash/quarantine.rs
+++ b/crates/relay/src/crash/quarantine.rs
@@ -1,22 +1,21 @@
-//! The parts that are quarantined, and when a request with one is let through.
+//! The parts and requests that are quarantined, and when a request is let through.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::Hold;
+use super::{Feature, Hold};
 use crate::allocation::hash;
-use crate::id;
 
-/// Time until a request is let through after a part of which responses went on before is quarantined.
+/// Time until a request is let through after what responses went on to before is quarantined.
 const TRIAL_AFTER_FIRST: Duration = Duration::from_secs(3);
 /// How much longer that time is with each generation.
 const TRIAL_FACTOR: u32 = 4;
-/// Generations by which a part of which no response ever went on is ahead.
+/// Generations by which what no response ever went on to is ahead.
 const NEVER_SOUND_LEAD: u32 = 2;
 /// Longest time between two requests that are let through.
 const TRIAL_AFTER_MAX: Duration = Duration::from_secs(3_600);
-/// Maximum number of parts; those that were quarantined the longest ago are forgotten.
-const PARTS_MAX: usize = 1_024;
+/// Maximum number of parts and requests; those that were quarantined the longest ago are forgotten.
+const FEATURES_MAX: usize = 1_024;
 
 #[derive(Debug, Clone, Copy)]
 struct Entry {
@@ -43,84 +42,86 @@
     }
 }
 
-/// The parts that are or were quarantined.
+/// The parts and requests that are or were quarantined.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
-    entries: BTreeMap<id::Part, Entry>,
+    entries: BTreeMap<Feature, Entry>,
 }
 
 impl Quarantine {
-    /// Number of parts that are quarantined.
-    pub fn len(&self) -> usize {
-        self.entries
-            .values()
-            .filter(|entry| entry.is_active)
-            .count()
+    /// What is quarantined.
+    pub fn active(&self) -> impl Iterator<Item = Feature> + '_ {
+        let active = self.entries.iter().filter(|(_, entry)| entry.is_active);
+        active.map(|(feature, _)| *feature)
     }
 
-    /// Whether no part is quarantined.
+    /// Whether nothing is quarantined.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.active().next().is_none()
     }
 
-    /// Whether a part is quarantined.
-    pub fn holds(&self, part: id::Part) -> bool {
-        self.entries.get(&part).is_some_and(|entry| entry.is_active)
+    /// Whether something is quarantined.
+    pub fn holds(&self, feature: Feature) -> bool {
+        self.entries
+            .get(&feature)
+            .is_some_and(|entry| entry.is_active)
     }
 
-    /// The generation of a part's quarantine.
-    pub fn generation(&self, part: id::Part) -> u32 {
-        self.entries.get(&part).map_or(0, |entry| entry.generation)
+    /// The generation of its quarantine.
+    pub fn generation(&self, feature: Feature) -> u32 {
+        self.entries
+            .get(&feature)
+            .map_or(0, |entry| entry.generation)
     }
 
-    /// Whether a request with a part may be let through.
-    pub fn is_trial_due(&self, part: id::Part, now: Duration) -> bool {
-        let entry = self.entries.get(&part).filter(|entry| entry.is_active);
+    /// Whether a request that has it may be let through.
+    pub fn is_trial_due(&self, feature: Feature, now: Duration) -> bool {
+        let entry = self.entries.get(&feature).filter(|entry| entry.is_active);
         entry.is_some_and(|entry| entry.since + entry.trial_after() <= now)
     }
 
-    /// Quarantines a part.
-    pub fn hold(&mut self, part: id::Part, was_sound: bool, now: Duration) {
+    /// Quarantines a part or a request.
+    pub fn hold(&mut self, feature: Feature, was_sound: bool, now: Duration) {
         let entry = Entry {
-            generation: self.generation(part) + 1,
+            generation: self.generation(feature) + 1,
             is_active: true,
             since: now,
             was_sound,
         };
-        self.entries.insert(part, entry);
-        if self.entries.len() > PARTS_MAX {
+        self.entries.insert(feature, entry);
+        if self.entries.len() > FEATURES_MAX {
             self.remove_oldest();
         }
     }
 
-    /// Begins the next generation of a part's quarantine, as a request with it is let through.
-    pub fn start_trial(&mut self, part: id::Part, now: Duration) {
-        if let Some(entry) = self.entries.get_mut(&part) {
+    /// Begins the next generation of a quarantine, as a request is let through.
+    pub fn start_trial(&mut self, feature: Feature, now: Duration) {
+        if let Some(entry) = self.entries.get_mut(&feature) {
             entry.generation += 1;
             entry.since = now;
         }
     }
 
-    /// Releases a part; returns whether it was quarantined.
-    pub fn release(&mut self, part: id::Part) -> bool {
-        let entry = self.entries.get_mut(&part);
+    /// Releases a part or a request; returns whether it was quarantined.
+    pub fn release(&mut self, feature: Feature) -> bool {
+        let entry = self.entries.get_mut(&feature);
         entry.is_some_and(|entry| std::mem::replace(&mut entry.is_active, false))
     }
 
-    /// Takes over what another VM knows of a part; returns whether that is news.
-    pub fn merge(&mut self, part: id::Part, hold: Hold, now: Duration) -> bool {
+    /// Takes over what another VM knows of a quarantine; returns whether that is news.
+    pub fn merge(&mut self, feature: Feature, hold: Hold, now: Duration) -> bool {
         let entry = Entry {
             generation: hold.generation,
             is_active: hold.is_active,
             since: now.saturating_sub(hold.age),
             was_sound: hold.was_sound,
         };
-        let known = self.entries.get(&part);
+        let known = self.entries.get(&feature);
         if known.is_some_and(|known| known.order() >= entry.order()) {
             return false;
         }
-        self.entries.insert(part, entry);
-        if self.entries.len() > PARTS_MAX {
+        self.entries.insert(feature, entry);
+        if self.entries.len() > FEATURES_MAX {
             self.remove_oldest();
         }
         true
@@ -128,19 +129,19 @@
 
     fn remove_oldest(&mut self) {
         let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.since);
-        if let Some(part) = oldest.map(|(part, _)| *part) {
-            self.entries.remove(&part);
+        if let Some(feature) = oldest.map(|(feature, _)| *feature) {
+            self.entries.remove(&feature);
         }
     }
 
-    /// All parts that are or were quarantined.
-    pub fn parts(&self) -> impl Iterator<Item = id::Part> + '_ {
+    /// All that is or was quarantined.
+    pub fn features(&self) -> impl Iterator<Item = Feature> + '_ {
         self.entries.keys().copied()
     }
 
-    /// The quarantine of a part, as other VMs are told of it.
-    pub fn describe(&self, part: id::Part, now: Duration) -> Option<Hold> {
-        let entry = self.entries.get(&part)?;
+    /// A quarantine, as other VMs are told of it.
+    pub fn describe(&self, feature: Feature, now: Duration) -> Option<Hold> {
+        let entry = self.entries.get(&feature)?;
         Some(Hold {
             generation: entry.generation,
             is_active: entry.is_active,
@@ -152,10 +153,10 @@
     /// A number that differs between VMs that know different things, 0 if nothing is known.
     pub fn digest(&self) -> u64 {
         let entries = self.entries.iter();
-        let digests = entries.map(|(part, entry)| {
+        let digests = entries.map(|(feature, entry)| {
             let (generation, is_released) = entry.order();
             let state = (u64::from(generation) << 1) | u64::from(is_released);
-            hash(&part.to_le_bytes(), state)
+            hash(&feature.key().to_le_bytes(), state)
         });
         digests.fold(0, |digest, entry| digest ^ entry)
     }
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::budget::Charge;
+use crate::crash::Feature;
 use crate::id;
 
 /// Event of an entry; its name is the event name of the log line.
@@ -61,6 +62,12 @@
     PartTried,
     /// A part of prompts is not quarantined any more.
     PartReleased,
+    /// Runners are not sent a request any more, since it crashes them.
+    RequestQuarantined,
+    /// A request that is quarantined was let through.
+    RequestTried,
+    /// A request is not quarantined any more.
+    RequestReleased,
     /// The configuration service became reachable or unreachable.
     Source,
     /// The status of a VM changed.
@@ -104,38 +111,41 @@
     pub connected: Option<bool>,
     /// Parts of prompts.
     pub parts: Parts,
-    /// What the caller of the request asks for.
-    pub fingerprint: Option<Fingerprint>,
-}
-
-/// What a caller asks for; shown as a hexadecimal number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Fingerprint(pub id::Fingerprint);
-
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
+    /// What callers ask for.
+    pub fingerprints: Fingerprints,
 }
 
 /// Parts of prompts; shown as hexadecimal numbers, the first few only.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Parts(pub Vec<id::Part>);
 
-/// Maximum number of parts that are shown.
-const PARTS_SHOWN_MAX: usize = 16;
+/// What callers ask for; shown as hexadecimal numbers, the first few only.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fingerprints(pub Vec<id::Fingerprint>);
+
+/// Maximum number of parts or fingerprints that are shown.
+const SHOWN_MAX: usize = 16;
 
 impl fmt::Display for Parts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let shown = self.0.iter().take(PARTS_SHOWN_MAX);
-        for (index, part) in shown.enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{part:x}")?;
-        }
-        Ok(())
+        write_list(f, self.0.iter().copied().map(Feature::Part))
     }
 }
 
+impl fmt::Display for Fingerprints {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_list(f, self.0.iter().copied().map(Feature::Request))
+    }
+}
+
+fn write_list(f: &mut fmt::Formatter<'_>, list: impl Iterator<Item = Feature>) -> fmt::Result {
+    for (index, feature) in list.take(SHOWN_MAX).enumerate() {
+        let separator = if index == 0 { "" } else { "," };
+        write!(f, "{separator}{feature}")?;
+    }
+    Ok(())
+}
+
 impl Entry {
     /// Creates an entry without any fields.
     pub fn new(kind: Kind) -> Self {
@@ -154,7 +164,7 @@
             build: None,
             connected: None,
             parts: Parts::default(),
-            fingerprint: None,
+            fingerprints: Fingerprints::default(),
         }
     }
 
@@ -230,9 +240,20 @@
         self
     }
 
-    /// Sets what the caller asks for.
+    /// Adds what the caller asks for.
     pub fn fingerprint(mut self, fingerprint: id::Fingerprint) -> Self {
-        self.fingerprint = Some(Fingerprint(fingerprint));
+        self.fingerprints.0.push(fingerprint);
+        self
+    }
+
+    /// Adds parts and fingerprints.
+    pub fn features(mut self, features: impl IntoIterator<Item = Feature>) -> Self {
+        for feature in features {
+            match feature {
+                Feature::Part(part) => self.parts.0.push(part),
+                Feature::Request(fingerprint) => self.fingerprints.0.push(fingerprint),
+            }
+        }
         self
     }
 
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::crash::{shared_parts, Crash, Loss, Record, Report, Suspect, CRASHES_PER_CALL_MAX};
+use crate::crash::{
+    Circumstance, Crash, Feature, Loss, Record, Report, Suspect, ABANDONED_TIME,
+    CRASHES_PER_CALL_MAX,
+};
 use crate::decision_log::{Entry, Kind};
 use crate::event::{Effect, Presence};
 use crate::id;
 use crate::pool::{Instance, Status};
-use crate::state::Untold;
+use crate::state::{InFlight, Untold};
 
 use super::outcome::EndedAttempt;
 use super::Reducer;
@@ -25,7 +28,7 @@
 }
 
 impl Reducer<'_> {
-    /// Records an event of an attempt. Once its response has gone on for a moment, its prompt is sound.
+    /// Records an event of an attempt. Once its response has gone on for a moment, its request is sound.
     pub(super) fn record_progress(&mut self, number: id::Call, attempt: id::Attempt) {
         let now = self.now;
         let Some(in_flight) = self.state.in_flight.get_mut(&attempt) else {
@@ -33,34 +36,88 @@
         };
         in_flight.begun_at.get_or_insert(now);
         if in_flight.has_gone_on(now) && !std::mem::replace(&mut in_flight.is_sound, true) {
-            self.clear_parts(number);
+            self.clear_features(number);
         }
     }
 
     /// Records a lost attempt, and checks whether its runner has ended.
     pub(super) fn record_loss(&mut self, ended: &EndedAttempt) {
-        if ended.in_flight.has_gone_on(self.now) {
+        let in_flight = &ended.in_flight;
+        let instance = &in_flight.instance;
+        if in_flight.has_gone_on(self.now) || self.serving_address(instance).is_none() {
             return;
         }
-        let instance = &ended.in_flight.instance;
-        let Some(address) = self.serving_address(instance) else {
+        let Some(suspects) = self.find_suspects(ended.number, in_flight) else {
             return;
         };
-        let Some(call) = self.state.calls.get_mut(&ended.number) else {
+        if let Some(call) = self.state.calls.get_mut(&ended.number) {
+            call.lost_at.push(instance.clone());
+        }
+        self.check_after_loss(instance, suspects);
+    }
+
+    /// Records that a runner was not reached. If it was at work on something a moment ago, it is checked whether
+    /// it has ended.
+    pub(super) fn record_unreached(&mut self, instance: &Instance) {
+        if self.state.abandoned.contains_key(instance) {
+            self.check_after_loss(instance, BTreeMap::new());
+        }
+    }
+
+    /// Records an attempt that was given up before its response had gone on for a moment.
+    pub(super) fn record_abandoned(&mut self, number: id::Call, attempt: id::Attempt) {
+        let now = self.now;
+        let Some(in_flight) = self.state.in_flight.get(&attempt) else {
             return;
         };
-        call.lost_at.push(instance.clone());
-        let parts = shared_parts(&call.parts).iter().copied();
-        let suspects: BTreeMap<id::Part, u32> = parts.zip(0..).collect();
-        if let Some(loss) = self.state.losses.get_mut(instance) {
-            return loss.suspects.extend(suspects);
+        if in_flight.has_gone_on(now) {
+            return;
         }
+        let Some(suspects) = self.find_suspects(number, in_flight) else {
+            return;
+        };
+        let instance = in_flight.instance.clone();
+        let abandoned = self.state.abandoned.entry(instance);
+        let abandoned = abandoned.or_insert_with(|| Loss {
+            at: now,
+            suspects: BTreeMap::new(),
+        });
+        abandoned.at = now;
+        abandoned.add(suspects);
+    }
+
+    /// What of a call may have crashed its runner.
+    fn find_suspects(
+        &self,
+        number: id::Call,
+        in_flight: &InFlight,
+    ) -> Option<BTreeMap<Feature, Circumstance>> {
+        let call = self.state.calls.get(&number)?;
+        let held = self.now.saturating_sub(in_flight.sent_at);
+        let circumstances = (0..).map(|position| Circumstance { position, held });
+        Some(call.features().zip(circumstances).collect())
+    }
+
+    /// Checks whether a runner has ended, with these suspects and what was given up there a moment ago.
+    fn check_after_loss(&mut self, instance: &Instance, suspects: BTreeMap<Feature, Circumstance>) {
+        let Some(address) = self.serving_address(instance) else {
+            return;
+        };
         let at = self.now;
-        let instance = instance.clone();
-        self.state
-            .losses
-            .insert(instance.clone(), Loss { at, suspects });
-        self.emit(Effect::CheckRunner { instance, address });
+        let is_checked = self.state.losses.contains_key(instance);
+        let loss = self.state.losses.entry(instance.clone());
+        let loss = loss.or_insert_with(|| Loss {
+            at,
+            suspects: BTreeMap::new(),
+        });
+        loss.add(suspects);
+        if let Some(abandoned) = self.state.abandoned.remove(instance) {
+            loss.add(abandoned.suspects);
+        }
+        if !is_checked {
+            let instance = instance.clone();
+            self.emit(Effect::CheckRunner { instance, address });
+        }
     }
 
     /// The address of a runner that is listed as serving; one that leaves may end at any time.
@@ -78,19 +135,18 @@
             return;
         }
         let age = self.now.saturating_sub(loss.at);
-        let parts = loss.suspects.keys().copied();
         self.log(
             Entry::new(Kind::RunnerCrashed)
                 .runner(&instance.runner)
                 .age(age)
-                .parts(parts),
+                .features(loss.suspects.keys().copied()),
         );
         self.state.counters.runners_crashed += 1;
         let evidence = &self.state.evidence;
-        let suspects = loss.suspects.iter().map(|(part, position)| Suspect {
-            part: *part,
-            position: *position,
-            was_sound: evidence.sound_at(*part).is_some(),
+        let suspects = loss.suspects.iter().map(|(feature, circumstance)| Suspect {
+            feature: *feature,
+            circumstance: *circumstance,
+            was_sound: evidence.sound_at(*feature).is_some(),
         });
         let crash = Crash {
             instance: instance.clone(),
@@ -135,94 +191,102 @@
         for crash in report.crashes {
             self.merge_crash(crash);
         }
-        for record in report.parts {
+        for record in report.features {
             self.merge_record(record);
         }
     }
 
     fn merge_record(&mut self, record: Record) {
         let now = self.now;
-        let part = record.part;
+        let feature = record.feature;
         if let Some(age) = record.sound_age {
-            if self.state.evidence.clear(part, now.saturating_sub(age)) {
-                self.state.untold.parts.insert(part);
+            let sound_at = now.saturating_sub(age);
+            if self.state.evidence.clear(feature, sound_at) {
+                self.state.untold.features.insert(feature);
             }
         }
         let Some(hold) = record.hold else {
             return;
         };
-        let was_held = self.state.quarantine.holds(part);
-        if !self.state.quarantine.merge(part, hold, now) {
+        let was_held = self.state.quarantine.holds(feature);
+        if !self.state.quarantine.merge(feature, hold, now) {
             return;
         }
-        self.state.untold.parts.insert(part);
+        self.state.untold.features.insert(feature);
         match (was_held, hold.is_active) {
-            (false, true) => self.enforce_quarantine(part, "told by a peer"),
-            (true, false) => self.log_release(part, "told by a peer"),
+            (false, true) => self.enforce_quarantine(feature, "told by a peer"),
+            (true, false) => self.log_release(feature, "told by a peer"),
             _ => {}
         }
     }
 
     pub(super) fn tick_crashes(&mut self) {
-        self.state.evidence.expire(self.now);
+        let now = self.now;
+        let abandoned = &mut self.state.abandoned;
+        abandoned.retain(|_, given_up| given_up.at + ABANDONED_TIME > now);
+        self.state.evidence.expire(now);
         self.quarantine_culprits();
     }
 
-    /// What this VM has learnt of crashes, if anything, of these runners and parts.
+    /// What this VM has learnt of crashes, if anything, of these runners, parts and requests.
     pub(super) fn describe_news(&self, untold: &Untold) -> Option<Report> {
         let evidence = &self.state.evidence;
         let crashes = untold.crashes.iter();
-        let parts = untold.parts.iter();
+        let features = untold.features.iter();
         let report = Report {
             crashes: crashes
                 .filter_map(|instance| evidence.describe(instance, self.now))
                 .collect(),
-            parts: parts.map(|part| self.describe_part(*part)).collect(),
+            features: features
+                .map(|feature| self.describe_feature(*feature))
+                .collect(),
         };
         (!report.is_empty()).then_some(report)
     }
 
-    fn describe_part(&self, part: id::Part) -> Record {
-        let sound_at = self.state.evidence.sound_at(part);
+    fn describe_feature(&self, feature: Feature) -> Record {
+        let sound_at = self.state.evidence.sound_at(feature);
         Record {
-            part,
+            feature,
             sound_age: sound_at.map(|at| self.now.saturating_sub(at)),
-            hold: self.state.quarantine.describe(part, self.now),
+            hold: self.state.quarantine.describe(feature, self.now),
         }
     }
 
-    /// All that this VM knows of crashes and of parts that are or were suspect, if it knows anything.
+    /// All that this VM knows of crashes and of what is or was suspect, if it knows anything.
     pub(super) fn describe_crashes(&self) -> Option<Report> {
         let crashes = self.state.evidence.describe_all(self.now);
         let suspects = crashes.iter().flat_map(|crash| &crash.suspects);
-        let mut parts: Vec<id::Part> = suspects.map(|suspect| suspect.part).collect();
-        parts.extend(self.state.quarantine.parts());
-        parts.sort_unstable();
-        parts.dedup();
-        let records = parts.into_iter().map(|part| self.describe_part(part));
+        let mut features: Vec<Feature> = suspects.map(|suspect| suspect.feature).collect();
+        features.extend(self.state.quarantine.features());
+        features.sort_unstable();
+        features.dedup();
+        let records = features
+            .into_iter()
+            .map(|feature| self.describe_feature(feature));
         let report = Report {
             crashes,
-            parts: records
+            features: records
                 .filter(|record| record.sound_age.is_some() || record.hold.is_some())
                 .collect(),
         };
         (!report.is_empty()).then_some(report)
     }
 
-    /// Records that the response to a call's prompt went on, which clears its parts.
-    pub(super) fn clear_parts(&mut self, number: id::Call) {
+    /// Records that the response to a call went on, which clears what it has.
+    pub(super) fn clear_features(&mut self, number: id::Call) {
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
-        let (parts, now) = (call.parts.clone(), self.now);
-        for part in shared_parts(&parts) {
-            let mut is_news = self.state.evidence.clear(*part, now);
-            if self.state.quarantine.release(*part) {
-                self.log_release(*part, "a response went on");
+        let (parts, fingerprint, now) = (call.parts.clone(), call.fingerprint, self.now);
+        for feature in Feature::of(&parts, fingerprint) {
+            let mut is_news = self.state.evidence.clear(feature, now);
+            if self.state.quarantine.release(feature) {
+                self.log_release(feature, "a response went on");
                 is_news = true;
             }
             if is_news {
-                self.state.untold.parts.insert(*part);
+                self.state.untold.features.insert(feature);
             }
         }
     }
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -43,8 +43,8 @@
         if !shared_parts(&call.parts).is_empty() && !self.is_introduced() {
             return self.wait_for_capacity(number);
         }
-        if self.is_quarantined(number) {
-            return self.fall_back(number, Reason::PromptQuarantined);
+        if let Some(reason) = self.find_quarantine(number) {
+            return self.fall_back(number, reason);
         }
         match self.prospect(number) {
             Prospect::Open => {}
--- a/crates/relay/src/reduce/finish.rs
+++ b/crates/relay/src/reduce/finish.rs
@@ -137,6 +137,7 @@
             return;
         };
         self.settle_attempt(number, Arrival::Other);
+        self.record_abandoned(number, attempt);
         if let Some(call) = self.state.calls.get_mut(&number) {
             call.phase = Phase::Waiting { retry_at: self.now };
         }
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -139,7 +139,7 @@
         );
         if !failed {
             self.record_latency(ended);
-            self.clear_parts(ended.number);
+            self.clear_features(ended.number);
         }
         if let Some(call) = self.state.calls.get_mut(&ended.number) {
             call.execution = Execution::MayHaveRun;
@@ -245,7 +245,7 @@
 
     fn handle_stream_end(&mut self, ended: &EndedAttempt) {
         self.observe(&ended.runner, Observation::Good);
-        self.clear_parts(ended.number);
+        self.clear_features(ended.number);
         self.state.counters.streams_ended += 1;
         if let Some(call) = self.state.calls.get(&ended.number) {
             let took = self.now.saturating_sub(call.arrived_at);
@@ -277,6 +277,7 @@
         match outcome {
             Outcome::Unwritten => {
                 self.observe(&ended.runner, Observation::Broken);
+                self.record_unreached(&ended.in_flight.instance);
                 self.continue_after_no_run(ended.number, &ended.runner);
             }
             Outcome::Declined(decline) => self.handle_decline(ended, *decline),
--- a/crates/relay/src/reduce/quarantine.rs
+++ b/crates/relay/src/reduce/quarantine.rs
@@ -1,9 +1,9 @@
-//! Parts of prompts that are quarantined: no runner is sent a request with one, but for a trial at times.
+//! Parts of prompts, and requests, that are quarantined: no runner is sent them, but for a trial at times.
 
 use std::time::Duration;
 
-use crate::call::Phase;
-use crate::crash::{shared_parts, Culprit};
+use crate::call::{Call, Phase};
+use crate::crash::{Culprit, Feature};
 use crate::decision_log::{Entry, Kind};
 use crate::id;
 use crate::origin;
@@ -14,116 +14,134 @@
 
 /// How long a process that has just started waits for a VM that serves already to tell what it knows.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(1);
-/// How long a process takes to learn which parts are sound.
+/// How long a process takes to learn what is sound.
 const LEARNING_TIME: Duration = Duration::from_secs(10);
 
 impl Reducer<'_> {
-    /// Quarantines the parts that explain the crashes so far.
+    /// Quarantines what explains the crashes so far.
     pub(super) fn quarantine_culprits(&mut self) {
         while let Some(culprit) = self.find_culprit() {
             let Culprit {
-                part,
+                feature,
                 crashes,
                 was_sound,
                 ..
             } = culprit;
-            self.state.quarantine.hold(part, was_sound, self.now);
-            self.state.untold.parts.insert(part);
-            self.enforce_quarantine(part, &format!("{crashes} crashes"));
+            self.state.quarantine.hold(feature, was_sound, self.now);
+            self.state.untold.features.insert(feature);
+            self.enforce_quarantine(feature, &format!("{crashes} crashes"));
         }
     }
 
     fn find_culprit(&self) -> Option<Culprit> {
         let quarantine = &self.state.quarantine;
         let evidence = &self.state.evidence;
-        let is_quarantined = |part| quarantine.holds(part);
+        let is_quarantined = |feature| quarantine.holds(feature);
         evidence.find_culprit(self.now, is_quarantined, self.is_uninformed())
     }
 
-    /// Whether this VM has not run for long enough to know which parts are sound, or reaches less than half of
+    /// Whether this VM has not run for long enough to know what is sound, or reaches less than half of
     /// the fleet.
     fn is_uninformed(&self) -> bool {
         self.now < LEARNING_TIME || self.reached_share() < MAJORITY
     }
 
-    /// Ends the calls with a part that has just been quarantined and that no runner may be running.
-    pub(super) fn enforce_quarantine(&mut self, part: id::Part, cause: &str) {
-        self.log_quarantine(Kind::PartQuarantined, part, cause);
+    /// Ends the calls with what has just been quarantined and that no runner may be running.
+    pub(super) fn enforce_quarantine(&mut self, feature: Feature, cause: &str) {
+        let kind = match feature {
+            Feature::Part(_) => Kind::PartQuarantined,
+            Feature::Request(_) => Kind::RequestQuarantined,
+        };
+        self.log_quarantine(kind, feature, cause);
         let calls = self.state.calls.iter();
         let held: Vec<id::Call> = calls
             .filter(|(_, call)| !matches!(call.phase, Phase::Run { .. }))
-            .filter(|(_, call)| shared_parts(&call.parts).contains(&part))
+            .filter(|(_, call)| call.features().any(|has| has == feature))
             .map(|(number, _)| *number)
             .collect();
         for number in held {
-            if self.is_quarantined(number) {
+            if let Some(reason) = self.find_quarantine(number) {
                 self.abort_attempt(number);
-                self.fall_back(number, Reason::PromptQuarantined);
+                self.fall_back(number, reason);
             }
         }
     }
 
-    /// Whether a call has a part that is quarantined, and is not the one that is let through.
-    pub(super) fn is_quarantined(&self, number: id::Call) -> bool {
-        let Some(call) = self.state.calls.get(&number) else {
-            return false;
-        };
-        !call.is_trial && self.held_parts(&call.parts).next().is_some()
+    /// Why no runner may be sent a call, if something of it is quarantined and it is not the one that is let
+    /// through.
+    pub(super) fn find_quarantine(&self, number: id::Call) -> Option<Reason> {
+        let call = self.state.calls.get(&number)?;
+        if call.is_trial {
+            return None;
+        }
+        self.held_features(call)
+            .next()
+            .map(|feature| match feature {
+                Feature::Part(_) => Reason::PromptQuarantined,
+                Feature::Request(_) => Reason::RequestQuarantined,
+            })
     }
 
-    fn held_parts<'a>(&'a self, parts: &'a [id::Part]) -> impl Iterator<Item = id::Part> + 'a {
+    fn held_features<'a>(&'a self, call: &'a Call) -> impl Iterator<Item = Feature> + 'a {
         let quarantine = &self.state.quarantine;
-        let shared = shared_parts(parts).iter().copied();
-        shared.filter(|part| quarantine.holds(*part))
+        call.features().filter(|feature| quarantine.holds(*feature))
     }
 
-    /// Lets a new call through if a trial of its quarantined part is due at this VM.
+    /// Lets a new call through if a trial of what is quarantined of it is due at this VM.
     pub(super) fn start_trial(&mut self, number: id::Call) {
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
-        let mut held = self.held_parts(&call.parts);
-        let (Some(part), None) = (held.next(), held.next()) else {
+        let mut held = self.held_features(call);
+        let (Some(feature), None) = (held.next(), held.next()) else {
             return;
         };
         drop(held);
-        let is_due = self.state.quarantine.is_trial_due(part, self.now);
-        if !is_due || !self.is_trial_here(part) {
+        let is_due = self.state.quarantine.is_trial_due(feature, self.now);
+        if !is_due || !self.is_trial_here(feature) {
             return;
         }
-        let entry = Entry::new(Kind::PartTried).request(&call.id).parts([part]);
-        self.state.quarantine.start_trial(part, self.now);
-        self.state.untold.parts.insert(part);
-        let generation = self.state.quarantine.generation(part);
+        let kind = match feature {
+            Feature::Part(_) => Kind::PartTried,
+            Feature::Request(_) => Kind::RequestTried,
+        };
+        let entry = Entry::new(kind).request(&call.id).features([feature]);
+        self.state.quarantine.start_trial(feature, self.now);
+        self.state.untold.features.insert(feature);
+        let generation = self.state.quarantine.generation(feature);
         self.log(entry.version(generation.into()));
         if let Some(call) = self.state.calls.get_mut(&number) {
             call.is_trial = true;
         }
     }
 
-    /// Whether this VM lets requests with a part through: by its own view of the fleet, one VM does.
-    fn is_trial_here(&self, part: id::Part) -> bool {
-        let local = origin::rank(&self.state.local.vm, part);
+    /// Whether this VM lets requests through: by its own view of the fleet, one VM does for each part or request.
+    fn is_trial_here(&self, feature: Feature) -> bool {
+        let rank = |vm| origin::rank(vm, feature.key());
+        let local = rank(&self.state.local.vm);
         let mut others = self
             .state
             .members
             .iter()
             .filter(|member| member.is_serving());
-        self.state.is_ready()
-            && others.all(|member| origin::rank(&member.descriptor.vm, part) < local)
+        self.state.is_ready() && others.all(|member| rank(&member.descriptor.vm) < local)
     }
 
-    pub(super) fn log_release(&mut self, part: id::Part, cause: &str) {
-        self.log_quarantine(Kind::PartReleased, part, cause);
+    pub(super) fn log_release(&mut self, feature: Feature, cause: &str) {
+        let kind = match feature {
+            Feature::Part(_) => Kind::PartReleased,
+            Feature::Request(_) => Kind::RequestReleased,
+        };
+        self.log_quarantine(kind, feature, cause);
     }
 
-    fn log_quarantine(&mut self, kind: Kind, part: id::Part, cause: &str) {
-        let generation = self.state.quarantine.generation(part);
-        let entry = Entry::new(kind).parts([part]).version(generation.into());
-        self.log(entry.outcome(cause));
+    fn log_quarantine(&mut self, kind: Kind, feature: Feature, cause: &str) {
+        let generation = self.state.quarantine.generation(feature);
+        let entry = Entry::new(kind).features([feature]);
+        self.log(entry.version(generation.into()).outcome(cause));
     }
 
-    /// Whether this VM has heard which parts are quarantined, or nobody can tell.
+    /// Whether this VM has heard what is quarantined, or nobody can tell.
     pub(super) fn is_introduced(&self) -> bool {
         let local_address = self.state.local.peer_address;
         let mut seeds = self.state.seeds.iter();
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -32,6 +32,8 @@
     BuildGone,
     /// A part of its prompt crashes runners.
     PromptQuarantined,
+    /// The same request crashed runners before.
+    RequestQuarantined,
     /// The deadline has passed.
     TimedOut,
     /// The process is shutting down.
@@ -73,10 +75,13 @@
     pub fn for_call(execution: Execution, reason: Reason, retry_after: Duration) -> Self {
         let (claim, retry_after) = match (execution, reason) {
             // Coming back does not help: a version that has gone stays away, no VM will know an origin later, and
-            // the prompt stays the same.
+            // the request stays the same.
             (
                 Execution::NotRun,
-                Reason::BuildGone | Reason::OriginUnknown | Reason::PromptQuarantined,
+                Reason::BuildGone
+                | Reason::OriginUnknown
+                | Reason::PromptQuarantined
+                | Reason::RequestQuarantined,
             ) => (Claim::NotRun, None),
             (Execution::NotRun, _) => (Claim::NotRun, Some(retry_after)),
             (Execution::MayHaveRun, Reason::TimedOut) => (Claim::UnknownTimedOut, None),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,7 +10,7 @@
 use crate::allocation::{Allocator, Claim, GrantNumber};
 use crate::budget::{Budget, Charge, Share};
 use crate::call::Call;
-use crate::crash::{Evidence, Loss, Quarantine, BEGIN_MARGIN};
+use crate::crash::{Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
 use crate::event::Directory;
 use crate::id;
 use crate::limit;
@@ -100,8 +100,8 @@
 pub struct Untold {
     /// Runners that have crashed.
     pub crashes: BTreeSet<Instance>,
-    /// Parts of which more is known.
-    pub parts: BTreeSet<id::Part>,
+    /// Parts and requests of which more is known.
+    pub features: BTreeSet<Feature>,
     /// Runners whose limit has changed.
     pub limits: BTreeSet<Instance>,
 }
@@ -167,6 +167,9 @@
     pub charges: HashMap<id::Attempt, Vec<(id::Runner, Load)>>,
     /// Attempts lost at runners of which it is being checked whether they have ended.
     pub losses: HashMap<Instance, Loss>,
+    /// What was given up a moment ago at runners that may still be at work on it: when last, and the suspects if
+    /// they have crashed.
+    pub abandoned: HashMap<Instance, Loss>,
     /// Limits that runners name.
     pub limits: limit::Table,
     /// The permits that this VM issues.
@@ -177,7 +180,7 @@
     pub returns: HashMap<id::Endpoint, Duration>,
     /// Crashes of runners, and what may have caused them.
     pub evidence: Evidence,
-    /// Parts of prompts that no runner is sent.
+    /// Parts of prompts, and requests, that no runner is sent.
     pub quarantine: Quarantine,
     /// What other VMs are still to be told.
     pub untold: Untold,
@@ -242,6 +245,7 @@
             in_flight: HashMap::new(),
             charges: HashMap::new(),
             losses: HashMap::new(),
+            abandoned: HashMap::new(),
             limits: limit::Table::default(),
             issuer: limit::Issuer::default(),
             permits: limit::Permits::default(),
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -194,11 +194,11 @@
         crash(harness, shared);
     }
     let part = *shared.last().expect("a part");
-    assert!(harness.state.quarantine.holds(part));
+    assert!(harness.state.quarantine.holds(part.into()));
 }
 
 fn is_held(harness: &Harness, part: id::Part) -> bool {
-    harness.state.quarantine.holds(part)
+    harness.state.quarantine.holds(part.into())
 }
 
 /// Delivers a request with these shared parts, and lets its response go on for a moment.
@@ -259,8 +259,8 @@
 fn crashes_at_one_moment_count_once() {
     let mut harness = Harness::new(1);
     let suspect = Suspect {
-        part: SECOND,
-        position: 1,
+        feature: SECOND.into(),
+        circumstance: support::circumstance(1),
         was_sound: false,
     };
     let crash = |runner: u64, millis: u64| Crash {
@@ -276,7 +276,7 @@
         crashes: (0..9)
             .map(|number| crash(number, 900 + 10 * number))
             .collect(),
-        parts: Vec::new(),
+        features: Vec::new(),
     });
     // Told twice, and also by another VM.
     for _ in 0..2 {
@@ -286,7 +286,7 @@
     assert!(harness.state.quarantine.is_empty());
     told.crashes = Some(Report {
         crashes: vec![crash(10, 700), crash(11, 500)],
-        parts: Vec::new(),
+        features: Vec::new(),
     });
     harness.apply(Event::ViewReceived { view: told });
     harness.advance(ms(10));
@@ -463,13 +463,13 @@
         age: Duration::ZERO,
         suspects: (0..2_000)
             .map(|part| Suspect {
-                part: number * 2_000 + part,
-                position: 0,
+                feature: (number * 2_000 + part).into(),
+                circumstance: support::circumstance(0),
                 was_sound: false,
             })
             .chain([Suspect {
-                part: SECOND,
-                position: 2_000,
+                feature: SECOND.into(),
+                circumstance: support::circumstance(2_000),
                 was_sound: false,
             }])
             .collect(),
@@ -482,7 +482,7 @@
     assert!(told.iter().all(|crash| crash.suspects.len() <= 512));
     // The part that was there each time is found among thousands of others.
     let culprit = evidence.find_culprit(ms(60_000), |_| false, false);
-    assert_eq!(culprit.map(|culprit| culprit.part), Some(SECOND));
+    assert_eq!(culprit.map(|culprit| culprit.feature), Some(SECOND.into()));
 }
 
 /// Guards against a prefill that goes on beside the run on standby, to which its call goes back.
@@ -508,8 +508,8 @@
     let mut told = support::view(support::member("vm-2", 2, 1), false);
     told.crashes = Some(Report {
         crashes: Vec::new(),
-        parts: vec![Record {
-            part: SECOND,
+        features: vec![Record {
+            feature: SECOND.into(),
             sound_age: None,
             hold: Some(hold),
         }],
--- a/crates/relay/tests/crash_request_fleet.rs
+++ b/crates/relay/tests/crash_request_fleet.rs
@@ -26,6 +26,10 @@
     for culprit in &play_.culprits {
         let late = report.sent_too_late(*culprit);
         let crashes = report.crashes_of(*culprit);
+        println!(
+            "{name}, seed {}: {crashes} crashes, {late} late",
+            play_.seed
+        );
         assert!(
             late <= LATE_MAX,
             "{name}, seed {}: {late} reached runners too late, {crashes} crashes",
@@ -33,7 +37,8 @@
         );
     }
     let refused = report.refusals_of_sound();
-    let is_refused = refused.contains(&Reason::PromptQuarantined);
+    let is_refused = refused.contains(&Reason::PromptQuarantined)
+        || refused.contains(&Reason::RequestQuarantined);
     assert!(
         !is_refused,
         "{name}, seed {}: sound requests are refused",
@@ -50,7 +55,6 @@
 
 /// Guards against a request under which three runners have crashed, sent to runners by any VM.
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_sends_no_more_repeated_crashing_requests() {
     for seed in 1..=SEEDS {
         let report = check_play("default", &plain(seed));
@@ -61,7 +65,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_crashing_request_rare() {
     check_seeds("rare", |seed| Play {
         poison: 0.4,
@@ -71,7 +74,6 @@
 
 /// Several copies at once, so that all runners run it before the first has ended.
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_crashing_request_often() {
     check_seeds("often", |seed| Play {
         poison: 30.0,
@@ -80,7 +82,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_two_crashing_requests() {
     check_seeds("two", |seed| Play {
         culprits: vec![POISON, POISON + 1],
@@ -90,7 +91,6 @@
 
 /// A VM that starts, or joins, knows what crashes runners.
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_crashing_request_restarts_and_joins() {
     let restart = |number: u64| {
         let vm = number as usize % 10;
@@ -104,7 +104,6 @@
 
 /// VMs that were cut off from the others learn of it when they are back.
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_crashing_request_vms_cut_off() {
     let cut = |vm: usize| {
         let time = ms(5_000);
@@ -118,7 +117,6 @@
 
 /// A request that comes back after a while without it is known still.
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_crashing_request_comes_back() {
     check_seeds("comes back", |seed| Play {
         poisoned: vec![ms(11_000)..ms(15_000), ms(40_000)..ms(45_000)],
@@ -148,7 +146,6 @@
 
 /// Both at once: the request is found among crashes that it does not explain.
 #[test]
-#[ignore = "known red: issue 36, BUDGET"]
 fn fleet_crashing_request_amid_other_crashes() {
     check_seeds("both", |seed| {
         let crash = |number: u64| {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use hornbeamtiller_relay::allocation::Claim;
+use hornbeamtiller_relay::crash::Circumstance;
 use hornbeamtiller_relay::event::{Arrival, Dispatch, Effect, Event, Operation, Outcome, Prompt};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::manifest::{Endpoint, Engine, Kind, Limits, Manifest, Route};
@@ -313,12 +314,23 @@
 
     /// Delivers a request that asks for what this number stands for.
     pub fn arrive_asking(&mut self, path: &str, fingerprint: id::Fingerprint) -> Vec<Effect> {
+        self.arrive_asking_with_parts(path, fingerprint, &[])
+    }
+
+    /// The same with these parts in its prompt.
+    pub fn arrive_asking_with_parts(
+        &mut self,
+        path: &str,
+        fingerprint: id::Fingerprint,
+        parts: &[id::Part],
+    ) -> Vec<Effect> {
         self.last_call += 1;
         let arrival = stream_arrival(self.last_call, path);
         let prompt = arrival.prompt.filter(|_| path.starts_with("/stream"));
         self.apply(Event::Arrived(Arrival {
             prompt,
             fingerprint,
+            parts: parts.into(),
             ..arrival
         }))
     }
@@ -393,6 +405,14 @@
     }
 }
 
+/// How a runner had the part at a position of a prompt when it crashed.
+pub fn circumstance(position: u32) -> Circumstance {
+    Circumstance {
+        position,
+        held: Duration::ZERO,
+    }
+}
+
 pub fn prefilled() -> Outcome {
     Outcome::Prefilled {
         handle: "kv-1".into(),
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -105,10 +105,14 @@
 }
 
 struct Suspect {
-  # A part of the prompt of a request that a runner had when it crashed.
+  # A part of the prompt of a request that a runner had when it crashed, or the request.
   part @0 :UInt64;
   position @1 :UInt32;
   wasSound @2 :Bool;
+  isRequest @3 :Bool;
+  # Whether it is the fingerprint of a request.
+  heldMillis @4 :UInt32;
+  # How long the runner had had it.
 }
 
 struct Crash {
@@ -120,7 +124,7 @@
 }
 
 struct Part {
-  # What is known of a part of prompts.
+  # What is known of a part of prompts, or of a request.
   part @0 :UInt64;
   isSound @1 :Bool;
   # Whether a response to a prompt with it went on.
@@ -131,6 +135,8 @@
   isHeld @4 :Bool;
   heldMillis @5 :UInt32;
   wasSound @6 :Bool;
+  isRequest @7 :Bool;
+  # Whether it is the fingerprint of a request.
 }
 
 enum Urgency {
--- a/crates/wire/src/crash.rs
+++ b/crates/wire/src/crash.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_relay::crash::{Crash, Hold, Record, Report, Suspect};
+use hornbeamtiller_relay::crash::{Circumstance, Crash, Feature, Hold, Record, Report, Suspect};
 use hornbeamtiller_relay::pool::Instance;
 
 use crate::fleet_capnp as schema;
@@ -18,8 +18,8 @@
     for (index, crash) in report.crashes.iter().enumerate() {
         write_crash(crash, crashes.reborrow().get(index as u32));
     }
-    let mut parts = out.init_parts(report.parts.len() as u32);
-    for (index, record) in report.parts.iter().enumerate() {
+    let mut parts = out.init_parts(report.features.len() as u32);
+    for (index, record) in report.features.iter().enumerate() {
         write_part(record, parts.reborrow().get(index as u32));
     }
 }
@@ -31,14 +31,19 @@
     let mut suspects = out.init_suspects(crash.suspects.len() as u32);
     for (index, suspect) in crash.suspects.iter().enumerate() {
         let mut out = suspects.reborrow().get(index as u32);
-        out.set_part(suspect.part);
-        out.set_position(suspect.position);
+        let (number, is_request) = write_feature(suspect.feature);
+        out.set_part(number);
+        out.set_is_request(is_request);
+        out.set_position(suspect.circumstance.position);
+        out.set_held_millis(millis(suspect.circumstance.held));
         out.set_was_sound(suspect.was_sound);
     }
 }
 
 fn write_part(record: &Record, mut out: schema::part::Builder<'_>) {
-    out.set_part(record.part);
+    let (number, is_request) = write_feature(record.feature);
+    out.set_part(number);
+    out.set_is_request(is_request);
     if let Some(age) = record.sound_age {
         out.set_is_sound(true);
         out.set_sound_millis(millis(age));
@@ -64,14 +69,17 @@
     let crashes = view.get_crashes()?.iter().map(read_crash);
     Ok(Some(Report {
         crashes: crashes.collect::<Result<_, _>>()?,
-        parts: view.get_parts()?.iter().map(read_part).collect(),
+        features: view.get_parts()?.iter().map(read_part).collect(),
     }))
 }
 
 fn read_crash(crash: schema::crash::Reader<'_>) -> Result<Crash, Error> {
     let suspects = crash.get_suspects()?.iter().map(|suspect| Suspect {
-        part: suspect.get_part(),
-        position: suspect.get_position(),
+        feature: read_feature(suspect.get_part(), suspect.get_is_request()),
+        circumstance: Circumstance {
+            position: suspect.get_position(),
+            held: Duration::from_millis(suspect.get_held_millis().into()),
+        },
         was_sound: suspect.get_was_sound(),
     });
     Ok(Crash {
@@ -93,8 +101,24 @@
         was_sound: part.get_was_sound(),
     };
     Record {
-        part: part.get_part(),
+        feature: read_feature(part.get_part(), part.get_is_request()),
         sound_age: part.get_is_sound().then_some(sound_age),
         hold: (hold.generation != GENERATION_NONE).then_some(hold),
     }
 }
+
+/// The number of a part or a request, and whether it is a request.
+fn write_feature(feature: Feature) -> (u64, bool) {
+    match feature {
+        Feature::Part(part) => (part, false),
+        Feature::Request(fingerprint) => (fingerprint, true),
+    }
+}
+
+fn read_feature(number: u64, is_request: bool) -> Feature {
+    if is_request {
+        Feature::Request(number)
+    } else {
+        Feature::Part(number)
+    }
+}
--- a/crates/wire/tests/crash.rs
+++ b/crates/wire/tests/crash.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_relay::crash::{Crash, Hold, Record, Report, Suspect};
+use hornbeamtiller_relay::crash::{Circumstance, Crash, Feature, Hold, Record, Report, Suspect};
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_wire::crash::{read, write};
 use hornbeamtiller_wire::fleet_capnp::view;
@@ -19,13 +19,16 @@
 
 #[test]
 fn report_complete() {
-    let suspect = |part, was_sound| Suspect {
-        part,
-        position: 3,
+    let suspect = |feature, was_sound| Suspect {
+        feature,
+        circumstance: Circumstance {
+            position: 3,
+            held: Duration::from_millis(70),
+        },
         was_sound,
     };
-    let record = |part, sound_age, hold| Record {
-        part,
+    let record = |feature, sound_age, hold| Record {
+        feature,
         sound_age,
         hold,
     };
@@ -47,12 +50,20 @@
                 started_at_ms: u64::MAX,
             },
             age: Duration::from_millis(1_250),
-            suspects: vec![suspect(u64::MAX, true), suspect(0, false)],
+            suspects: vec![
+                suspect(Feature::Part(u64::MAX), true),
+                suspect(Feature::Part(0), false),
+                suspect(Feature::Request(u64::MAX), false),
+            ],
         }],
-        parts: vec![
-            record(1, Some(Duration::ZERO), None),
-            record(2, None, Some(hold)),
-            record(3, Some(Duration::from_secs(9)), Some(released)),
+        features: vec![
+            record(Feature::Part(1), Some(Duration::ZERO), None),
+            record(Feature::Part(2), None, Some(hold)),
+            record(
+                Feature::Request(3),
+                Some(Duration::from_secs(9)),
+                Some(released),
+            ),
         ],
     };
     assert_eq!(round_trip(Some(&report)), Some(report));
