--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -47,6 +47,8 @@
     arrived_at: BTreeMap<(usize, id::Call), Duration>,
     /// VMs that reach no other VM.
     pub cut: BTreeSet<usize>,
+    /// Runners that VMs do not reach, and how it shows.
+    pub unreached: BTreeMap<(usize, id::Runner), Barrier>,
     /// Parts that crash each engine that begins a stream with them.
     pub poison: BTreeSet<id::Part>,
     /// What plain requests ask for that crash each runner which runs them.
@@ -103,6 +105,32 @@
     call: id::Call,
 }
 
+/// How it shows that a VM does not reach a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Barrier {
+    /// Connections are refused.
+    Refusing,
+    /// Connections are not established.
+    Hanging,
+}
+
+impl Barrier {
+    /// When a VM that connects notices.
+    fn delay(self) -> Duration {
+        match self {
+            Self::Refusing => HOP,
+            Self::Hanging => CONNECT_TIMEOUT,
+        }
+    }
+
+    fn presence(self) -> Presence {
+        match self {
+            Self::Refusing => Presence::Refused,
+            Self::Hanging => Presence::Unknown,
+        }
+    }
+}
+
 /// What a caller got of a stream.
 #[derive(Debug, Clone, Default)]
 pub struct Stream {
@@ -126,6 +154,8 @@
 const BEGIN_TIME: Duration = Duration::from_millis(60);
 /// Time that a plain runner takes.
 const PLAIN_TIME: Duration = Duration::from_millis(60);
+/// Timeout of a connection to a runner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a message between VMs.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that a message between VMs, or to or from an engine, takes.
@@ -179,6 +209,7 @@
             streams: BTreeMap::new(),
             foreign_caches: 0,
             cut: BTreeSet::new(),
+            unreached: BTreeMap::new(),
             poison: BTreeSet::new(),
             crashing: BTreeSet::new(),
             fingerprints: BTreeMap::new(),
@@ -342,6 +373,12 @@
     }
 
     fn check_engine(&mut self, vm: usize, instance: pool::Instance) {
+        let barrier = self.unreached.get(&(vm, instance.runner.clone())).copied();
+        if let Some(barrier) = barrier {
+            let presence = barrier.presence();
+            let event = Event::RunnerChecked { instance, presence };
+            return self.deliver_after(barrier.delay(), vm, event);
+        }
         let engine = self.engines.get(&instance.runner);
         let presence = match engine {
             Some(engine) if engine.down_until <= self.now => Presence::Listening,
@@ -350,6 +387,33 @@
         self.deliver_after(HOP * 2, vm, Event::RunnerChecked { instance, presence });
     }
 
+    /// Cuts a VM off from these runners; what it has there is lost.
+    pub fn cut_from(&mut self, vm: usize, runners: &[id::Runner], barrier: Barrier) {
+        for runner in runners {
+            self.unreached.insert((vm, runner.clone()), barrier);
+        }
+        let is_there = |running: &Running| runners.contains(&running.engine);
+        let lost = self.running.range((vm, 0)..(vm + 1, 0));
+        let lost: Vec<id::Attempt> = lost
+            .filter(|(_, running)| is_there(running))
+            .map(|((_, attempt), _)| *attempt)
+            .collect();
+        for attempt in lost {
+            self.release(vm, attempt);
+            let event = Event::AttemptEnded {
+                attempt,
+                outcome: Outcome::Lost,
+                reported: None,
+            };
+            self.deliver_after(barrier.delay(), vm, event);
+        }
+    }
+
+    /// Lets a VM reach all runners again.
+    pub fn heal(&mut self, vm: usize) {
+        self.unreached.retain(|(cut, _), _| *cut != vm);
+    }
+
     /// Starts an engine, or starts it anew; it takes no requests for a while.
     pub fn start_engine(&mut self, listed: &pool::Descriptor, down_for: Duration) {
         let engine = Engine {
@@ -431,6 +495,10 @@
         let now = self.now;
         let call = (vm, dispatch.call);
         let poison = self.find_poison(call);
+        let barrier = self.unreached.get(&(vm, dispatch.runner.clone())).copied();
+        if let Some(barrier) = barrier {
+            return self.deliver_after(barrier.delay(), vm, ended(Outcome::Unwritten));
+        }
         let engine = self.engines.get_mut(&dispatch.runner).expect("an engine");
         if engine.down_until > now {
             return self.deliver_after(HOP * 2, vm, ended(Outcome::Unwritten));
@@ -572,6 +640,12 @@
         self.apply(vm, Event::Arrived(arrival));
     }
 
+    /// Delivers a request for a stream.
+    pub fn arrive_at(&mut self, vm: usize, call: id::Call, path: &str) {
+        self.arrived_at.insert((vm, call), self.now);
+        self.apply(vm, Event::Arrived(super::stream_arrival(call, path)));
+    }
+
     /// Asks a VM to leave.
     pub fn leave(&mut self, vm: usize) {
         self.apply(vm, Event::Leave);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod limits;
 pub mod poison;
+pub mod reach;
 pub mod resume;
 pub mod storm;
 
