--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -197,5 +197,6 @@
         resumes: metadata.resumes,
         parts: metadata.parts,
         fingerprint,
+        delegated_by: metadata.delegated_by,
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -212,6 +212,7 @@
             ("dispatched", counters.dispatched),
             ("prefill", counters.prefills),
             ("resumed", counters.resumed),
+            ("delegated", counters.delegated),
             ("retried", counters.retried),
             ("retry_denied", counters.retries_denied),
             ("caller_gone", counters.callers_disconnected),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -30,6 +30,8 @@
     pub resumes: Option<Arc<str>>,
     /// The parts of the prompt, in order.
     pub parts: Arc<[id::Part]>,
+    /// The VM that delegates the request to this one, if it does not come from a caller.
+    pub delegated_by: Option<id::Vm>,
 }
 
 /// A caller's request, buffered until its response has ended so that it can be sent again.
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -162,6 +162,9 @@
             field(&attributes.fingerprint),
             field(&attributes.parts)
         ),
+        "reach" => format!("runners of {} {outcome} to this VM", field(&attributes.endpoint)),
+        "delegated" => format!("attempt {attempt}: {outcome} asked to run the request"),
+        "delegated_here" => format!("request delegated by {outcome}, which reaches no runner for it"),
         "limit_named" => format!("limit of {runner}: {outcome}"),
         "part_tried" => format!("quarantined part {} let through once", field(&attributes.parts)),
         "part_quarantined" => format!("part {} quarantined: {outcome}", field(&attributes.parts)),
@@ -198,6 +201,7 @@
         "build_gone" => "no runner of the software version that began the stream was left",
         "prompt_quarantined" => "a part of its prompt crashes runners",
         "request_quarantined" => "the same request crashed runners before",
+        "out_of_reach" => "this VM reached no runner, nor did the one that asked it",
         "timed_out" => "the deadline passed",
         "limited" => "the runners name limits, and others were sent to them first",
         "no_retry_left" => "the retry budget had no retry left",
--- a/crates/relay/src/breaker.rs
+++ b/crates/relay/src/breaker.rs
@@ -36,6 +36,8 @@
     /// Whether one of them was a timeout. Further failures, such as that to connect, belong to the same
     /// silence.
     is_silent: bool,
+    /// When a connection last failed or broke, if there was no response since.
+    failed_at: Option<Duration>,
     open_until: Duration,
     failure_rate: f64,
     failure_rate_at: Duration,
@@ -52,7 +54,10 @@
         self.failure_rate_at = now;
         match observation {
             Observation::Good | Observation::Failed => self.close(),
-            Observation::Broken => self.cool_down(now, 1),
+            Observation::Broken => {
+                self.failed_at = Some(now);
+                self.cool_down(now, 1);
+            }
             Observation::Silent => {
                 self.is_silent = true;
                 self.cool_down(now, 2);
@@ -67,8 +72,16 @@
         }
     }
 
+    /// Closes a breaker that failed connections have opened, since there is a connection again.
+    pub fn end_failures(&mut self) {
+        if self.failed_at.is_some() {
+            self.close();
+        }
+    }
+
     fn close(&mut self) {
         self.is_silent = false;
+        self.failed_at = None;
         self.consecutive_failures = 0;
         self.open_until = Duration::ZERO;
     }
@@ -91,6 +104,16 @@
         self.open_until > now
     }
 
+    /// When a connection last failed or broke, if there was no response since.
+    pub fn failed_at(&self) -> Option<Duration> {
+        self.failed_at
+    }
+
+    /// Whether nothing was received in time, and nothing since.
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     /// Time at which the breaker closes again; in the past if it is closed.
     pub fn open_until(&self) -> Duration {
         self.open_until
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -194,6 +194,14 @@
     pub tried: Vec<id::Runner>,
     /// The processes at which an attempt was lost before its response had gone on for a moment.
     pub lost_at: Vec<Instance>,
+    /// Runners that were not reached for it.
+    pub unreached: Vec<id::Runner>,
+    /// The VM that delegated it to this one.
+    pub delegated_by: Option<id::Vm>,
+    /// Number of VMs that were asked to run it.
+    pub delegations: u32,
+    /// Whether its stream began at a runner of another VM, so that its software version is not known here.
+    pub is_bound_elsewhere: bool,
     /// Whether it is let through to find out whether what is quarantined of it still crashes runners.
     pub is_trial: bool,
     /// Its KV cache at a prefill runner.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -68,6 +68,12 @@
     RequestTried,
     /// A request is not quarantined any more.
     RequestReleased,
+    /// This VM reaches the runners of an endpoint, or does not any more.
+    Reach,
+    /// Another VM was asked to run a request, as this one reaches no runner for it.
+    Delegated,
+    /// This VM was asked to run a request for another one.
+    DelegatedHere,
     /// The configuration service became reachable or unreachable.
     Source,
     /// The status of a VM changed.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -47,6 +47,8 @@
     pub parts: Arc<[id::Part]>,
     /// What the caller asks for.
     pub fingerprint: id::Fingerprint,
+    /// The VM that delegates the request to this one, if it does not come from a caller.
+    pub delegated_by: Option<id::Vm>,
 }
 
 impl Arrival {
@@ -91,6 +93,8 @@
     Full,
     /// Another runner is listening at the address.
     Displaced,
+    /// The VM that was to run it refused it.
+    Refused,
 }
 
 /// How an attempt ended.
@@ -302,6 +306,11 @@
         /// stream; if absent, the stream starts from the beginning.
         resume_after: Option<u64>,
     },
+    /// Have another VM run the request, as this one reaches no runner for it.
+    Delegate {
+        /// Position of the last event that the caller has.
+        resume_after: Option<u64>,
+    },
 }
 
 /// An attempt to start.
@@ -311,10 +320,13 @@
     pub attempt: id::Attempt,
     /// The call.
     pub call: id::Call,
-    /// The runner that is to respond; a response of another one at its address is not accepted.
+    /// The runner that is to respond; a response of another one at its address is not accepted. The VM, if the
+    /// request is delegated.
     pub runner: id::Runner,
     /// Address of the runner.
     pub address: SocketAddr,
+    /// This VM.
+    pub vm: id::Vm,
     /// The operation.
     pub operation: Operation,
     /// Time limit for the runner.
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -87,6 +87,8 @@
     pub limits: Vec<limit::Record>,
     /// What the sender knows of crashes, if it has news or the receiver is known to lack some.
     pub crashes: Option<crash::Report>,
+    /// Endpoints of which the sender reaches no runner, or none of a stage.
+    pub unreached: Vec<id::Endpoint>,
     /// Whether a reply is requested.
     pub reply_requested: bool,
 }
@@ -108,6 +110,7 @@
             digest: self.digest,
             limits: self.limits,
             crashes: self.crashes,
+            unreached: self.unreached,
             reply_requested: self.reply_requested,
         }
     }
@@ -136,6 +139,8 @@
     pub last_change: id::Revision,
     /// Whether it reached the configuration service, as of its last message.
     pub source_reached: bool,
+    /// Endpoints of which it reaches no runner, or none of a stage, as of its last message.
+    pub unreached: Vec<id::Endpoint>,
 }
 
 impl Member {
@@ -204,6 +209,7 @@
                     revision: 0,
                     last_change: 0,
                     source_reached: true,
+                    unreached: Vec::new(),
                 };
                 self.members.insert(descriptor.vm, member);
                 true
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -165,6 +165,12 @@
 const PREFILL_RATE_WEIGHT: f64 = 0.2;
 
 impl Runner {
+    /// When a connection to it last failed or broke, if nothing was received from it since.
+    pub fn unreached_since(&self) -> Option<Duration> {
+        let failed_at = self.breaker.failed_at();
+        failed_at.filter(|failed_at| self.last_seen_at.is_none_or(|seen| seen < *failed_at))
+    }
+
     /// Total known load in flight.
     pub fn load(&self) -> Load {
         let mut load = self.local_load;
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -182,23 +182,28 @@
         }
     }
 
-    /// The VMs that can be allocators, by this VM's view, and their weights.
+    /// The VMs that can be allocators, by this VM's view, and their weights: those that reach engines, unless none
+    /// does.
     fn allocator_candidates(&self) -> Vec<(id::Vm, u32)> {
         let silent = &self.state.claims.silent_until;
         let is_candidate = |vm: &id::Vm| silent.get(vm).is_none_or(|until| *until <= self.now);
-        let mut vms: Vec<(id::Vm, u32)> = self
-            .state
-            .members
-            .iter()
-            .filter(|member| member.is_serving())
-            .filter(|member| is_candidate(&member.descriptor.vm))
-            .map(|member| (member.descriptor.vm.clone(), member.descriptor.weight))
-            .collect();
-        if self.state.is_ready() {
-            let local = &self.state.local;
-            vms.push((local.vm.clone(), local.weight));
-        }
-        vms
+        let members = self.state.members.iter();
+        let members =
+            members.filter(|member| member.is_serving() && is_candidate(&member.descriptor.vm));
+        let members = members.map(|member| (&member.descriptor, member.unreached.is_empty()));
+        let local = (&self.state.local, self.state.unreached.is_empty());
+        let local = Some(local).filter(|_| self.state.is_ready());
+        let (reaching, others): (Vec<_>, Vec<_>) =
+            members.chain(local).partition(|(_, reaches)| *reaches);
+        let candidates = if reaching.is_empty() {
+            others
+        } else {
+            reaching
+        };
+        let weighted = candidates.into_iter();
+        weighted
+            .map(|(descriptor, _)| (descriptor.vm.clone(), descriptor.weight))
+            .collect()
     }
 
     /// Takes the grant of a call; its capacity does not count as load any more.
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -39,6 +39,13 @@
             .endpoints
             .get(&endpoint)
             .is_some_and(|known| known.engine.is_some());
+        // Who delegates a call counts its attempts: this VM runs it once at most.
+        let is_delegated = arrival.delegated_by.is_some();
+        let execution_count = if is_delegated {
+            route.attempts_max.saturating_sub(1)
+        } else {
+            0
+        };
         let call = Call {
             id: arrival.id.clone(),
             route,
@@ -56,11 +63,15 @@
             search: None,
             origin_recorded: false,
             execution: Execution::NotRun,
-            execution_count: 0,
+            execution_count,
             arrivals: Arrivals::default(),
             retry_denied: false,
             tried: Vec::new(),
             lost_at: Vec::new(),
+            unreached: Vec::new(),
+            delegated_by: arrival.delegated_by.clone(),
+            delegations: 0,
+            is_bound_elsewhere: false,
             is_trial: false,
             kv: None,
             reserved_decode: None,
@@ -83,6 +94,10 @@
                 .fingerprint(call.fingerprint)
                 .target(call.route.target_latency),
         );
+        if let Some(vm) = &call.delegated_by {
+            let entry = Entry::new(Kind::DelegatedHere).request(&call.id);
+            self.log(entry.outcome(vm));
+        }
         let is_resumed = call.route.kind == RouteKind::Streaming && arrival.is_resumption();
         self.state.calls.insert(arrival.call, call);
         if is_resumed {
@@ -93,11 +108,14 @@
         }
     }
 
-    /// Counts a request at its endpoint and starts its first attempt.
+    /// Counts a request at its endpoint and starts its first attempt. A delegated one is counted where it came from.
     pub(super) fn admit(&mut self, number: id::Call) {
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
+        if call.delegated_by.is_some() {
+            return self.advance(number);
+        }
         let endpoint = call.endpoint.clone();
         let share = self.state.retry_share(self.now);
         self.budget(&endpoint).record_request(share);
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -128,6 +128,7 @@
     }
 
     pub(super) fn handle_runner_check(&mut self, instance: &Instance, presence: Presence) {
+        self.record_probe(instance, presence);
         let Some(loss) = self.state.losses.remove(instance) else {
             return;
         };
@@ -156,6 +157,15 @@
         self.merge_crash(crash);
     }
 
+    /// Whether a runner responded to this VM after it is said to have crashed: to a VM that is cut off from them
+    /// runners seem to have ended that serve others.
+    fn has_responded_since(&self, crash: &Crash) -> bool {
+        let crashed_at = self.now.saturating_sub(crash.age);
+        let runner = self.state.pool.find(&crash.instance);
+        let heard_at = runner.and_then(|runner| runner.last_seen_at);
+        heard_at.is_some_and(|at| at > crashed_at)
+    }
+
     fn merge_crash(&mut self, crash: Crash) {
         let instance = crash.instance.clone();
         if self.state.evidence.merge(crash, self.now) {
@@ -163,20 +173,27 @@
         }
     }
 
-    /// What the crashes of the runners that a call was sent to mean for it.
-    pub(super) fn prospect(&self, number: id::Call) -> Prospect {
+    /// Number of runners that have ended under a call, and of those that may have.
+    fn count_crashes(&self, number: id::Call) -> (usize, usize) {
         let Some(call) = self.state.calls.get(&number) else {
-            return Prospect::Open;
+            return (0, 0);
         };
         let evidence = &self.state.evidence;
+        let losses = &self.state.losses;
         let lost_at = call.lost_at.iter();
-        let crashed = lost_at
-            .clone()
-            .filter(|at| evidence.has_crashed(at))
-            .count();
-        let unclear = lost_at
-            .filter(|at| self.state.losses.contains_key(at))
-            .count();
+        let crashed = lost_at.clone().filter(|at| evidence.has_crashed(at));
+        let unclear = lost_at.filter(|at| losses.contains_key(at));
+        (crashed.count(), unclear.count())
+    }
+
+    /// Whether a runner has ended under a call, or may have.
+    pub(super) fn has_crashes(&self, number: id::Call) -> bool {
+        self.count_crashes(number) != (0, 0)
+    }
+
+    /// What the crashes of the runners that a call was sent to mean for it.
+    pub(super) fn prospect(&self, number: id::Call) -> Prospect {
+        let (crashed, unclear) = self.count_crashes(number);
         if crashed >= CRASHES_PER_CALL_MAX {
             Prospect::Closed
         } else if crashed + unclear >= CRASHES_PER_CALL_MAX {
@@ -189,7 +206,9 @@
     /// Takes over what another VM knows.
     pub(super) fn handle_crash_report(&mut self, report: Report) {
         for crash in report.crashes {
-            self.merge_crash(crash);
+            if !self.has_responded_since(&crash) {
+                self.merge_crash(crash);
+            }
         }
         for record in report.features {
             self.merge_record(record);
--- /dev/null
+++ b/crates/relay/src/reduce/delegate.rs
@@ -0,0 +1,156 @@
+//! Delegation: a VM that reaches no runner for a call has another VM run it.
+//!
+//! To the call it is an attempt like one at a runner: it counts the attempts and the retries, and the other VM runs
+//! it once at most. A call that was delegated is not delegated again.
+
+use rand::seq::IteratorRandom as _;
+
+use crate::arrivals::Step;
+use crate::call::Phase;
+use crate::decision_log::{Entry, Kind};
+use crate::event::{Dispatch, Effect, Operation};
+use crate::id;
+use crate::member::{Descriptor, Member};
+use crate::pool::Instance;
+use crate::refusal::Reason;
+use crate::state::InFlight;
+
+use super::Reducer;
+
+/// Maximum number of VMs that are asked to run one call.
+const DELEGATIONS_MAX: u32 = 3;
+
+impl Reducer<'_> {
+    /// Has another VM run a call that needs runners which this one does not reach; returns whether the call is taken
+    /// care of.
+    pub(super) fn advance_out_of_reach(&mut self, number: id::Call) -> bool {
+        let Some(call) = self.state.calls.get(&number) else {
+            return false;
+        };
+        if !call.is_bound_elsewhere && !self.is_out_of_reach(call) {
+            return false;
+        }
+        if call.delegated_by.is_some() {
+            // The VM that delegated it finds another one sooner.
+            self.fall_back(number, Reason::OutOfReach);
+            return true;
+        }
+        // The other VM does not know which runners have ended under the call.
+        if self.has_crashes(number) {
+            return false;
+        }
+        let Some(delegate) = self.pick_delegate(number) else {
+            return false;
+        };
+        self.drop_grant(number);
+        self.free_kv(number);
+        self.release_retries(number, Some(Step::Run));
+        self.start_delegated(number, &delegate);
+        true
+    }
+
+    /// Whether another VM can run a call that needs runners which this one does not reach.
+    pub(super) fn can_delegate(&mut self, number: id::Call) -> bool {
+        let Some(call) = self.state.calls.get(&number) else {
+            return false;
+        };
+        let is_own = call.delegated_by.is_none() && call.standby.is_none();
+        let may_leave = is_own && !self.has_crashes(number);
+        may_leave && self.is_out_of_reach(call) && self.pick_delegate(number).is_some()
+    }
+
+    /// Picks a VM that serves and reaches the endpoint of a call, in this availability zone if there is any.
+    fn pick_delegate(&mut self, number: id::Call) -> Option<Descriptor> {
+        let call = self.state.calls.get(&number)?;
+        if call.delegations >= DELEGATIONS_MAX || call.standby.is_some() {
+            return None;
+        }
+        let reaches = |member: &&Member| {
+            let is_tried = call.tried.contains(&member.descriptor.vm);
+            member.is_serving() && !is_tried && !member.unreached.contains(&call.endpoint)
+        };
+        let zone = &self.state.settings.zone;
+        let candidates = self.state.members.iter().filter(reaches);
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            candidates.partition(|member| member.descriptor.zone == *zone);
+        let nearest = if near.is_empty() { far } else { near };
+        let picked = nearest.into_iter().choose(&mut self.state.rng)?;
+        Some(picked.descriptor.clone())
+    }
+
+    fn start_delegated(&mut self, number: id::Call, delegate: &Descriptor) {
+        self.state.last_attempt += 1;
+        self.state.counters.delegated += 1;
+        let (attempt, now) = (self.state.last_attempt, self.now);
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        call.retry_denied = false;
+        call.delegations += 1;
+        let charge = call.arrivals.start(Step::Run);
+        call.phase = Phase::Run {
+            attempt,
+            runner: delegate.vm.clone(),
+            started_at: now,
+            attempt_deadline: None,
+        };
+        let operation = Operation::Delegate {
+            resume_after: call.progress.last_position,
+        };
+        let time_limit = call.remaining(now);
+        let entry = Entry::new(Kind::Delegated)
+            .request(&call.id)
+            .attempt(attempt)
+            .endpoint(&call.endpoint)
+            .charge(charge)
+            .outcome(&delegate.vm);
+        self.log(entry);
+        self.state.by_attempt.insert(attempt, number);
+        let instance = Instance {
+            runner: delegate.vm.clone(),
+            started_at_ms: delegate.incarnation,
+        };
+        let in_flight = InFlight {
+            build: None,
+            instance,
+            sent_at: now,
+            begun_at: None,
+            is_sound: false,
+            is_delegated: true,
+        };
+        self.state.in_flight.insert(attempt, in_flight);
+        self.emit(Effect::Dispatch(Dispatch {
+            attempt,
+            vm: self.state.local.vm.clone(),
+            call: number,
+            runner: delegate.vm.clone(),
+            address: delegate.caller_address,
+            operation,
+            time_limit,
+        }));
+    }
+
+    /// Whether a VM runs the current attempt of a call for this one.
+    pub(super) fn is_delegated(&self, number: id::Call) -> bool {
+        let call = self.state.calls.get(&number);
+        let attempt = call.and_then(|call| call.phase.attempt());
+        let in_flight = attempt.and_then(|(attempt, _)| self.state.in_flight.get(&attempt));
+        in_flight.is_some_and(|in_flight| in_flight.is_delegated)
+    }
+
+    /// Goes on with the calls that a VM runs which has just been found to be down.
+    pub(super) fn take_back(&mut self, vm: &id::Vm) {
+        let calls = self.state.calls.iter();
+        let lost: Vec<id::Call> = calls
+            .filter(|(number, call)| {
+                let runner = call.phase.attempt().map(|(_, runner)| runner);
+                runner == Some(vm) && self.is_delegated(**number)
+            })
+            .map(|(number, _)| *number)
+            .collect();
+        for number in lost {
+            self.abort_attempt(number);
+            self.continue_after_possible_run(number, vm, Reason::RunnersFailed);
+        }
+    }
+}
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -73,6 +73,9 @@
                 self.fall_back(number, Reason::NoRetryLeft)
             };
         }
+        if self.advance_out_of_reach(number) {
+            return;
+        }
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
@@ -203,6 +206,7 @@
             Operation::Prefill => ("prefill", Purpose::Prefill),
             Operation::Generate { kv: Some(_), .. } => ("generate", Purpose::Decode),
             Operation::Generate { kv: None, .. } => ("read_and_generate", Purpose::Decode),
+            Operation::Delegate { .. } => ("delegate", Purpose::Plain),
         };
         let name = runner.descriptor.runner.clone();
         let report_age = runner
@@ -219,7 +223,7 @@
         call.retry_denied = false;
         let step = match operation {
             Operation::Prefill => Step::Prefill,
-            Operation::Plain | Operation::Generate { .. } => Step::Run,
+            Operation::Plain | Operation::Generate { .. } | Operation::Delegate { .. } => Step::Run,
         };
         let charge = call.arrivals.start(step);
         let time_limit = call.remaining(self.now);
@@ -241,15 +245,17 @@
         let instance = runner.descriptor.instance();
         self.state.permits.take(&instance, self.now);
         let in_flight = InFlight {
-            build: runner.descriptor.build.clone(),
+            build: Some(runner.descriptor.build.clone()),
             instance,
             sent_at: self.now,
             begun_at: None,
             is_sound: false,
+            is_delegated: false,
         };
         self.state.in_flight.insert(attempt, in_flight);
         self.emit(Effect::Dispatch(Dispatch {
             attempt,
+            vm: self.state.local.vm.clone(),
             call: number,
             runner: name,
             address: runner.descriptor.address,
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -193,6 +193,7 @@
             digest: self.digest(),
             limits: Vec::new(),
             crashes: None,
+            unreached: self.state.unreached.iter().cloned().collect(),
             reply_requested: false,
         }
     }
@@ -212,6 +213,7 @@
             digest,
             limits,
             crashes,
+            unreached,
             reply_requested,
         } = view;
         if sender.vm == self.state.local.vm {
@@ -229,6 +231,7 @@
         if let Some(member) = self.state.members.get_mut(&peer) {
             is_first = member.last_seen_at.is_none();
             member.source_reached = source_reached;
+            member.unreached = unreached;
             member.last_seen_at = Some(now);
             member.unacknowledged_views = 0;
             member.manifest_version = manifest_version;
@@ -301,6 +304,9 @@
             return;
         }
         self.log(Entry::new(Kind::Member).outcome(format!("{vm} {status}")));
+        if status == Status::Down {
+            self.take_back(&vm);
+        }
         if status >= Status::Leaving {
             self.publish_to_sample();
         }
@@ -345,7 +351,7 @@
     }
 
     /// Publishes a change to a random sample of the other VMs.
-    fn publish_to_sample(&mut self) {
+    pub(super) fn publish_to_sample(&mut self) {
         for vm in self.sample_members() {
             self.publish(&vm, false);
         }
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -6,6 +6,7 @@
 mod choose;
 mod claim;
 mod crash;
+mod delegate;
 mod dispatch;
 mod finish;
 mod fleet;
@@ -16,6 +17,7 @@
 mod origin;
 mod outcome;
 mod quarantine;
+mod reach;
 mod retry;
 mod source;
 mod standby;
@@ -115,6 +117,7 @@
             return;
         }
         self.tick_calls();
+        self.tick_reach();
         self.tick_fleet();
         self.tick_pool();
         self.tick_load();
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -224,14 +224,14 @@
             .pool
             .get(&ended.runner)
             .map(|known| known.descriptor.address);
-        let Some(address) = address else {
+        let (Some(address), Some(build)) = (address, ended.in_flight.build.clone()) else {
             return self.continue_after_no_run(ended.number, &ended.runner);
         };
         let created_at = self.now;
         if let Some(call) = self.state.calls.get_mut(&ended.number) {
             call.kv = Some(KvCache {
                 runner: ended.runner.clone(),
-                build: ended.in_flight.build.clone(),
+                build,
                 address,
                 handle,
                 created_at,
@@ -278,6 +278,9 @@
             Outcome::Unwritten => {
                 self.observe(&ended.runner, Observation::Broken);
                 self.record_unreached(&ended.in_flight.instance);
+                if let Some(call) = self.state.calls.get_mut(&ended.number) {
+                    call.unreached.push(ended.runner.clone());
+                }
                 self.continue_after_no_run(ended.number, &ended.runner);
             }
             Outcome::Declined(decline) => self.handle_decline(ended, *decline),
@@ -311,6 +314,7 @@
             match decline {
                 Decline::Full => known.last_full_at = Some(now),
                 Decline::Displaced => known.displaced = true,
+                Decline::Refused => {}
             }
         }
     }
--- a/crates/relay/src/reduce/stream.rs
+++ b/crates/relay/src/reduce/stream.rs
@@ -77,7 +77,8 @@
         call.progress.last_position = position.or(call.progress.last_position);
         if call.build.is_none() {
             let in_flight = self.state.in_flight.get(&attempt);
-            call.build = in_flight.map(|in_flight| in_flight.build.clone());
+            call.build = in_flight.and_then(|in_flight| in_flight.build.clone());
+            call.is_bound_elsewhere = call.build.is_none();
         }
         if is_first_pause {
             let entry = Entry::new(Kind::Paused).request(&id).attempt(attempt);
--- a/crates/relay/src/reduce/timeout.rs
+++ b/crates/relay/src/reduce/timeout.rs
@@ -70,6 +70,9 @@
             return;
         };
         let runner = runner.clone();
+        if self.is_delegated(number) {
+            return self.clear_deadline(number);
+        }
         let is_prefill = matches!(call.phase, Phase::Prefill { .. });
         let is_model = call.prompt.is_some();
         let has_standby = call.standby.is_some();
@@ -81,6 +84,14 @@
         if !is_prefill && !can_replace {
             return self.clear_deadline(number);
         }
+        if self.can_delegate(number) && self.may_start_another(number) {
+            self.give_up_silent(number);
+            return if is_prefill {
+                self.continue_after_no_run(number, &runner)
+            } else {
+                self.continue_after_possible_run(number, &runner, Reason::RunnersFailed)
+            };
+        }
         let can_move = if is_prefill {
             self.can_move_prefill(number, &runner)
         } else {
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -34,6 +34,8 @@
     PromptQuarantined,
     /// The same request crashed runners before.
     RequestQuarantined,
+    /// The VM that was to run the request for another one reaches no runner either.
+    OutOfReach,
     /// The deadline has passed.
     TimedOut,
     /// The process is shutting down.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,6 @@
 //! The state of the reducer.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +41,8 @@
     pub prefills: u64,
     /// Streams resumed at another runner.
     pub resumed: u64,
+    /// Requests that other VMs were asked to run.
+    pub delegated: u64,
     /// Retries.
     pub retried: u64,
     /// Retries denied by the budget.
@@ -109,8 +111,8 @@
 /// The runner of an attempt in flight, as listed when it was dispatched.
 #[derive(Debug, Clone)]
 pub struct InFlight {
-    /// Its software version.
-    pub build: id::Build,
+    /// Its software version; none if another VM picks the runner.
+    pub build: Option<id::Build>,
     /// The process that runs there.
     pub instance: Instance,
     /// When the attempt was dispatched.
@@ -119,6 +121,8 @@
     pub begun_at: Option<Duration>,
     /// Whether its prompt has been recorded as sound, since its response went on for a moment.
     pub is_sound: bool,
+    /// Whether another VM runs it.
+    pub is_delegated: bool,
 }
 
 impl InFlight {
@@ -170,6 +174,12 @@
     /// What was given up a moment ago at runners that may still be at work on it: when last, and the suspects if
     /// they have crashed.
     pub abandoned: HashMap<Instance, Loss>,
+    /// Endpoints of which this VM reaches no runner, or none of a stage.
+    pub unreached: BTreeSet<id::Endpoint>,
+    /// Runners that are being probed, as they may be out of reach.
+    pub probes: HashSet<Instance>,
+    /// When runners were last probed.
+    pub probed_at: HashMap<Instance, Duration>,
     /// Limits that runners name.
     pub limits: limit::Table,
     /// The permits that this VM issues.
@@ -246,6 +256,9 @@
             charges: HashMap::new(),
             losses: HashMap::new(),
             abandoned: HashMap::new(),
+            unreached: BTreeSet::new(),
+            probes: HashSet::new(),
+            probed_at: HashMap::new(),
             limits: limit::Table::default(),
             issuer: limit::Issuer::default(),
             permits: limit::Permits::default(),
--- a/crates/relay/tests/crash_request.rs
+++ b/crates/relay/tests/crash_request.rs
@@ -4,7 +4,7 @@
 
 use hornbeamtiller_relay::crash::{Feature, Hold, Record, Report};
 use hornbeamtiller_relay::decision_log::Kind;
-use hornbeamtiller_relay::event::{Effect, Event, Outcome, Presence};
+use hornbeamtiller_relay::event::{Decline, Effect, Event, Outcome, Presence};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
@@ -146,15 +146,16 @@
         while harness.state.by_attempt.contains_key(&run.attempt) {
             harness.advance(ms(15));
         }
-        let mut found = Vec::new();
-        while found.is_empty() {
-            let next = dispatch(&harness.arrive_asking(NON_IDEMPOTENT, 1));
-            let outcome = match next.runner == run.runner {
-                true => Outcome::Unwritten,
-                false => Outcome::Answered { status: 200 },
-            };
-            found = checks(&harness.end_attempt(next.attempt, outcome));
+        // The other runners are full, so that the next request goes to the same one.
+        let mut next = dispatch(&harness.arrive_asking(NON_IDEMPOTENT, 1));
+        for _ in 0..2 {
+            if next.runner != run.runner {
+                let full = Outcome::Declined(Decline::Full);
+                next = dispatch(&harness.end_attempt(next.attempt, full));
+            }
         }
+        assert_eq!(next.runner, run.runner);
+        let mut found = checks(&harness.end_attempt(next.attempt, Outcome::Unwritten));
         let instance = found.pop().expect("a check");
         let presence = Presence::Refused;
         let effects = harness.apply(Event::RunnerChecked { instance, presence });
--- /dev/null
+++ b/crates/relay/tests/delegate.rs
@@ -0,0 +1,247 @@
+//! Calls that a VM which reaches no runner has another VM run.
+
+mod support;
+
+use hornbeamtiller_relay::crash::{Crash, Feature, Report, Suspect};
+use hornbeamtiller_relay::event::{
+    Arrival, Decline, Dispatch, Effect, Event, Operation, Outcome, Presence,
+};
+use hornbeamtiller_relay::refusal::{Claim, Reason};
+use support::{
+    dispatch, dispatches, has, member, ms, refusal, stream_arrival, view, Harness, IDEMPOTENT,
+    NON_IDEMPOTENT, STREAM,
+};
+
+/// A VM that knows these others.
+fn fleet(others: u8) -> Harness {
+    let mut harness = Harness::new(1);
+    for number in 2..2 + others {
+        harness.receive_view(member(&format!("vm-{number}"), number, 1), false);
+    }
+    harness
+}
+
+fn is_delegated(dispatch: &Dispatch) -> bool {
+    matches!(dispatch.operation, Operation::Delegate { .. })
+}
+
+/// Delivers a request at a VM that reaches no runner, up to the attempt at another VM.
+fn delegate(harness: &mut Harness, path: &str) -> Dispatch {
+    let mut next = dispatch(&harness.arrive(path));
+    for _ in 0..6 {
+        if is_delegated(&next) {
+            return next;
+        }
+        next = dispatch(&harness.end_attempt(next.attempt, Outcome::Unwritten));
+    }
+    panic!("no other VM was asked");
+}
+
+#[test]
+fn call_without_reach_is_delegated() {
+    for path in [IDEMPOTENT, NON_IDEMPOTENT, STREAM] {
+        let mut harness = fleet(2);
+        harness.state.policy.allocators = false;
+        let attempt = delegate(&mut harness, path).attempt;
+        let outcome = Outcome::Answered { status: 200 };
+        let effects = harness.end_attempt(attempt, outcome);
+        let is_forwarded = |effect: &Effect| matches!(effect, Effect::ForwardResponse { .. });
+        assert!(has(&effects, is_forwarded), "{path}");
+        // The next one is not tried here at all.
+        assert!(is_delegated(&dispatch(&harness.arrive(path))), "{path}");
+    }
+}
+
+#[test]
+fn call_without_peers_is_refused() {
+    let mut harness = fleet(0);
+    let mut effects = harness.arrive(NON_IDEMPOTENT);
+    for _ in 0..100 {
+        if let Some(refused) = refusal(&effects) {
+            return assert_eq!(refused.claim, Claim::NotRun);
+        }
+        effects = match dispatches(&effects).first() {
+            Some(next) => {
+                assert!(!is_delegated(next));
+                harness.end_attempt(next.attempt, Outcome::Unwritten)
+            }
+            None => harness.advance(ms(15)),
+        };
+    }
+    panic!("it is not refused");
+}
+
+/// To a VM that is cut off runners seem to have ended; one that they respond to knows better.
+#[test]
+fn told_crash_of_responding_runner_is_passed_over() {
+    let mut harness = fleet(1);
+    let run = dispatch(&harness.arrive(NON_IDEMPOTENT));
+    harness.now += ms(60);
+    harness.end_attempt(run.attempt, Outcome::Answered { status: 200 });
+    let runner = harness.state.pool.get(&run.runner).expect("a runner");
+    let instance = runner.descriptor.instance();
+    for (age, is_known) in [(ms(20), false), (ms(0), true)] {
+        let suspect = Suspect {
+            feature: Feature::Request(7),
+            circumstance: support::circumstance(0),
+            was_sound: false,
+        };
+        let crash = Crash {
+            instance: instance.clone(),
+            age,
+            suspects: vec![suspect],
+        };
+        let mut told = view(member("vm-2", 2, 1), false);
+        told.crashes = Some(Report {
+            crashes: vec![crash],
+            features: Vec::new(),
+        });
+        harness.apply(Event::ViewReceived { view: told });
+        assert_eq!(harness.state.evidence.has_crashed(&instance), is_known);
+        harness.now += ms(10);
+    }
+}
+
+/// A VM that reaches no runner either is not asked.
+#[test]
+fn peer_without_reach_is_passed_over() {
+    let mut harness = fleet(2);
+    let mut told = view(member("vm-2", 2, 1), false);
+    told.unreached = vec!["pay".into()];
+    harness.apply(Event::ViewReceived { view: told });
+    for _ in 0..5 {
+        let delegated = delegate(&mut harness, NON_IDEMPOTENT);
+        assert_eq!(&*delegated.runner, "vm-3");
+        harness.end_attempt(delegated.attempt, Outcome::Answered { status: 200 });
+    }
+}
+
+fn arrive_delegated(harness: &mut Harness, path: &str) -> Vec<Effect> {
+    harness.last_call += 1;
+    let arrival = Arrival {
+        prompt: None,
+        delegated_by: Some("vm-2".into()),
+        ..stream_arrival(harness.last_call, path)
+    };
+    harness.apply(Event::Arrived(arrival))
+}
+
+/// What was delegated is not delegated again, and refused at once.
+#[test]
+fn delegated_call_is_not_delegated_again() {
+    let mut harness = fleet(2);
+    let first = delegate(&mut harness, NON_IDEMPOTENT);
+    harness.end_attempt(first.attempt, Outcome::Answered { status: 200 });
+    let refused = refusal(&arrive_delegated(&mut harness, IDEMPOTENT)).expect("a refusal");
+    assert_eq!(refused.reason, Reason::OutOfReach);
+    assert_eq!(refused.claim, Claim::NotRun);
+}
+
+/// It runs once at most where it is delegated to: who delegates it counts its attempts.
+#[test]
+fn delegated_call_runs_once() {
+    let mut harness = Harness::new(1);
+    let run = dispatch(&arrive_delegated(&mut harness, IDEMPOTENT));
+    let effects = harness.end_attempt(run.attempt, Outcome::Lost);
+    assert!(dispatches(&effects).is_empty());
+    assert_eq!(refusal(&effects).map(|it| it.claim), Some(Claim::Unknown));
+}
+
+/// A VM that refuses a call has not sent it to a runner: another one is asked, a few times.
+#[test]
+fn refused_by_peer_asks_next() {
+    let mut harness = fleet(5);
+    let mut asked = vec![delegate(&mut harness, NON_IDEMPOTENT)];
+    loop {
+        let refused = Outcome::Declined(Decline::Refused);
+        let last = asked.last().expect("an attempt").attempt;
+        let effects = harness.end_attempt(last, refused);
+        let Some(next) = dispatches(&effects).first().cloned() else {
+            break;
+        };
+        if !is_delegated(&next) {
+            break;
+        }
+        asked.push(next);
+    }
+    assert_eq!(asked.len(), 3);
+    let mut names: Vec<_> = asked.iter().map(|attempt| &attempt.runner).collect();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), 3);
+}
+
+/// The link to the other VM breaks: what may run once is not sent again, a read is.
+#[test]
+fn lost_at_peer() {
+    let mut harness = fleet(3);
+    let once = delegate(&mut harness, NON_IDEMPOTENT);
+    let effects = harness.end_attempt(once.attempt, Outcome::Lost);
+    assert!(dispatches(&effects).is_empty());
+    assert_eq!(refusal(&effects).map(|it| it.claim), Some(Claim::Unknown));
+    let read = delegate(&mut harness, IDEMPOTENT);
+    let again = dispatch(&harness.end_attempt(read.attempt, Outcome::Lost));
+    assert!(is_delegated(&again));
+    let effects = harness.end_attempt(again.attempt, Outcome::Lost);
+    assert!(dispatches(&effects).is_empty(), "two attempts are allowed");
+}
+
+/// A caller who leaves ends the attempt at the other VM.
+#[test]
+fn caller_gone_aborts_delegated() {
+    let mut harness = fleet(2);
+    let read = delegate(&mut harness, IDEMPOTENT);
+    let effects = harness.apply(Event::CallerDisconnected { call: read.call });
+    let is_abort = |effect: &Effect| matches!(effect, Effect::AbortAttempt { attempt } if *attempt == read.attempt);
+    assert!(has(&effects, is_abort));
+}
+
+/// A VM that is found to be down gives its reads back.
+#[test]
+fn peer_down_takes_back() {
+    let mut harness = fleet(2);
+    let read = delegate(&mut harness, IDEMPOTENT);
+    let down = harness.state.members.get(&read.runner).expect("a member");
+    let address = down.descriptor.peer_address;
+    let mut effects = Vec::new();
+    for _ in 0..3 {
+        effects.extend(harness.apply(Event::PeerUnresponsive { address }));
+        harness.now += ms(400);
+    }
+    let next = dispatches(&effects);
+    assert!(next.iter().any(is_delegated), "{effects:?}");
+    assert_ne!(next[0].runner, read.runner);
+}
+
+/// Once a probe gets through, calls go to runners here again.
+#[test]
+fn probe_ends_delegation() {
+    let mut harness = fleet(2);
+    let first = delegate(&mut harness, NON_IDEMPOTENT);
+    harness.end_attempt(first.attempt, Outcome::Answered { status: 200 });
+    let mut probed = Vec::new();
+    for effect in harness.advance(ms(1_500)) {
+        if let Effect::CheckRunner { instance, .. } = effect {
+            probed.push(instance);
+        }
+    }
+    assert!(!probed.is_empty() && probed.len() <= 3);
+    for instance in probed {
+        let presence = Presence::Listening;
+        harness.apply(Event::RunnerChecked { instance, presence });
+    }
+    assert!(!is_delegated(&dispatch(&harness.arrive(NON_IDEMPOTENT))));
+}
+
+/// One runner that fails while others respond is no reason to ask another VM, and is not probed.
+#[test]
+fn one_failing_runner_is_not_out_of_reach() {
+    let mut harness = fleet(2);
+    let first = dispatch(&harness.arrive(NON_IDEMPOTENT));
+    let second = dispatch(&harness.end_attempt(first.attempt, Outcome::Unwritten));
+    assert!(!is_delegated(&second));
+    harness.end_attempt(second.attempt, Outcome::Answered { status: 200 });
+    let effects = harness.advance(ms(1_500));
+    let is_probe = |effect: &Effect| matches!(effect, Effect::CheckRunner { .. });
+    assert!(!has(&effects, is_probe));
+}
--- a/crates/relay/tests/reach_fleet.rs
+++ b/crates/relay/tests/reach_fleet.rs
@@ -62,28 +62,24 @@
 
 /// Guards against callers of VMs that reach no runner, who are refused while the other VMs have room.
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn cut_vm_serves_its_callers() {
     check_cut("one, refusing", &[0], Barrier::Refusing);
     check_cut("one, hanging", &[0], Barrier::Hanging);
 }
 
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn cut_vms_serve_their_callers() {
     check_cut("three, refusing", &[1, 2, 5], Barrier::Refusing);
     check_cut("three, hanging", &[1, 2, 5], Barrier::Hanging);
 }
 
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn all_but_one_vm_cut() {
     check_cut("seven", &[0, 1, 2, 3, 4, 5, 6], Barrier::Refusing);
 }
 
 /// Few callers, so that a VM learns little from them.
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn cut_vm_few_callers() {
     check_seeds("few", |seed| Play {
         seed,
@@ -97,7 +93,6 @@
 
 /// One endpoint, or one stage of it, is out of reach.
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn cut_vm_reaches_some() {
     for runners in [vec!["pay"], vec!["read"], vec!["make"]] {
         check_seeds(runners[0], |seed| Play {
@@ -113,7 +108,6 @@
 
 /// VMs that start anew, and one that joins, while others are cut off.
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn cut_vms_amid_restarts() {
     check_seeds("restarts", |seed| Play {
         seed,
@@ -146,7 +140,6 @@
 
 /// Within two seconds of its end a cut leaves no trace.
 #[test]
-#[ignore = "known red: issue 36, RECOVER"]
 fn healed_vm_serves() {
     for seed in 1..=SEEDS {
         let report = check_play(
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -12,7 +12,7 @@
 use hornbeamtiller_relay::limit::{Rate, Statement};
 use hornbeamtiller_relay::member::{Descriptor, Status, View};
 use hornbeamtiller_relay::pool::{self, Role};
-use hornbeamtiller_relay::refusal::Refusal;
+use hornbeamtiller_relay::refusal::{Claim, Refusal};
 use hornbeamtiller_relay::state::State;
 
 use super::{descriptors, member, ms, settings, take_due, Harness, KV_TOKENS, STREAM};
@@ -45,6 +45,16 @@
     /// The build at which each attempt was run.
     builds: BTreeMap<(usize, id::Attempt), id::Build>,
     arrived_at: BTreeMap<(usize, id::Call), Duration>,
+    /// The requests as they came.
+    requests: BTreeMap<(usize, id::Call), Arrival>,
+    /// Number of calls that VMs ran for others.
+    pub delegated: u64,
+    /// Of these, those that were refused.
+    pub delegates_refused: u32,
+    /// Who delegated each call, and with which attempt.
+    delegations: BTreeMap<(usize, id::Call), (usize, id::Attempt)>,
+    /// The call that each delegating attempt became.
+    delegated_calls: BTreeMap<(usize, id::Attempt), (usize, id::Call)>,
     /// VMs that reach no other VM.
     pub cut: BTreeSet<usize>,
     /// Runners that VMs do not reach, and how it shows.
@@ -142,6 +152,8 @@
     pub ended: bool,
 }
 
+/// Numbers of the calls that VMs run for others are above this one.
+const DELEGATED_CALLS: id::Call = 1 << 40;
 /// KV memory of one stream, in tokens.
 const STREAM_TOKENS: u64 = 8_000;
 /// Duration of one stream.
@@ -181,6 +193,14 @@
     State::new(settings, local, seeds, number as u64)
 }
 
+fn end_attempt(attempt: id::Attempt, outcome: Outcome) -> Event {
+    Event::AttemptEnded {
+        attempt,
+        outcome,
+        reported: None,
+    }
+}
+
 impl Fleet {
     pub fn new(count: usize) -> Self {
         Self::with_engines(count, descriptors())
@@ -208,6 +228,11 @@
             messages: 0,
             streams: BTreeMap::new(),
             foreign_caches: 0,
+            requests: BTreeMap::new(),
+            delegated: 0,
+            delegates_refused: 0,
+            delegations: BTreeMap::new(),
+            delegated_calls: BTreeMap::new(),
             cut: BTreeSet::new(),
             unreached: BTreeMap::new(),
             poison: BTreeSet::new(),
@@ -316,6 +341,9 @@
             Event::StreamEvent { attempt, .. } => Some(*attempt),
             _ => None,
         };
+        if let Event::Arrived(arrival) = &event {
+            self.requests.insert((vm, arrival.call), arrival.clone());
+        }
         let now = self.now - self.started_at[vm];
         hornbeamtiller_relay::reduce::reduce(&mut self.vms[vm], now, event, &mut effects);
         for effect in effects {
@@ -341,7 +369,20 @@
                 self.deliver_after(HOP, client, Event::GrantsReceived { batch });
             }
             Effect::Dispatch(dispatch) => self.run_at_engine(vm, dispatch),
-            Effect::AbortAttempt { attempt } => self.release(vm, attempt),
+            Effect::AbortAttempt { attempt } => {
+                self.release(vm, attempt);
+                if let Some((to, call)) = self.delegated_calls.remove(&(vm, attempt)) {
+                    self.delegations.remove(&(to, call));
+                    self.deliver_after(HOP, to, Event::CallerDisconnected { call });
+                }
+            }
+            ref answer @ (Effect::ForwardHead { call }
+            | Effect::ForwardEvent { call }
+            | Effect::EndStream { call }
+            | Effect::AbortStream { call }
+            | Effect::ForwardResponse { call }
+            | Effect::Refuse { call, .. })
+                if self.answer_delegated(vm, call, answer) => {}
             Effect::ForwardEvent { call } => self.record_event(vm, call),
             Effect::PublishView { address, view } => {
                 self.send(vm, address, Event::ViewReceived { view });
@@ -477,6 +518,10 @@
 
     fn record_event(&mut self, vm: usize, call: id::Call) {
         let attempt = self.applied.expect("an event was received");
+        if self.delegated_calls.contains_key(&(vm, attempt)) {
+            self.streams.entry((vm, call)).or_default();
+            return;
+        }
         if self.first_runs.contains(&(vm, attempt)) {
             self.begun.insert((vm, call));
         }
@@ -487,6 +532,9 @@
 
     fn run_at_engine(&mut self, vm: usize, dispatch: Dispatch) {
         let attempt = dispatch.attempt;
+        if let Operation::Delegate { resume_after } = dispatch.operation {
+            return self.delegate(vm, &dispatch, resume_after);
+        }
         let ended = |outcome| Event::AttemptEnded {
             attempt,
             outcome,
@@ -527,6 +575,7 @@
                 self.deliver_after(PLAIN_TIME, vm, stated);
                 self.deliver_after(PLAIN_TIME, vm, ended(Outcome::Answered { status: 200 }));
             }
+            Operation::Delegate { .. } => unreachable!("another VM runs it"),
             Operation::Prefill => {
                 self.prefills += 1;
                 engine.free_at = engine.free_at.max(now) + PREFILL_TIME;
@@ -567,6 +616,69 @@
         }
     }
 
+    /// Has another VM run a call.
+    fn delegate(&mut self, vm: usize, dispatch: &Dispatch, resume_after: Option<u64>) {
+        let to = self.vms.iter().position(|state| {
+            let is_there = state.local.caller_address == dispatch.address;
+            is_there && state.local.vm == dispatch.runner
+        });
+        let attempt = dispatch.attempt;
+        let Some(to) = to.filter(|to| self.reaches(vm, *to)) else {
+            let outcome = Outcome::Unwritten;
+            return self.deliver_after(HOP, vm, end_attempt(attempt, outcome));
+        };
+        self.delegated += 1;
+        let call = DELEGATED_CALLS + self.delegated;
+        self.delegations.insert((to, call), (vm, attempt));
+        self.delegated_calls.insert((vm, attempt), (to, call));
+        let own = (vm, dispatch.call);
+        self.arrived_at.insert((to, call), self.arrived_at[&own]);
+        if let Some(parts) = self.parts.get(&own).cloned() {
+            self.parts.insert((to, call), parts);
+        }
+        if let Some(asked) = self.fingerprints.get(&own).copied() {
+            self.fingerprints.insert((to, call), asked);
+        }
+        let asked = &self.requests[&own];
+        let id = asked.id.clone();
+        let arrival = Arrival {
+            call,
+            delegated_by: Some(dispatch.vm.clone()),
+            time_limit: Some(dispatch.time_limit),
+            resume_after,
+            resumes: resume_after.map(|_| id),
+            ..asked.clone()
+        };
+        self.deliver_after(HOP, to, Event::Arrived(arrival));
+    }
+
+    /// Delivers what a VM answers to the one that delegated the call; returns whether it was delegated.
+    fn answer_delegated(&mut self, vm: usize, call: id::Call, answer: &Effect) -> bool {
+        let Some((to, attempt)) = self.delegations.get(&(vm, call)).copied() else {
+            return false;
+        };
+        let event = match answer {
+            Effect::ForwardHead { .. } => Event::StreamStarted { attempt },
+            Effect::ForwardEvent { .. } => Event::StreamEvent {
+                attempt,
+                position: self.vms[vm].calls[&call].progress.last_position,
+            },
+            Effect::EndStream { .. } => end_attempt(attempt, Outcome::Ended),
+            Effect::AbortStream { .. } => end_attempt(attempt, Outcome::Lost),
+            Effect::ForwardResponse { .. } => {
+                end_attempt(attempt, Outcome::Answered { status: 200 })
+            }
+            Effect::Refuse { refusal, .. } if refusal.claim == Claim::NotRun => {
+                self.delegates_refused += 1;
+                end_attempt(attempt, Outcome::Declined(Decline::Refused))
+            }
+            Effect::Refuse { .. } => end_attempt(attempt, Outcome::Lost),
+            _ => return false,
+        };
+        self.deliver_after(HOP, to, event);
+        true
+    }
+
     /// What a call asks for, if that crashes runners.
     fn find_crashing(&self, call: (usize, id::Call)) -> Option<id::Fingerprint> {
         let asked = self.fingerprints.get(&call).copied();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -384,6 +384,7 @@
         resumes: None,
         parts: Arc::from([]),
         fingerprint: call,
+        delegated_by: None,
     }
 }
 
@@ -402,6 +403,7 @@
         digest: 0,
         limits: Vec::new(),
         crashes: None,
+        unreached: Vec::new(),
         reply_requested,
     }
 }
--- a/crates/relay/tests/support/storm.rs
+++ b/crates/relay/tests/support/storm.rs
@@ -274,6 +274,7 @@
             Operation::Plain => (Outcome::Answered { status: 200 }, ms(60)),
             Operation::Prefill => (prefilled(), ms(90)),
             Operation::Generate { .. } => (Outcome::Ended, ms(600)),
+            Operation::Delegate { .. } => unreachable!("no runner gets it"),
         };
         (outcome, time + silence)
     }
@@ -285,12 +286,20 @@
             incarnation: self.vms[number].incarnation,
             call: dispatch.call,
         };
-        let (outcome, time) = self.draw_outcome(dispatch);
+        let (outcome, time) = match dispatch.operation {
+            // The other VM reaches no more runners, and sends none the request.
+            Operation::Delegate { .. } => (Outcome::Declined(Decline::Refused), ms(4)),
+            _ => self.draw_outcome(dispatch),
+        };
         let is_prefill = dispatch.operation == Operation::Prefill;
         let seen = self.seen.entry(request.clone()).or_default();
         let is_accepted_prefill = is_prefill && matches!(outcome, Outcome::Prefilled { .. });
         let is_exempt = is_accepted_prefill && !std::mem::replace(&mut seen.prefilled, true);
-        if outcome != Outcome::Unwritten && !is_exempt {
+        let has_arrived = !matches!(
+            outcome,
+            Outcome::Unwritten | Outcome::Declined(Decline::Refused)
+        );
+        if has_arrived && !is_exempt {
             seen.arrivals += 1;
             if seen.arrivals > 1 {
                 let endpoint = if dispatch.operation == Operation::Plain {
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -93,6 +93,8 @@
   crashes @14 :List(Crash);
   parts @15 :List(Part);
   limits @16 :List(Limit);
+  unreached @17 :List(Text);
+  # Endpoints of which the sender reaches no runner, or none of a stage.
 }
 
 struct Limit {
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -60,6 +60,10 @@
         write_load(runner, *load, loads.reborrow().get(index as u32));
     }
     out.set_digest(view.digest);
+    let mut unreached = out.reborrow().init_unreached(view.unreached.len() as u32);
+    for (index, endpoint) in view.unreached.iter().enumerate() {
+        unreached.set(index as u32, &**endpoint);
+    }
     let mut limits = out.reborrow().init_limits(view.limits.len() as u32);
     for (index, record) in view.limits.iter().enumerate() {
         limit::write(record, limits.reborrow().get(index as u32));
@@ -152,6 +156,11 @@
             .map(limit::read)
             .collect::<Result<_, _>>()?,
         crashes: crash::read(view)?,
+        unreached: view
+            .get_unreached()?
+            .iter()
+            .map(|endpoint| Ok(endpoint?.to_str()?.into()))
+            .collect::<Result<_, Error>>()?,
         reply_requested: view.get_asks(),
     })
 }
