--- a/crates/relay/src/arrivals.rs
+++ b/crates/relay/src/arrivals.rs
@@ -42,6 +42,11 @@
         self.counted
     }
 
+    /// Whether a runner got any attempt, or one is in flight.
+    pub fn has_arrived(&self) -> bool {
+        self.counted > 0 || self.has_prefilled || self.in_flight.is_some()
+    }
+
     /// Retries that must still be held before an attempt may start. For a prefill they include that of
     /// the run after it, without which it would be wasted.
     pub fn missing(&self, step: Step) -> u32 {
--- a/crates/relay/src/reduce/delegate.rs
+++ b/crates/relay/src/reduce/delegate.rs
@@ -35,8 +35,7 @@
             self.fall_back(number, Reason::OutOfReach);
             return true;
         }
-        // The other VM does not know which runners have ended under the call.
-        if self.has_crashes(number) {
+        if !self.is_fresh(number) {
             return false;
         }
         let Some(delegate) = self.pick_delegate(number) else {
@@ -55,8 +54,18 @@
             return false;
         };
         let is_own = call.delegated_by.is_none() && call.standby.is_none();
-        let may_leave = is_own && !self.has_crashes(number);
-        may_leave && self.is_out_of_reach(call) && self.pick_delegate(number).is_some()
+        is_own
+            && self.is_fresh(number)
+            && self.is_out_of_reach(call)
+            && self.pick_delegate(number).is_some()
+    }
+
+    /// Whether a call has reached no runner from here: another VM would count its arrivals anew, and does not know
+    /// which runners have ended under it.
+    fn is_fresh(&self, number: id::Call) -> bool {
+        let call = self.state.calls.get(&number);
+        let is_new = call.is_some_and(|call| call.delegations > 0 || !call.arrivals.has_arrived());
+        is_new && !self.has_crashes(number)
     }
 
     /// Picks a VM that serves and reaches the endpoint of a call, in this availability zone if there is any.
