--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -10,8 +10,9 @@
 use hornbeamtiller_http::body::{Channel, Sender, Truncated};
 use hornbeamtiller_http::cancel;
 use hornbeamtiller_http::client::{Client, Reuse};
+use hornbeamtiller_relay::cache_index::LISTING_TIMEOUT;
 use hornbeamtiller_relay::event::{Dispatch, Effect, Event, KvCache};
-use hornbeamtiller_relay::id::{Attempt, Call};
+use hornbeamtiller_relay::id::{Attempt, Call, Endpoint};
 use hornbeamtiller_relay::member::View;
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::reduce::reduce;
@@ -24,6 +25,8 @@
 use crate::protocol::{CallerRequest, Protocol};
 use crate::{attempt, fingerprint, log_line, presence};
 
+/// Maximum size of an engine's list of the parts that it holds, in bytes.
+const PART_LIST_BYTES_MAX: usize = 1 << 20;
 /// Timeout of the request that frees a KV cache at a prefill runner, and of each chunk of its
 /// response.
 const KV_FREE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -250,6 +253,11 @@
                 let connections = &self.0.connections;
                 connections.ask_origin(self, address, call, question)
             }
+            Effect::ListParts {
+                endpoint,
+                engine,
+                address,
+            } => self.list_parts(endpoint, engine, address),
             Effect::AskPermit {
                 address,
                 instance,
@@ -351,6 +359,45 @@
         });
     }
 
+    /// Asks an engine which parts of prompts it holds.
+    fn list_parts(&self, endpoint: Endpoint, engine: Instance, address: std::net::SocketAddr) {
+        let driver = self.clone();
+        monoio::spawn(async move {
+            let body = driver.read_part_list(&engine, address).await;
+            let parts = body.and_then(|body| driver.protocol().parse_part_list(&body));
+            driver.apply(Event::PartsListed {
+                endpoint,
+                engine,
+                parts,
+            });
+        });
+    }
+
+    /// The body of an engine's answer; none if it did not answer with success in time.
+    async fn read_part_list(
+        &self,
+        engine: &Instance,
+        address: std::net::SocketAddr,
+    ) -> Option<Bytes> {
+        let request = self.protocol().build_part_list(engine, address);
+        let client = self.client();
+        let sent = client.send_once(address, request, Reuse::Allowed, LISTING_TIMEOUT);
+        let read = match sent.await {
+            Ok(response) => response.collect(PART_LIST_BYTES_MAX, LISTING_TIMEOUT).await,
+            Err(error) => Err(error),
+        };
+        let runner = &*engine.runner;
+        match read {
+            Ok((head, body)) if head.status.is_success() => return Some(body),
+            Ok((head, _)) => {
+                let status = head.status.as_u16();
+                log::info!(runner, status; "parts_not_listed");
+            }
+            Err(error) => log::info!(runner, error:% = error; "parts_not_listed"),
+        }
+        None
+    }
+
     /// Checks whether anything listens at the address of a runner.
     fn check_runner(&self, instance: Instance, address: std::net::SocketAddr) {
         let driver = self.clone();
--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -16,6 +16,7 @@
             None => Ok(()),
         };
         text("request", entry.request.as_deref())?;
+        text("first_request", entry.first_request.as_deref())?;
         text("runner", entry.runner.as_deref())?;
         text("outcome", entry.outcome.as_deref())?;
         text("endpoint", entry.endpoint.as_deref())?;
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -21,7 +21,7 @@
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::limit::Asker;
 use hornbeamtiller_relay::member;
-use hornbeamtiller_relay::origin::{Answer, Question, Record};
+use hornbeamtiller_relay::origin::{Answer, Key, Question, Record};
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_wire::fleet_capnp::fleet;
 use hornbeamtiller_wire::io::{Connection, WriteCounter};
@@ -283,10 +283,15 @@
 ) -> Result<Answer, Error> {
     let session = open_session(driver, address).await?;
     let mut request = session.fleet.find_origin_request();
-    request
-        .get()
-        .set_stream(origin::write_stream(question.stream));
-    request.get().set_endpoint(&*question.endpoint);
+    let mut params = request.get();
+    params.set_endpoint(&*question.endpoint);
+    match question.key {
+        Key::Stream(stream) => params.set_stream(origin::write_stream(stream)),
+        Key::Part(part) => {
+            params.set_asks_engines(true);
+            params.set_part(part);
+        }
+    }
     let response = request.send().promise.await?;
     Ok(origin::read_answer(response.get()?.get_answer()?)?)
 }
--- a/crates/gateway/src/peer/service.rs
+++ b/crates/gateway/src/peer/service.rs
@@ -15,7 +15,7 @@
 use hornbeamtiller_relay::event::Event;
 use hornbeamtiller_relay::limit::Asker;
 use hornbeamtiller_relay::member;
-use hornbeamtiller_relay::origin::Question;
+use hornbeamtiller_relay::origin::{Key, Question};
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_wire::fleet_capnp::fleet;
 use hornbeamtiller_wire::io::Connection;
@@ -135,10 +135,18 @@
     ) -> Result<(), capnp::Error> {
         self.calls.set(self.calls.get() + 1);
         let params = params.get()?;
+        let key = if params.get_asks_engines() {
+            Key::Part(params.get_part())
+        } else {
+            Key::Stream(origin::read_stream(params.get_stream()))
+        };
         let question = Question {
-            stream: origin::read_stream(params.get_stream()),
+            key,
             endpoint: params.get_endpoint()?.to_str()?.into(),
         };
+        self.driver.apply(Event::OriginAsked {
+            question: question.clone(),
+        });
         let now = self.driver.now();
         let answer = self
             .driver
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,5 +1,6 @@
 //! The protocol of callers and runners, as far as the gateway needs it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::limit::Statement;
 use hornbeamtiller_relay::manifest::Manifest;
-use hornbeamtiller_relay::pool::Report;
+use hornbeamtiller_relay::pool::{Instance, Report};
 use hornbeamtiller_relay::refusal::{Reason, Refusal};
 use http::{request, response, Request, Response};
 use http_body_util::Full;
@@ -102,6 +103,12 @@
     /// Builds the request that makes a prefill runner free a KV cache.
     fn build_kv_free(&self, kv: &KvCache) -> Request<Full<Bytes>>;
 
+    /// Builds the request that asks an engine which parts of prompts it holds.
+    fn build_part_list(&self, engine: &Instance, address: SocketAddr) -> Request<Full<Bytes>>;
+
+    /// Parses the list of the parts that an engine holds; `None` if it is no complete list.
+    fn parse_part_list(&self, body: &[u8]) -> Option<Vec<id::Part>>;
+
     /// Parses a manifest in the encoding of the configuration service.
     fn parse_manifest(&self, bytes: &[u8]) -> Option<Manifest>;
 }
--- a/crates/relay/src/allocation/mod.rs
+++ b/crates/relay/src/allocation/mod.rs
@@ -67,6 +67,8 @@
     pub groups: u32,
     /// How soon the call needs the capacity.
     pub urgency: Urgency,
+    /// The decode engine that is known to hold its prompt, which needs no prefill there.
+    pub holder: Option<id::Runner>,
     /// Runners that the VM does not want, since they failed the call or are failing.
     pub excluded: Vec<id::Runner>,
 }
@@ -105,6 +107,7 @@
                 && one.group == other.group
                 && one.groups == other.groups
                 && one.build == other.build
+                && one.holder == other.holder
                 && one.tokens == other.tokens
                 && is_late(one) == is_late(other)
                 && one.excluded == other.excluded
--- a/crates/relay/src/allocation/round.rs
+++ b/crates/relay/src/allocation/round.rs
@@ -92,17 +92,20 @@
             kv_across_builds: self.limits.kv_across_builds,
             now: self.now,
         };
-        let Some(decode) = search.find_decode(engine, memory) else {
+        let holder = search.find_holder(engine, memory);
+        let Some(decode) = holder.or_else(|| search.find_decode(engine, memory)) else {
             if ask.excluded.is_empty() {
                 self.refused.insert(kind, ask.tokens);
             }
             return None;
         };
-        let prefill = search.find_prefill(&decode.descriptor);
+        let needs_prefill = holder.is_none() && ask.prefill_tokens > 0;
+        let prefill = needs_prefill.then(|| search.find_prefill(&decode.descriptor));
+        let prefill = prefill.flatten();
         let queued_tokens = prefill.map_or(0, |runner| search.load(runner).prefill_tokens);
         let decode = decode.descriptor.runner.clone();
         let prefill = prefill.map(|runner| runner.descriptor.runner.clone());
-        let added = added_loads(ask, &decode, prefill.as_ref());
+        let added = added_loads(ask, needs_prefill, &decode, prefill.as_ref());
         for (runner, load) in &added {
             self.loads.entry(runner.clone()).or_default().add(*load);
             if let Some(left) = self.allowances.get_mut(runner) {
@@ -132,13 +135,14 @@
 /// The load that a call adds once it is granted capacity.
 fn added_loads(
     ask: &Ask,
+    needs_prefill: bool,
     decode: &id::Runner,
     prefill: Option<&id::Runner>,
 ) -> Vec<(id::Runner, Load)> {
     let at_decode = Load {
         requests: 1,
         tokens: ask.tokens,
-        prefill_tokens: if prefill.is_none() {
+        prefill_tokens: if needs_prefill && prefill.is_none() {
             ask.prefill_tokens
         } else {
             0
@@ -200,16 +204,28 @@
         })
     }
 
+    fn has_room(&self, runner: &Runner, engine: &Engine, memory: u64) -> bool {
+        let load = self.load(runner);
+        let fits = load.requests < engine.slots && load.tokens + self.ask.tokens <= memory;
+        load.requests == 0 || fits
+    }
+
+    /// The decode engine that holds the prompt of the call, if it has a free slot and enough free memory.
+    fn find_holder(&self, engine: &Engine, memory: u64) -> Option<&'a Runner> {
+        let holder = self.ask.holder.as_ref()?;
+        let mut candidates = self.candidates(Role::Decode);
+        let found = candidates.find(|runner| runner.descriptor.runner == *holder)?;
+        self.has_room(found, engine, memory).then_some(found)
+    }
+
     /// The least loaded decode engine with a free slot and enough free memory; one for which a prefill
     /// engine can prefill is preferred. A call that exceeds even an idle engine is left for the engine
     /// to decline.
     fn find_decode(&self, engine: &Engine, memory: u64) -> Option<&'a Runner> {
-        let has_room = |runner: &&Runner| {
-            let load = self.load(runner);
-            let fits = load.requests < engine.slots && load.tokens + self.ask.tokens <= memory;
-            load.requests == 0 || fits
-        };
-        let with_room: Vec<&Runner> = self.candidates(Role::Decode).filter(has_room).collect();
+        let candidates = self.candidates(Role::Decode);
+        let with_room: Vec<&Runner> = candidates
+            .filter(|runner| self.has_room(runner, engine, memory))
+            .collect();
         if with_room.is_empty() {
             return None;
         }
@@ -237,11 +253,8 @@
     }
 
     /// The prefill engine that is expected to finish first; one in the zone of the decode engine is
-    /// preferred. None if the call needs no prefill.
+    /// preferred.
     fn find_prefill(&self, decode: &Descriptor) -> Option<&'a Runner> {
-        if self.ask.prefill_tokens == 0 {
-            return None;
-        }
         let cost = |runner: &&Runner| {
             let queued = self.load(runner).prefill_tokens + self.ask.prefill_tokens;
             let is_near = runner.descriptor.zone == decode.zone;
--- /dev/null
+++ b/crates/relay/src/cache_index.rs
@@ -0,0 +1,129 @@
+//! Which software versions hold the prompts of streams.
+//!
+//! A decode engine keeps the parts of a prompt for some time after the stream has broken off. The last part
+//! belongs to the request alone, so an engine that holds it has been given the request, at its software version.
+//! Where no VM knows any more which software version began a stream, that is the evidence left. Engines of two
+//! versions that hold the part contradict each other, and nothing follows then; a prefill engine proves nothing,
+//! as it begins no stream.
+//!
+//! Engines work more slowly while they list what they hold, so one VM asks them for all others, all of an endpoint at
+//! once and at most once per interval. What an engine has held still counts after it has dropped it, for as long as
+//! a stream may go on.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+use crate::id;
+use crate::origin::{Origin, Record, Table};
+use crate::pool::Instance;
+
+/// Interval after which the engines of an endpoint are asked again.
+pub const LISTING_INTERVAL: Duration = Duration::from_secs(2);
+/// How long engines have to answer.
+pub const LISTING_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Where the prompt of a stream is held.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// The endpoint, and the only software version there that has held it.
+    pub origin: Origin,
+    /// An engine that held it when it was last asked.
+    pub engine: Option<id::Runner>,
+}
+
+/// One time that the engines of an endpoint are asked.
+#[derive(Debug)]
+struct Listing {
+    started_at: Duration,
+    awaited: BTreeSet<Instance>,
+    held: HashMap<id::Runner, HashSet<id::Part>>,
+}
+
+/// What the decode engines have listed.
+#[derive(Debug, Default)]
+pub struct Index {
+    /// Where parts are held or were, by the number of the part.
+    origins: Table,
+    listings: HashMap<id::Endpoint, Listing>,
+}
+
+impl Index {
+    /// Whether the engines of an endpoint are to be asked, for the first time or again.
+    pub fn is_due(&self, endpoint: &id::Endpoint, now: Duration) -> bool {
+        let last = self.listings.get(endpoint);
+        last.is_none_or(|last| last.started_at + LISTING_INTERVAL <= now)
+    }
+
+    /// Records that these engines of an endpoint are asked.
+    pub fn start(&mut self, endpoint: &id::Endpoint, awaited: BTreeSet<Instance>, now: Duration) {
+        let listing = Listing {
+            started_at: now,
+            awaited,
+            held: HashMap::new(),
+        };
+        self.listings.insert(endpoint.clone(), listing);
+    }
+
+    /// Records that an engine has answered, or has not in time.
+    pub fn end(&mut self, endpoint: &id::Endpoint, engine: &Instance) {
+        if let Some(listing) = self.listings.get_mut(endpoint) {
+            listing.awaited.remove(engine);
+        }
+    }
+
+    /// Records the parts that an engine holds, as evidence that counts for `lifetime`.
+    pub fn record(
+        &mut self,
+        engine: &id::Runner,
+        origin: &Origin,
+        parts: Vec<id::Part>,
+        lifetime: Duration,
+        now: Duration,
+    ) {
+        for part in &parts {
+            let record = Record {
+                stream: *part,
+                origin: origin.clone(),
+                lifetime,
+            };
+            self.origins.insert(record, now);
+        }
+        if let Some(listing) = self.listings.get_mut(&origin.endpoint) {
+            let parts = parts.into_iter().collect();
+            listing.held.insert(engine.clone(), parts);
+        }
+    }
+
+    /// Whether engines of an endpoint have still to answer, or were not asked at all.
+    pub fn is_pending(&self, endpoint: &id::Endpoint, now: Duration) -> bool {
+        let last = self.listings.get(endpoint);
+        last.is_none_or(|last| !last.awaited.is_empty() && last.started_at + LISTING_TIMEOUT > now)
+    }
+
+    /// Where a part is held, if the engines that hold it are all of one software version.
+    pub fn find(&self, part: id::Part, now: Duration) -> Option<Holding> {
+        let origin = self.origins.get(part, now)?.clone();
+        let listing = self.listings.get(&origin.endpoint);
+        let mut held = listing.into_iter().flat_map(|listing| &listing.held);
+        let engine = held.find(|(_, parts)| parts.contains(&part));
+        Some(Holding {
+            origin,
+            engine: engine.map(|(engine, _)| engine.clone()),
+        })
+    }
+
+    /// Number of parts.
+    pub fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Whether no part is known.
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty()
+    }
+
+    /// Drops the evidence that has expired.
+    pub fn evict(&mut self, now: Duration) {
+        self.origins.evict(now);
+    }
+}
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -204,6 +204,8 @@
     pub is_bound_elsewhere: bool,
     /// Whether it is let through to find out whether what is quarantined of it still crashes runners.
     pub is_trial: bool,
+    /// The decode runner that is known to hold its prompt.
+    pub holder: Option<id::Runner>,
     /// Its KV cache at a prefill runner.
     pub kv: Option<KvCache>,
     /// The decode runner at which capacity is reserved.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -36,6 +36,8 @@
     Paused,
     /// It was found out, or not, which software version began a stream that is to go on.
     Origin,
+    /// An engine was asked which parts of prompts it holds.
+    PartsListed,
     /// A runner's response was forwarded.
     Answered,
     /// A stream ended completely.
@@ -93,6 +95,8 @@
     pub kind: Kind,
     /// Id of the request.
     pub request: Option<Arc<str>>,
+    /// Id of the request that brought the first event of the stream with which this one goes on.
+    pub first_request: Option<Arc<str>>,
     /// The runner.
     pub runner: Option<id::Runner>,
     /// The attempt.
@@ -158,6 +162,7 @@
         Self {
             kind,
             request: None,
+            first_request: None,
             runner: None,
             attempt: None,
             outcome: None,
@@ -180,6 +185,12 @@
         self
     }
 
+    /// Sets the request that began the stream, if the caller names one.
+    pub fn first_request(mut self, id: Option<&Arc<str>>) -> Self {
+        self.first_request = id.cloned();
+        self
+    }
+
     /// Sets the runner.
     pub fn runner(mut self, runner: &id::Runner) -> Self {
         self.runner = Some(runner.clone());
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -244,6 +244,20 @@
         /// The answer.
         answer: Answer,
     },
+    /// A peer asks where a stream began.
+    OriginAsked {
+        /// The question.
+        question: Question,
+    },
+    /// An engine lists the parts of prompts that it holds, or does not in time.
+    PartsListed {
+        /// The endpoint of the engine.
+        endpoint: id::Endpoint,
+        /// The process that was asked.
+        engine: Instance,
+        /// The parts; none if there was no answer that can be used.
+        parts: Option<Vec<id::Part>>,
+    },
     /// A response of a runner says something of its limit.
     LimitStated {
         /// The attempt.
@@ -463,6 +477,15 @@
         /// The question.
         question: Question,
     },
+    /// Asks an engine which parts of prompts it holds.
+    ListParts {
+        /// The endpoint of the engine.
+        endpoint: id::Endpoint,
+        /// The process.
+        engine: Instance,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Asks a peer for a permit for a request to a runner.
     AskPermit {
         /// Address of the peer.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod arrivals;
 pub mod breaker;
 pub mod budget;
+pub mod cache_index;
 pub mod call;
 pub mod crash;
 pub mod decision_log;
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -4,14 +4,16 @@
 //! version that began it. Its caller may go on with it at any VM, which has to learn that version: the VM
 //! that forwards the first event records it, and tells it to a few others, those that rank highest for the
 //! stream (rendezvous hashing). A VM that does not know the stream asks those, by its own view of the
-//! fleet. Nothing is agreed upon. A record that is lost can only cost its caller the rest of the stream:
-//! where no VM knows the version, the stream goes on only if no other version can have begun it.
+//! fleet. Nothing is agreed upon. Where no VM knows the version, as after the loss of all VMs, the stream
+//! goes on if no other version can have begun it, or if the engines that still hold its prompt are all of
+//! one version; see [`crate::cache_index`]. Else its caller loses the rest of the stream.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::allocation::hash;
+use crate::cache_index::Holding;
 use crate::id;
 
 /// Number of VMs that are told the origin of a stream.
@@ -23,6 +25,10 @@
 pub const ROUNDS: u32 = 2;
 /// How long the VMs of one round have to answer.
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(100);
+/// Interval at which a VM that is asking the engines is asked for what it has found.
+pub const PENDING_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a search waits for what engines hold.
+pub const ENGINES_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of streams whose origin is kept.
 const STREAMS_MAX: usize = 1 << 16;
 
@@ -56,11 +62,25 @@
     pub lifetime: Duration,
 }
 
+/// Rank of a VM as the one that asks the engines of an endpoint; the highest does.
+pub fn engines_rank(vm: &id::Vm, endpoint: &id::Endpoint) -> u64 {
+    hash(vm.as_bytes(), hash(endpoint.as_bytes(), 0))
+}
+
+/// What a VM is asked to find the origin by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Key {
+    /// The stream, by what VMs were told; none if the caller does not name it.
+    Stream(Option<id::Stream>),
+    /// The last part of its prompt, by what engines hold.
+    Part(id::Part),
+}
+
 /// A question for the origin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Question {
-    /// The stream; none if the caller does not name it.
-    pub stream: Option<id::Stream>,
+    /// What to find it by.
+    pub key: Key,
     /// The endpoint at which it is to go on.
     pub endpoint: id::Endpoint,
 }
@@ -77,6 +97,10 @@
     Mixed,
     /// It knows nothing of use.
     Unknown,
+    /// It is asking the engines.
+    Pending,
+    /// The engines that hold the prompt are all of one software version.
+    Held(Holding),
     /// It did not respond in time.
     Unresponsive,
 }
@@ -93,6 +117,8 @@
     Peer,
     /// Only one software version can have begun the stream, by the list of this or another VM.
     SoleBuild,
+    /// The engines that hold its prompt are all of one software version.
+    Engines,
     /// Nothing; several software versions can have begun the stream.
     Unknown,
     /// Nothing; a VM that may know it was not reached.
@@ -182,11 +208,25 @@
     }
 }
 
-/// The search of a call for the origin of its stream at other VMs.
+/// Who is asked for the origin of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The VMs that may have been told it.
+    Vms,
+    /// A VM that asks the engines.
+    Engines {
+        /// Until when it has to find out.
+        until: Duration,
+    },
+}
+
+/// The search of a call for the origin of its stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Search {
     /// The stream; none if the caller does not name it.
     pub stream: Option<id::Stream>,
+    /// Who is asked.
+    pub stage: Stage,
     /// Number of times that VMs were asked.
     pub rounds: u32,
     /// The VMs of this round that have not answered.
@@ -208,6 +248,7 @@
     pub fn new(stream: Option<id::Stream>) -> Self {
         Self {
             stream,
+            stage: Stage::Vms,
             rounds: 0,
             awaited: Vec::new(),
             asked: Vec::new(),
@@ -221,7 +262,7 @@
     /// Takes into account an answer that does not name the origin.
     pub fn record(&mut self, answer: Answer) {
         match answer {
-            Answer::Known(_) | Answer::Unknown => {}
+            Answer::Known(_) | Answer::Held(_) | Answer::Unknown | Answer::Pending => {}
             Answer::Mixed => self.is_mixed = true,
             Answer::Unresponsive => self.has_unresponsive = true,
             Answer::Sole(build) => {
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -52,7 +52,8 @@
             self.ask_for_capacity(number);
             return self.wait_for_capacity(number);
         };
-        if self.has_kv(number) || !self.start_prefill(number, &decode, grant.as_ref()) {
+        let is_read = self.has_kv(number) || self.is_holder(number, &decode);
+        if is_read || !self.start_prefill(number, &decode, grant.as_ref()) {
             self.start_run(number, &decode);
         }
     }
@@ -145,6 +146,9 @@
         layout: &Layout,
         previous: Option<Group>,
     ) -> Option<Group> {
+        if let Some(holder) = self.usable_holder(number) {
+            return Some(allocation::group_of(&holder, layout.groups));
+        }
         let mut groups: Vec<Group> = self
             .ready_decode_runners(number)
             .map(|runner| allocation::group_of(&runner.descriptor.runner, layout.groups))
@@ -159,6 +163,14 @@
         groups.get(index).copied()
     }
 
+    /// The decode runner that holds the prompt of a call, unless the call has waited for it in vain.
+    fn usable_holder(&self, number: id::Call) -> Option<id::Runner> {
+        let call = self.state.calls.get(&number)?;
+        let holder = call.holder.as_ref().filter(|_| call.ask.is_none())?;
+        let runner = self.find_usable(holder, Purpose::Decode)?;
+        self.fits(number, &runner).then(|| holder.clone())
+    }
+
     pub(super) fn layout(&self) -> Layout {
         let engines = self
             .state
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -73,6 +73,7 @@
             delegations: 0,
             is_bound_elsewhere: false,
             is_trial: false,
+            holder: None,
             kv: None,
             reserved_decode: None,
             ask: None,
@@ -87,6 +88,7 @@
         self.log(
             Entry::new(Kind::Accepted)
                 .request(&call.id)
+                .first_request(arrival.resumes.as_ref())
                 .version(call.manifest_version)
                 .outcome(&call.route.name)
                 .tokens(call.prompt.map(|prompt| prompt.tokens))
--- a/crates/relay/src/reduce/claim.rs
+++ b/crates/relay/src/reduce/claim.rs
@@ -205,6 +205,7 @@
             group: ask.group,
             groups: ask.groups,
             urgency: self.urgency(number),
+            holder: call.holder.clone(),
             excluded,
         })
     }
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -168,6 +168,8 @@
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
         };
+        // A runner that fails the call or declines it is not preferred again.
+        call.holder = None;
         let kv = call.kv.take().filter(|kv| kv.is_fresh(now));
         let operation = if call.prompt.is_some() {
             Operation::Generate {
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod leave;
 mod limit;
+mod listing;
 mod load;
 mod news;
 mod origin;
@@ -76,6 +77,12 @@
             address,
             answer,
         } => reducer.handle_origin_answer(call, address, answer),
+        Event::OriginAsked { question } => reducer.handle_origin_question(&question),
+        Event::PartsListed {
+            endpoint,
+            engine,
+            parts,
+        } => reducer.handle_listed_parts(&endpoint, &engine, parts),
         Event::LimitStated { attempt, statement } => {
             reducer.handle_limit_statement(attempt, statement)
         }
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -12,7 +12,8 @@
 use crate::manifest::Kind as RouteKind;
 use crate::member::{Member, Status};
 use crate::origin::{
-    self, Answer, Origin, Question, Record, Search, Source, ASKED, REPLICAS, ROUNDS, ROUND_TIMEOUT,
+    self, Answer, Key, Origin, Question, Record, Search, Source, Stage, ASKED, PENDING_INTERVAL,
+    REPLICAS, ROUNDS, ROUND_TIMEOUT,
 };
 use crate::refusal::Reason;
 
@@ -57,6 +58,7 @@
     /// Tells other VMs the origins recorded since the last tick, with one message to each.
     pub(super) fn tick_origins(&mut self) {
         self.state.origins.evict(self.now);
+        self.state.cache_index.evict(self.now);
         let mut messages: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in std::mem::take(&mut self.state.untold_origins) {
             let ranked = self.rank_members(record.stream, Member::is_serving);
@@ -136,7 +138,7 @@
 
     /// Whether a call may go on with a stream that began there: at its endpoint, or at another one that
     /// its route leads to and that differs in nothing but its runners.
-    fn can_go_on_at(&self, number: id::Call, origin: &Origin) -> bool {
+    pub(super) fn can_go_on_at(&self, number: id::Call, origin: &Origin) -> bool {
         let Some(call) = self.state.calls.get(&number) else {
             return false;
         };
@@ -150,14 +152,18 @@
         is_target && self.is_engine_pool(&origin.endpoint) == self.is_engine_pool(&call.endpoint)
     }
 
-    fn is_engine_pool(&self, endpoint: &id::Endpoint) -> bool {
+    pub(super) fn is_engine_pool(&self, endpoint: &id::Endpoint) -> bool {
         let manifest = self.state.manifest.as_ref();
         let known = manifest.and_then(|manifest| manifest.endpoints.get(endpoint));
         known.is_some_and(|known| known.engine.is_some())
     }
 
-    /// Asks the VMs that rank next, if there are any; else decides by what is known.
+    /// Asks the VMs that rank next, if there are any; else decides by what is known. A process that has just
+    /// started gets to know its peers first.
     fn ask_next(&mut self, number: id::Call) {
+        if !self.is_introduced() {
+            return self.wait_for_introduction(number);
+        }
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
@@ -165,7 +171,7 @@
             return;
         };
         let question = Question {
-            stream: search.stream,
+            key: Key::Stream(search.stream),
             endpoint: call.endpoint.clone(),
         };
         let ranked = self.rank_members(call.stream, is_asked).into_iter();
@@ -197,6 +203,13 @@
         }
     }
 
+    fn wait_for_introduction(&mut self, number: id::Call) {
+        let retry_at = self.now + PENDING_INTERVAL;
+        if let Some(call) = self.state.calls.get_mut(&number) {
+            call.phase = Phase::Waiting { retry_at };
+        }
+    }
+
     /// Goes on with a search whose answers have been awaited for long enough.
     pub(super) fn advance_search(&mut self, number: id::Call) {
         let now = self.now;
@@ -207,7 +220,10 @@
         if search.deadline > now {
             return;
         }
-        search.has_unresponsive = true;
+        if search.stage != Stage::Vms {
+            return self.advance_engine_search(number);
+        }
+        search.has_unresponsive |= !search.awaited.is_empty();
         self.ask_next(number);
     }
 
@@ -221,6 +237,17 @@
         let Some(search) = call.and_then(|call| call.search.as_mut()) else {
             return;
         };
+        let is_awaited = search.awaited.contains(&address);
+        if search.stage != Stage::Vms {
+            match answer {
+                Answer::Known(origin) if self.can_go_on_at(number, &origin) => {
+                    self.bind(number, origin, Source::Peer);
+                }
+                answer if is_awaited => self.handle_engines_answer(number, address, answer),
+                _ => {}
+            }
+            return;
+        }
         search.awaited.retain(|awaited| *awaited != address);
         let is_last = search.awaited.is_empty();
         match answer {
@@ -241,14 +268,14 @@
         }
     }
 
-    /// Decides a search that has not found the origin: the stream goes on if only one software version
-    /// can have begun it.
+    /// Decides a search in which no VM knew the origin: the stream goes on if only one software version can
+    /// have begun it; else the engines are asked.
     fn conclude(&mut self, number: id::Call) {
         let Some(call) = self.state.calls.get(&number) else {
             return;
         };
         let question = Question {
-            stream: None,
+            key: Key::Stream(None),
             endpoint: call.endpoint.clone(),
         };
         let local = self.state.answer_origin(self.now, &question);
@@ -266,6 +293,17 @@
             let endpoint = question.endpoint;
             return self.bind(number, Origin { endpoint, build }, Source::SoleBuild);
         }
+        if !self.ask_engines(number) {
+            self.give_up_search(number);
+        }
+    }
+
+    /// Refuses a call whose stream may have begun at any of several software versions.
+    pub(super) fn give_up_search(&mut self, number: id::Call) {
+        let call = self.state.calls.get(&number);
+        let Some(search) = call.and_then(|call| call.search.as_ref()) else {
+            return;
+        };
         if search.has_unresponsive || self.now < INTRODUCTION_TIME {
             self.record_source(number, Source::Unreachable, None);
             self.fail_call(number, Reason::OriginUnreachable);
@@ -276,7 +314,7 @@
     }
 
     /// Lets a call go on at the software version that began its stream.
-    fn bind(&mut self, number: id::Call, origin: Origin, source: Source) {
+    pub(super) fn bind(&mut self, number: id::Call, origin: Origin, source: Source) {
         self.record_source(number, source, Some(&origin.build));
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,6 +9,7 @@
 
 use crate::allocation::{Allocator, Claim, GrantNumber};
 use crate::budget::{Budget, Charge, Share};
+use crate::cache_index;
 use crate::call::Call;
 use crate::crash::{Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
 use crate::event::Directory;
@@ -208,6 +209,8 @@
     pub claims: Claims,
     /// Which software versions began streams.
     pub origins: origin::Table,
+    /// What engines hold, as far as this VM has asked them.
+    pub cache_index: cache_index::Index,
     /// Origins that are still to be told to other VMs.
     pub untold_origins: Vec<origin::Record>,
     /// Since when the list of runners has been read from the configuration service without a break.
@@ -273,6 +276,7 @@
             allocator: Allocator::default(),
             claims: Claims::default(),
             origins: origin::Table::default(),
+            cache_index: cache_index::Index::default(),
             untold_origins: Vec::new(),
             list_known_since: None,
             stream_timeout_max: Duration::ZERO,
@@ -313,9 +317,11 @@
 
     /// What this VM can tell of the origin of a stream.
     pub fn answer_origin(&self, now: Duration, question: &origin::Question) -> origin::Answer {
-        let known = question
-            .stream
-            .and_then(|stream| self.origins.get(stream, now));
+        let stream = match question.key {
+            origin::Key::Stream(stream) => stream,
+            origin::Key::Part(part) => return self.answer_by_part(now, question, part),
+        };
+        let known = stream.and_then(|stream| self.origins.get(stream, now));
         if let Some(origin) = known {
             return origin::Answer::Known(origin.clone());
         }
@@ -333,6 +339,19 @@
         }
     }
 
+    fn answer_by_part(
+        &self,
+        now: Duration,
+        question: &origin::Question,
+        part: id::Part,
+    ) -> origin::Answer {
+        if self.cache_index.is_pending(&question.endpoint, now) {
+            return origin::Answer::Pending;
+        }
+        let holding = self.cache_index.find(part, now);
+        holding.map_or(origin::Answer::Unknown, origin::Answer::Held)
+    }
+
     /// Whether this VM polls the configuration service at a short interval, so that an update whose
     /// response was lost is noticed soon. The first few VMs by name that reach the service do; the
     /// others learn from the views of these that they are behind.
--- a/crates/relay/tests/allocation.rs
+++ b/crates/relay/tests/allocation.rs
@@ -53,6 +53,7 @@
         group: 0,
         groups: 1,
         urgency,
+        holder: None,
         excluded: Vec::new(),
     }
 }
@@ -119,6 +120,47 @@
     }
 }
 
+fn held_by(holder: &str, ask: Ask) -> Ask {
+    Ask {
+        holder: Some(holder.into()),
+        ..ask
+    }
+}
+
+/// The engine that holds the prompt is granted, and no prefill, also where another one is idle.
+#[test]
+fn allocate_holder_with_room() {
+    let mut allocator = Allocator::default();
+    let first = allocate_one(&mut allocator, in_time(1, 1_000));
+    let second = allocate_one(&mut allocator, held_by(&first.decode, in_time(2, 1_000)));
+    assert_eq!(second.decode, first.decode);
+    assert_eq!((second.prefill, second.queued_tokens), (None, 0));
+    assert_eq!(allocator.load_at(&first.decode).prefill_tokens, 0);
+}
+
+/// The holder is promised no more than any other engine; the prompt is read anew where there is room.
+#[test]
+fn allocate_holder_full_elsewhere() {
+    let mut allocator = Allocator::default();
+    let first = allocate_one(&mut allocator, in_time(1, 60_000));
+    let second = allocate_one(&mut allocator, held_by(&first.decode, in_time(2, 50_000)));
+    assert_ne!(second.decode, first.decode);
+    assert!(second.prefill.is_some());
+}
+
+#[test]
+fn allocate_holder_unknown_elsewhere() {
+    let mut allocator = Allocator::default();
+    let grant = allocate_one(&mut allocator, held_by("gone", in_time(1, 1_000)));
+    assert!(grant.prefill.is_some());
+}
+
+/// Claims capacity for one more call of a VM of its own.
+fn allocate_one(allocator: &mut Allocator, ask: Ask) -> Grant {
+    allocator.record(claim(&format!("vm-{}", ask.call), 1, vec![ask]), ms(0));
+    allocate(allocator, ms(0)).remove(0).1
+}
+
 #[test]
 fn record_older_claim_is_ignored() {
     let mut allocator = Allocator::default();
--- /dev/null
+++ b/crates/relay/tests/cache_index.rs
@@ -0,0 +1,126 @@
+//! What engines list of the prompts that they hold, as evidence of where streams began.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hornbeamtiller_relay::cache_index::{Index, LISTING_INTERVAL, LISTING_TIMEOUT};
+use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::origin::Origin;
+use hornbeamtiller_relay::pool::Instance;
+
+const LIFETIME: Duration = Duration::from_secs(28);
+
+fn endpoint() -> id::Endpoint {
+    "llm".into()
+}
+
+fn engine(number: u64) -> Instance {
+    Instance {
+        runner: format!("engine-{number}").into(),
+        started_at_ms: number,
+    }
+}
+
+fn origin(build: &str) -> Origin {
+    Origin {
+        endpoint: endpoint(),
+        build: build.into(),
+    }
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn pending_until_all_answered() {
+    let mut index = Index::default();
+    let now = seconds(10);
+    assert!(index.is_pending(&endpoint(), now));
+    index.start(&endpoint(), BTreeSet::from([engine(1), engine(2)]), now);
+    index.end(&endpoint(), &engine(1));
+    assert!(index.is_pending(&endpoint(), now));
+    index.end(&endpoint(), &engine(2));
+    assert!(!index.is_pending(&endpoint(), now));
+}
+
+#[test]
+fn pending_engine_silent_ends() {
+    let mut index = Index::default();
+    let now = seconds(10);
+    index.start(&endpoint(), BTreeSet::from([engine(1)]), now);
+    assert!(index.is_pending(&endpoint(), now));
+    assert!(!index.is_pending(&endpoint(), now + LISTING_TIMEOUT));
+}
+
+#[test]
+fn due_once_per_interval() {
+    let mut index = Index::default();
+    let now = seconds(10);
+    assert!(index.is_due(&endpoint(), now));
+    index.start(&endpoint(), BTreeSet::new(), now);
+    assert!(!index.is_due(&endpoint(), now + LISTING_INTERVAL / 2));
+    assert!(index.is_due(&endpoint(), now + LISTING_INTERVAL));
+    assert!(index.is_due(&"other".into(), now));
+}
+
+#[test]
+fn find_two_builds_none() {
+    let mut index = Index::default();
+    let now = seconds(10);
+    index.record(&engine(1).runner, &origin("v1"), vec![1, 2], LIFETIME, now);
+    index.record(&engine(1).runner, &origin("v1"), vec![2], LIFETIME, now);
+    let build = |part| index.find(part, now).map(|holding| holding.origin.build);
+    assert_eq!(build(2), Some("v1".into()));
+    index.record(&engine(1).runner, &origin("v2"), vec![2], LIFETIME, now);
+    let build = |part| index.find(part, now).map(|holding| holding.origin.build);
+    assert_eq!(build(1), Some("v1".into()));
+    assert_eq!(build(2), None);
+}
+
+#[test]
+fn find_after_lifetime_none() {
+    let mut index = Index::default();
+    index.record(
+        &engine(1).runner,
+        &origin("v1"),
+        vec![1],
+        LIFETIME,
+        seconds(10),
+    );
+    assert!(index.find(1, seconds(37)).is_some());
+    assert!(index.find(1, seconds(38)).is_none());
+    index.evict(seconds(38));
+    assert!(index.is_empty());
+}
+
+#[test]
+fn record_bounded() {
+    let mut index = Index::default();
+    index.record(
+        &engine(1).runner,
+        &origin("v1"),
+        (0..100_000).collect(),
+        LIFETIME,
+        seconds(10),
+    );
+    assert_eq!(index.len(), 65_536);
+}
+
+/// An engine is named as long as its last list has the part; what it held before still tells the version.
+#[test]
+fn find_engine_of_last_listing() {
+    let mut index = Index::default();
+    let now = seconds(10);
+    for (number, parts) in [(1, vec![1, 2]), (2, vec![2])] {
+        let now = now + LISTING_INTERVAL * number;
+        index.start(&endpoint(), BTreeSet::from([engine(1)]), now);
+        index.record(&engine(1).runner, &origin("v1"), parts, LIFETIME, now);
+        index.end(&endpoint(), &engine(1));
+    }
+    let now = now + LISTING_INTERVAL * 2;
+    let engine_of = |part| index.find(part, now).map(|holding| holding.engine);
+    assert_eq!(engine_of(2), Some(Some(engine(1).runner)));
+    assert_eq!(engine_of(1), Some(None));
+    assert_eq!(engine_of(3), None);
+}
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -13,9 +13,9 @@
   # Takes grants of the caller.
   recordOrigins @3 (records :List(OriginRecord)) -> ();
   # Takes where streams began.
-  findOrigin @4 (stream :UInt64, endpoint :Text) -> (answer :OriginAnswer);
+  findOrigin @4 (stream :UInt64, endpoint :Text, asksEngines :Bool, part :UInt64) -> (answer :OriginAnswer);
   # Says where a stream began, by the number of the stream (0 if the caller did not name it) and the
-  # endpoint at which it is to go on.
+  # endpoint at which it is to go on; or, if the engines are to be asked, by the last part of its prompt.
   askPermit @5 (runner :Text, born :UInt64, vm :Text, peerAddress :Text) -> ();
   # Asks for a permit for a request to a runner that names a limit. It comes as a call the other way.
   permit @6 (runner :Text, born :UInt64, isReturned :Bool) -> ();
@@ -162,6 +162,8 @@
   excluded @8 :List(Text);
   build @9 :Text;
   # Software version that the engines must have; empty if any will do.
+  holder @10 :Text;
+  # Decode engine that holds its prompt; empty if none is known.
 }
 
 struct Claim {
@@ -198,9 +200,18 @@
     sole @2 :Text;
     # The only software version that can have begun the stream.
     known @3 :Origin;
+    pending @4 :Void;
+    # The engines are being asked; the question may be repeated in a moment.
+    held @5 :Holding;
   }
 }
 
+struct Holding {
+  origin @0 :Origin;
+  engine @1 :Text;
+  # Empty if none is known that holds the prompt still.
+}
+
 struct Origin {
   endpoint @0 :Text;
   build @1 :Text;
--- a/crates/wire/src/allocation.rs
+++ b/crates/wire/src/allocation.rs
@@ -33,6 +33,7 @@
     out.set_group(ask.group);
     out.set_groups(ask.groups);
     out.set_build(ask.build.as_deref().unwrap_or_default());
+    out.set_holder(ask.holder.as_deref().unwrap_or_default());
     let (urgency, slack) = match ask.urgency {
         Urgency::Started => (schema::Urgency::Started, Duration::ZERO),
         Urgency::InTime(slack) => (schema::Urgency::InTime, slack),
@@ -69,6 +70,7 @@
     let slack = Duration::from_millis(ask.get_slack_millis().into());
     let excluded = ask.get_excluded()?.iter().map(read_runner);
     let build = ask.get_build()?.to_str()?;
+    let holder = ask.get_holder()?.to_str()?;
     Ok(Ask {
         call: ask.get_call(),
         endpoint: ask.get_endpoint()?.to_str()?.into(),
@@ -82,6 +84,7 @@
             schema::Urgency::InTime => Urgency::InTime(slack),
             schema::Urgency::Late => Urgency::Late,
         },
+        holder: (!holder.is_empty()).then(|| holder.into()),
         excluded: excluded.collect::<Result<_, _>>()?,
     })
 }
--- a/crates/wire/src/origin.rs
+++ b/crates/wire/src/origin.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hornbeamtiller_relay::cache_index::Holding;
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::origin::{Answer, Origin, Record};
 
@@ -60,17 +61,31 @@
 /// Encodes an answer. That a VM did not respond is no answer, and encoded as one that knows nothing.
 pub fn write_answer(answer: &Answer, mut out: schema::origin_answer::Builder<'_>) {
     match answer {
-        Answer::Known(origin) => {
-            let mut out = out.init_known();
-            out.set_endpoint(&*origin.endpoint);
-            out.set_build(&*origin.build);
+        Answer::Known(origin) => write_origin(origin, out.init_known()),
+        Answer::Held(holding) => {
+            let mut out = out.init_held();
+            out.set_engine(holding.engine.as_deref().unwrap_or_default());
+            write_origin(&holding.origin, out.init_origin());
         }
         Answer::Sole(build) => out.set_sole(&**build),
         Answer::Mixed => out.set_mixed(()),
+        Answer::Pending => out.set_pending(()),
         Answer::Unknown | Answer::Unresponsive => out.set_unknown(()),
     }
 }
 
+fn write_origin(origin: &Origin, mut out: schema::origin::Builder<'_>) {
+    out.set_endpoint(&*origin.endpoint);
+    out.set_build(&*origin.build);
+}
+
+fn read_origin(origin: schema::origin::Reader<'_>) -> Result<Origin, Error> {
+    Ok(Origin {
+        endpoint: origin.get_endpoint()?.to_str()?.into(),
+        build: origin.get_build()?.to_str()?.into(),
+    })
+}
+
 /// Decodes an answer.
 ///
 /// # Errors
@@ -79,15 +94,18 @@
 pub fn read_answer(answer: schema::origin_answer::Reader<'_>) -> Result<Answer, Error> {
     use schema::origin_answer::Which;
     Ok(match answer.which()? {
-        Which::Known(origin) => {
-            let origin = origin?;
-            Answer::Known(Origin {
-                endpoint: origin.get_endpoint()?.to_str()?.into(),
-                build: origin.get_build()?.to_str()?.into(),
+        Which::Known(origin) => Answer::Known(read_origin(origin?)?),
+        Which::Held(holding) => {
+            let holding = holding?;
+            let engine = holding.get_engine()?.to_str()?;
+            Answer::Held(Holding {
+                origin: read_origin(holding.get_origin()?)?,
+                engine: (!engine.is_empty()).then(|| engine.into()),
             })
         }
         Which::Sole(build) => Answer::Sole(build?.to_str()?.into()),
         Which::Mixed(()) => Answer::Mixed,
         Which::Unknown(()) => Answer::Unknown,
+        Which::Pending(()) => Answer::Pending,
     })
 }
--- a/crates/wire/tests/allocation.rs
+++ b/crates/wire/tests/allocation.rs
@@ -18,6 +18,7 @@
         group: 3,
         groups: 8,
         urgency,
+        holder: build.map(|_| "i-4".into()),
         excluded: vec!["i-1".into(), "i-2".into()],
     };
     let sent = Claim {
--- a/crates/wire/tests/origin.rs
+++ b/crates/wire/tests/origin.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hornbeamtiller_relay::cache_index::Holding;
 use hornbeamtiller_relay::origin::{Answer, Origin, Record};
 use hornbeamtiller_wire::fleet_capnp::{fleet, origin_answer};
 use hornbeamtiller_wire::origin::{
@@ -15,6 +16,13 @@
     }
 }
 
+fn holding(engine: Option<&str>) -> Holding {
+    Holding {
+        origin: origin("v1"),
+        engine: engine.map(Into::into),
+    }
+}
+
 #[test]
 fn records_complete() {
     let record = |stream, build| Record {
@@ -45,6 +53,9 @@
         Answer::Sole("v1".into()),
         Answer::Mixed,
         Answer::Unknown,
+        Answer::Pending,
+        Answer::Held(holding(Some("i-1"))),
+        Answer::Held(holding(None)),
     ] {
         assert_eq!(encode(&answer), answer);
     }
