--- a/crates/relay/src/reduce/claim.rs
+++ b/crates/relay/src/reduce/claim.rs
@@ -214,7 +214,8 @@
         let Some(call) = self.state.calls.get(&number) else {
             return Urgency::Late;
         };
-        if call.progress.head_forwarded {
+        // A caller that goes on with a stream has a part of it, which a refusal would waste.
+        if call.progress.head_forwarded || call.build.is_some() {
             return Urgency::Started;
         }
         if self.headroom(number) == Headroom::Extra {
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use hornbeamtiller_relay::allocation::Urgency;
 use hornbeamtiller_relay::event::{Arrival, Effect, Event};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::manifest::Manifest;
@@ -562,6 +563,30 @@
     assert_eq!(resumed, (Some(Reason::OriginUnknown), None));
 }
 
+/// Guards against streams that are taken up again and starve behind new ones while engines are full.
+#[test]
+fn resume_full_engines_goes_before_new() {
+    let mut harness = Harness::new(1);
+    harness.state.policy.allocators = true;
+    harness.state.policy.memory_fraction = 0.0;
+    for number in 0..4 {
+        // An idle engine takes any call.
+        harness.apply(Event::Arrived(stream_arrival(100 + number, STREAM)));
+    }
+    harness.apply(Event::Arrived(stream_arrival(200, STREAM)));
+    harness.last_call = 200;
+    resume_recorded(&mut harness, record(origin::stream("first"), "v1"));
+    let claims = harness.state.claims.sent.values();
+    let asks: Vec<_> = claims.flat_map(|sent| &sent.claim.asks).collect();
+    let urgency = |call| {
+        asks.iter()
+            .find(|ask| ask.call == call)
+            .map(|ask| ask.urgency)
+    };
+    assert_eq!(urgency(201), Some(Urgency::Started));
+    assert!(matches!(urgency(200), Some(Urgency::InTime(_))));
+}
+
 #[test]
 fn table_different_origins_unknown() {
     let mut table = Table::default();
