--- a/crates/relay/src/reduce/listing.rs
+++ b/crates/relay/src/reduce/listing.rs
@@ -2,6 +2,7 @@
 //! See [`crate::cache_index`].
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::cache_index::Holding;
 use crate::call::Phase;
@@ -18,6 +19,9 @@
 
 use super::Reducer;
 
+/// How long a process that has just started gets to know its peers before it asks the engines.
+const START_DELAY: Duration = Duration::from_millis(300);
+
 impl Reducer<'_> {
     /// Has the engines asked for the origin of a call's stream; returns whether an answer can be expected.
     pub(super) fn ask_engines(&mut self, number: id::Call) -> bool {
@@ -176,11 +180,34 @@
         search.asked.extend(vm);
     }
 
-    /// Asks the engines of an endpoint what they hold, if a question is about that and they were not asked lately.
+    /// Asks the engines soon after the start, if this VM is the one that does: after the loss of all VMs new streams
+    /// take the place of what the engines hold, before callers go on with earlier ones.
+    pub(super) fn tick_listing(&mut self) {
+        let is_time = self.now >= START_DELAY && self.is_introduced() && self.state.pool_loaded;
+        if self.state.has_listed || !is_time || !self.state.is_ready() {
+            return;
+        }
+        self.state.has_listed = true;
+        let Some(manifest) = self.state.manifest.clone() else {
+            return;
+        };
+        for (endpoint, known) in &manifest.endpoints {
+            if known.engine.is_some() && self.pick_lister(endpoint, &[]).is_none() {
+                self.list_engines(endpoint);
+            }
+        }
+    }
+
+    /// Asks the engines of an endpoint what they hold, if a question is about that.
     pub(super) fn handle_origin_question(&mut self, question: &Question) {
-        let endpoint = &question.endpoint;
-        let is_due = self.state.cache_index.is_due(endpoint, self.now);
-        if !matches!(question.key, Key::Part(_)) || !is_due || !self.state.pool_loaded {
+        if matches!(question.key, Key::Part(_)) && self.state.pool_loaded {
+            self.list_engines(&question.endpoint);
+        }
+    }
+
+    /// Asks the engines of an endpoint what they hold, if they were not asked lately.
+    fn list_engines(&mut self, endpoint: &id::Endpoint) {
+        if !self.state.cache_index.is_due(endpoint, self.now) {
             return;
         }
         let runners = self.state.pool.at_endpoint(endpoint);
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -130,6 +130,7 @@
         self.tick_load();
         self.tick_allocator();
         self.tick_origins();
+        self.tick_listing();
         self.tick_crashes();
         self.tick_limits();
         self.tell_news();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -209,6 +209,8 @@
     pub claims: Claims,
     /// Which software versions began streams.
     pub origins: origin::Table,
+    /// Whether the engines were asked after the start what they hold, if this VM was the one to do so.
+    pub has_listed: bool,
     /// What engines hold, as far as this VM has asked them.
     pub cache_index: cache_index::Index,
     /// Origins that are still to be told to other VMs.
@@ -276,6 +278,7 @@
             allocator: Allocator::default(),
             claims: Claims::default(),
             origins: origin::Table::default(),
+            has_listed: false,
             cache_index: cache_index::Index::default(),
             untold_origins: Vec::new(),
             list_known_since: None,
