--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -93,8 +93,10 @@
     Full,
     /// Another runner is listening at the address.
     Displaced,
-    /// The VM that was to run it refused it.
+    /// The VM that was to run it refused it; a runner may have got it.
     Refused,
+    /// The VM that was to run it reaches no runner either.
+    OutOfReach,
 }
 
 /// How an attempt ended.
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -149,6 +149,11 @@
         self.unacknowledged_views == 0
     }
 
+    /// Whether it shuts down, ends what it has and acknowledges views.
+    pub fn is_leaving(&self) -> bool {
+        self.descriptor.status == Status::Leaving && self.is_reached()
+    }
+
     /// Whether it accepts callers and acknowledges views.
     pub fn is_serving(&self) -> bool {
         self.descriptor.status == Status::Ready && self.is_reached()
--- a/crates/relay/src/reduce/delegate.rs
+++ b/crates/relay/src/reduce/delegate.rs
@@ -31,8 +31,13 @@
             return false;
         }
         if call.delegated_by.is_some() {
-            // The VM that delegated it finds another one sooner.
-            self.fall_back(number, Reason::OutOfReach);
+            // The VM that delegated it finds another one sooner. It counts what reached a runner.
+            let reason = if call.arrivals.has_arrived() {
+                Reason::RunnersFailed
+            } else {
+                Reason::OutOfReach
+            };
+            self.fall_back(number, reason);
             return true;
         }
         if !self.is_fresh(number) {
@@ -68,22 +73,29 @@
         is_new && !self.has_crashes(number)
     }
 
-    /// Picks a VM that serves and reaches the endpoint of a call, in this availability zone if there is any.
+    /// Picks a VM that reaches the endpoint of a call: one that serves in this availability zone, else one that serves
+    /// elsewhere, else one that shuts down, which refuses what it can't end.
     fn pick_delegate(&mut self, number: id::Call) -> Option<Descriptor> {
         let call = self.state.calls.get(&number)?;
         if call.delegations >= DELEGATIONS_MAX || call.standby.is_some() {
             return None;
         }
+        let zone = &self.state.settings.zone;
+        let preference = |member: &Member| match member.is_serving() {
+            true if member.descriptor.zone == *zone => 0,
+            true => 1,
+            false => 2,
+        };
         let reaches = |member: &&Member| {
             let is_tried = call.tried.contains(&member.descriptor.vm);
-            member.is_serving() && !is_tried && !member.unreached.contains(&call.endpoint)
+            let is_up = member.is_serving() || member.is_leaving();
+            is_up && !is_tried && !member.unreached.contains(&call.endpoint)
         };
-        let zone = &self.state.settings.zone;
-        let candidates = self.state.members.iter().filter(reaches);
-        let (near, far): (Vec<&Member>, Vec<&Member>) =
-            candidates.partition(|member| member.descriptor.zone == *zone);
-        let nearest = if near.is_empty() { far } else { near };
-        let picked = nearest.into_iter().choose(&mut self.state.rng)?;
+        let candidates: Vec<&Member> = self.state.members.iter().filter(reaches).collect();
+        let best = candidates.iter().map(|member| preference(member)).min()?;
+        let preferred = candidates.into_iter();
+        let preferred = preferred.filter(|member| preference(member) == best);
+        let picked = preferred.choose(&mut self.state.rng)?;
         Some(picked.descriptor.clone())
     }
 
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -314,7 +314,7 @@
             match decline {
                 Decline::Full => known.last_full_at = Some(now),
                 Decline::Displaced => known.displaced = true,
-                Decline::Refused => {}
+                Decline::Refused | Decline::OutOfReach => {}
             }
         }
     }
--- a/crates/relay/src/reduce/retry.rs
+++ b/crates/relay/src/reduce/retry.rs
@@ -3,7 +3,7 @@
 use crate::arrivals::{Arrival, Step};
 use crate::budget::{Share, Usage};
 use crate::decision_log::{Entry, Kind};
-use crate::event::Outcome;
+use crate::event::{Decline, Outcome};
 use crate::id;
 
 use super::Reducer;
@@ -104,7 +104,7 @@
 /// How an attempt with this outcome arrived.
 pub(super) fn arrival_of(outcome: &Outcome) -> Arrival {
     match outcome {
-        Outcome::Unwritten => Arrival::None,
+        Outcome::Unwritten | Outcome::Declined(Decline::OutOfReach) => Arrival::None,
         Outcome::Prefilled { .. } => Arrival::Prefilled,
         Outcome::Declined(_)
         | Outcome::Lost
--- a/crates/relay/tests/delegate.rs
+++ b/crates/relay/tests/delegate.rs
@@ -6,6 +6,7 @@
 use hornbeamtiller_relay::event::{
     Arrival, Decline, Dispatch, Effect, Event, Operation, Outcome, Presence,
 };
+use hornbeamtiller_relay::member::Status;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
 use support::{
     dispatch, dispatches, has, member, ms, refusal, stream_arrival, view, Harness, IDEMPOTENT,
@@ -171,6 +172,47 @@
     assert_eq!(names.len(), 3);
 }
 
+/// Guards against callers that are refused for want of a retry, while no runner has got their request.
+#[test]
+fn peer_out_of_reach_costs_no_retry() {
+    for (decline, is_asked) in [(Decline::OutOfReach, true), (Decline::Refused, false)] {
+        let mut harness = fleet(3);
+        harness.state.settings.retry_slack = 0.0;
+        harness.state.settings.retry_ratio = 0.0;
+        let first = delegate(&mut harness, NON_IDEMPOTENT);
+        let effects = harness.end_attempt(first.attempt, Outcome::Declined(decline));
+        let next = dispatches(&effects);
+        assert_eq!(next.iter().any(is_delegated), is_asked, "{decline}");
+    }
+}
+
+/// Guards against callers that are refused as all VMs that reach runners shut down at the same time: these still
+/// serve whom they have.
+#[test]
+fn call_without_reach_others_leaving_is_delegated() {
+    let mut harness = fleet(2);
+    for number in 2..4 {
+        let mut leaving = member(&format!("vm-{number}"), number, 2);
+        leaving.status = Status::Leaving;
+        harness.receive_view(leaving, false);
+    }
+    delegate(&mut harness, NON_IDEMPOTENT);
+}
+
+/// A VM that serves is asked before one that shuts down.
+#[test]
+fn call_without_reach_serving_before_leaving() {
+    for seed in 0..8 {
+        let mut harness = Harness::new(seed);
+        harness.receive_view(member("vm-2", 2, 1), false);
+        let mut leaving = member("vm-3", 3, 2);
+        leaving.status = Status::Leaving;
+        harness.receive_view(leaving, false);
+        let asked = delegate(&mut harness, NON_IDEMPOTENT);
+        assert_eq!(&*asked.runner, "vm-2");
+    }
+}
+
 /// The link to the other VM breaks: what may run once is not sent again, a read is.
 #[test]
 fn lost_at_peer() {
