A caller may come back for a stream whose VM was found to be down a moment ago

Cause: a VM that is down is not asked, and counts as one that will never know. Change: while a VM was found to be down less than 5 s ago, the refusal is origin_unreachable, with a delay. Evidence: resume_first_vm_killed_before_telling fails without the change. It expected origin_unknown at once; it now expects a delay at first and origin_unknown after 5 s.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -149,6 +149,11 @@
         self.unacknowledged_views == 0
     }
 
+    /// Whether it was found to be down less than `time` ago. It may only be paused.
+    pub fn is_newly_down(&self, time: Duration, now: Duration) -> bool {
+        self.descriptor.status == Status::Down && self.changed_at + time > now
+    }
+
     /// Whether it shuts down, ends what it has and acknowledges views.
     pub fn is_leaving(&self) -> bool {
         self.descriptor.status == Status::Leaving && self.is_reached()
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -22,6 +22,9 @@
 /// How long a process that has just started may not know all of its peers.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
 
+/// How long a process that does not run may come back with what it knows.
+const PAUSE_TIME: Duration = Duration::from_secs(5);
+
 impl Reducer<'_> {
     /// Records at which software version a stream began whose first event is about to be forwarded.
     pub(super) fn record_origin(&mut self, number: id::Call) {
@@ -304,7 +307,9 @@
         let Some(search) = call.and_then(|call| call.search.as_ref()) else {
             return;
         };
-        if search.has_unresponsive || self.now < INTRODUCTION_TIME {
+        let is_paused = |member: &Member| member.is_newly_down(PAUSE_TIME, self.now);
+        let may_know_later = search.has_unresponsive || self.state.members.iter().any(is_paused);
+        if may_know_later || self.now < INTRODUCTION_TIME {
             self.record_source(number, Source::Unreachable, None);
             self.fail_call(number, Reason::OriginUnreachable);
         } else {
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -124,6 +124,7 @@
     }
 }
 
+/// Guards against a caller who is told not to come back while the VM that began its stream may only be paused.
 #[test]
 fn resume_first_vm_killed_before_telling() {
     let mut fleet = Fleet::new(5, &TWO_BUILDS, 1);
@@ -132,6 +133,9 @@
     fleet.kill(1);
     fleet.report_down(1);
     let resumption = fleet.resume(2, Some(&request));
+    assert_eq!(refused(resumption), (Reason::OriginUnreachable, true));
+    fleet.advance(ms(5_000));
+    let resumption = fleet.resume(2, Some(&request));
     assert_eq!(refused(resumption), (Reason::OriginUnknown, false));
 }
 
