--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 use futures::channel::oneshot;
 use hornbeamtiller_http::body::{Channel, Sender, Truncated};
 use hornbeamtiller_http::cancel;
-use hornbeamtiller_http::client::{Client, Reuse};
+use hornbeamtiller_http::client::{self, Client, Reuse};
 use hornbeamtiller_relay::cache_index::LISTING_TIMEOUT;
 use hornbeamtiller_relay::event::{Dispatch, Effect, Event, KvCache};
 use hornbeamtiller_relay::id::{Attempt, Call, Endpoint};
@@ -18,7 +19,8 @@
 use hornbeamtiller_relay::reduce::reduce;
 use hornbeamtiller_relay::refusal::Refusal;
 use hornbeamtiller_relay::state::State;
-use http::response;
+use http::{response, Request};
+use http_body_util::Full;
 
 use crate::metrics::Metrics;
 use crate::peer::Connections;
@@ -30,6 +32,8 @@
 /// Timeout of the request that frees a KV cache at a prefill runner, and of each chunk of its
 /// response.
 const KV_FREE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of that response, in bytes.
+const KV_FREE_BYTES_MAX: usize = 1 << 10;
 
 /// The reducer's decision on how a caller's request is answered.
 #[derive(Debug)]
@@ -346,21 +350,21 @@
         let client = self.0.client.clone();
         let request = self.0.protocol.build_kv_free(&kv);
         monoio::spawn(async move {
-            let sent = client
-                .send_once(kv.address, request, Reuse::Allowed, KV_FREE_TIMEOUT)
-                .await;
-            let freed = match sent {
-                Ok(response) => response.collect(1 << 10, KV_FREE_TIMEOUT).await.map(|_| ()),
-                Err(error) => Err(error),
-            };
-            if let Err(error) = freed {
+            let freed = exchange(
+                &client,
+                kv.address,
+                request,
+                KV_FREE_BYTES_MAX,
+                KV_FREE_TIMEOUT,
+            );
+            if let Err(error) = freed.await {
                 log::info!(runner = &*kv.runner, error:% = error; "kv_not_freed");
             }
         });
     }
 
     /// Asks an engine which parts of prompts it holds.
-    fn list_parts(&self, endpoint: Endpoint, engine: Instance, address: std::net::SocketAddr) {
+    fn list_parts(&self, endpoint: Endpoint, engine: Instance, address: SocketAddr) {
         let driver = self.clone();
         monoio::spawn(async move {
             let body = driver.read_part_list(&engine, address).await;
@@ -374,20 +378,17 @@
     }
 
     /// The body of an engine's answer; none if it did not answer with success in time.
-    async fn read_part_list(
-        &self,
-        engine: &Instance,
-        address: std::net::SocketAddr,
-    ) -> Option<Bytes> {
+    async fn read_part_list(&self, engine: &Instance, address: SocketAddr) -> Option<Bytes> {
         let request = self.protocol().build_part_list(engine, address);
-        let client = self.client();
-        let sent = client.send_once(address, request, Reuse::Allowed, LISTING_TIMEOUT);
-        let read = match sent.await {
-            Ok(response) => response.collect(PART_LIST_BYTES_MAX, LISTING_TIMEOUT).await,
-            Err(error) => Err(error),
-        };
+        let listed = exchange(
+            self.client(),
+            address,
+            request,
+            PART_LIST_BYTES_MAX,
+            LISTING_TIMEOUT,
+        );
         let runner = &*engine.runner;
-        match read {
+        match listed.await {
             Ok((head, body)) if head.status.is_success() => return Some(body),
             Ok((head, _)) => {
                 let status = head.status.as_u16();
@@ -399,7 +400,7 @@
     }
 
     /// Checks whether anything listens at the address of a runner.
-    fn check_runner(&self, instance: Instance, address: std::net::SocketAddr) {
+    fn check_runner(&self, instance: Instance, address: SocketAddr) {
         let driver = self.clone();
         monoio::spawn(async move {
             let presence = presence::check(address).await;
@@ -407,7 +408,19 @@
         });
     }
 
-    fn publish_view(&self, address: std::net::SocketAddr, view: View) {
+    fn publish_view(&self, address: SocketAddr, view: View) {
         self.0.connections.publish(self, address, view);
     }
 }
+
+/// Sends a request at most once and reads the complete response; `timeout` is that of its head and of each chunk.
+async fn exchange(
+    client: &Client,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    bytes_max: usize,
+    timeout: Duration,
+) -> Result<(response::Parts, Bytes), client::Error> {
+    let sent = client.send_once(address, request, Reuse::Allowed, timeout);
+    sent.await?.collect(bytes_max, timeout).await
+}
--- a/crates/gateway/src/peer/service.rs
+++ b/crates/gateway/src/peer/service.rs
@@ -144,9 +144,10 @@
             key,
             endpoint: params.get_endpoint()?.to_str()?.into(),
         };
-        self.driver.apply(Event::OriginAsked {
-            question: question.clone(),
-        });
+        if matches!(question.key, Key::Part(_)) {
+            let endpoint = question.endpoint.clone();
+            self.driver.apply(Event::EnginesAsked { endpoint });
+        }
         let now = self.driver.now();
         let answer = self
             .driver
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -246,10 +246,10 @@
         /// The answer.
         answer: Answer,
     },
-    /// A peer asks where a stream began.
-    OriginAsked {
-        /// The question.
-        question: Question,
+    /// A peer asks where a stream began by what the engines of an endpoint hold.
+    EnginesAsked {
+        /// The endpoint.
+        endpoint: id::Endpoint,
     },
     /// An engine lists the parts of prompts that it holds, or does not in time.
     PartsListed {
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -28,7 +28,7 @@
 /// Interval at which a VM that is asking the engines is asked for what it has found.
 pub const PENDING_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a search waits for what engines hold.
-pub const ENGINES_TIMEOUT: Duration = Duration::from_secs(1);
+const ENGINES_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of streams whose origin is kept.
 const STREAMS_MAX: usize = 1 << 16;
 
@@ -37,9 +37,14 @@
     hash(request.as_bytes(), 0).max(1)
 }
 
-/// Rank of a VM for a stream; the VMs that rank highest are told its origin.
-pub fn rank(vm: &id::Vm, stream: id::Stream) -> u64 {
-    hash(vm.as_bytes(), stream)
+/// Key of a runner or an endpoint, for the rank of VMs that have a duty for it.
+pub fn name_key(name: &str) -> u64 {
+    stream(name)
+}
+
+/// Rank of a VM for a key, such as a stream; the VMs that rank highest for a stream are told its origin.
+pub fn rank(vm: &id::Vm, key: u64) -> u64 {
+    hash(vm.as_bytes(), key)
 }
 
 /// Where a stream began.
@@ -62,11 +67,6 @@
     pub lifetime: Duration,
 }
 
-/// Rank of a VM as the one that asks the engines of an endpoint; the highest does.
-pub fn engines_rank(vm: &id::Vm, endpoint: &id::Endpoint) -> u64 {
-    hash(vm.as_bytes(), hash(endpoint.as_bytes(), 0))
-}
-
 /// What a VM is asked to find the origin by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Key {
@@ -259,6 +259,18 @@
         }
     }
 
+    /// Goes on with the engines, if it has not done so yet; returns until when they are asked.
+    pub fn ask_engines(&mut self, now: Duration) -> Duration {
+        if let Stage::Engines { until } = self.stage {
+            return until;
+        }
+        let until = now + ENGINES_TIMEOUT;
+        self.stage = Stage::Engines { until };
+        self.asked.clear();
+        self.awaited.clear();
+        until
+    }
+
     /// Takes into account an answer that does not name the origin.
     pub fn record(&mut self, answer: Answer) {
         match answer {
--- a/crates/relay/src/reduce/delegate.rs
+++ b/crates/relay/src/reduce/delegate.rs
@@ -8,7 +8,7 @@
 use crate::arrivals::Step;
 use crate::call::Phase;
 use crate::decision_log::{Entry, Kind};
-use crate::event::{Dispatch, Effect, Operation};
+use crate::event::{Dispatch, Operation};
 use crate::id;
 use crate::member::{Descriptor, Member};
 use crate::pool::Instance;
@@ -126,29 +126,26 @@
             .charge(charge)
             .outcome(&delegate.vm);
         self.log(entry);
-        self.state.by_attempt.insert(attempt, number);
         let instance = Instance {
             runner: delegate.vm.clone(),
             started_at_ms: delegate.incarnation,
         };
         let in_flight = InFlight {
-            build: None,
-            instance,
-            sent_at: now,
-            begun_at: None,
-            is_sound: false,
             is_delegated: true,
+            ..InFlight::new(instance, None, now)
         };
-        self.state.in_flight.insert(attempt, in_flight);
-        self.emit(Effect::Dispatch(Dispatch {
-            attempt,
-            vm: self.state.local.vm.clone(),
-            call: number,
-            runner: delegate.vm.clone(),
-            address: delegate.caller_address,
-            operation,
-            time_limit,
-        }));
+        self.send_attempt(
+            in_flight,
+            Dispatch {
+                attempt,
+                vm: self.state.local.vm.clone(),
+                call: number,
+                runner: delegate.vm.clone(),
+                address: delegate.caller_address,
+                operation,
+                time_limit,
+            },
+        );
     }
 
     /// Whether a VM runs the current attempt of a call for this one.
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -243,30 +243,32 @@
         self.log(entry);
         let attempts = &mut self.state.counters.attempts;
         *attempts.entry((endpoint, charge)).or_default() += 1;
-        self.state.by_attempt.insert(attempt, number);
         let instance = runner.descriptor.instance();
         self.state.permits.take(&instance, self.now);
-        let in_flight = InFlight {
-            build: Some(runner.descriptor.build.clone()),
-            instance,
-            sent_at: self.now,
-            begun_at: None,
-            is_sound: false,
-            is_delegated: false,
-        };
-        self.state.in_flight.insert(attempt, in_flight);
-        self.emit(Effect::Dispatch(Dispatch {
-            attempt,
-            vm: self.state.local.vm.clone(),
-            call: number,
-            runner: name,
-            address: runner.descriptor.address,
-            operation,
-            time_limit,
-        }));
+        let build = Some(runner.descriptor.build.clone());
+        self.send_attempt(
+            InFlight::new(instance, build, self.now),
+            Dispatch {
+                attempt,
+                vm: self.state.local.vm.clone(),
+                call: number,
+                runner: name,
+                address: runner.descriptor.address,
+                operation,
+                time_limit,
+            },
+        );
         attempt
     }
 
+    /// Sends an attempt, and keeps what is known of it while it is in flight.
+    pub(super) fn send_attempt(&mut self, in_flight: InFlight, dispatch: Dispatch) {
+        let attempt = dispatch.attempt;
+        self.state.by_attempt.insert(attempt, dispatch.call);
+        self.state.in_flight.insert(attempt, in_flight);
+        self.emit(Effect::Dispatch(dispatch));
+    }
+
     pub(super) fn prompt_tokens(&self, number: id::Call) -> u64 {
         let call = self.state.calls.get(&number);
         call.and_then(|call| call.prompt)
--- a/crates/relay/src/reduce/limit.rs
+++ b/crates/relay/src/reduce/limit.rs
@@ -11,7 +11,7 @@
 use crate::event::Effect;
 use crate::id;
 use crate::limit::{Asker, Rate, Record, Statement};
-use crate::member::Status;
+use crate::member::{Member, Status};
 use crate::origin;
 use crate::pool::{self, Instance, Runner};
 use crate::refusal::Reason;
@@ -130,17 +130,8 @@
     /// The address of the VM that issues permits for a plain runner, by this VM's view of the fleet; none if
     /// this VM does.
     fn issuer_of(&self, runner: &id::Runner) -> Option<SocketAddr> {
-        let key = origin::stream(runner);
-        let members = self
-            .state
-            .members
-            .iter()
-            .filter(|member| member.is_serving());
-        let others = members.map(|member| &member.descriptor);
-        let local = self.state.is_ready().then_some(&self.state.local);
-        let issuer = others
-            .chain(local)
-            .max_by_key(|descriptor| origin::rank(&descriptor.vm, key))?;
+        let key = origin::name_key(runner);
+        let issuer = self.highest_ranked(key, Member::is_serving, self.state.is_ready())?;
         (issuer.vm != self.state.local.vm).then_some(issuer.peer_address)
     }
 
--- a/crates/relay/src/reduce/listing.rs
+++ b/crates/relay/src/reduce/listing.rs
@@ -10,12 +10,8 @@
 use crate::event::Effect;
 use crate::id;
 use crate::member::Member;
-use crate::origin::{
-    self, Answer, Key, Origin, Question, Source, Stage, ENGINES_TIMEOUT, PENDING_INTERVAL,
-    ROUND_TIMEOUT,
-};
-use crate::placement::Purpose;
-use crate::pool::{Instance, Runner};
+use crate::origin::{self, Answer, Key, Origin, Question, Source, PENDING_INTERVAL, ROUND_TIMEOUT};
+use crate::pool::{Instance, Role, Runner};
 
 use super::Reducer;
 
@@ -33,16 +29,7 @@
         let Some(search) = call.and_then(|call| call.search.as_mut()) else {
             return false;
         };
-        let until = match search.stage {
-            Stage::Vms => now + ENGINES_TIMEOUT,
-            Stage::Engines { until } => until,
-        };
-        if search.stage == Stage::Vms {
-            search.asked.clear();
-            search.awaited.clear();
-        }
-        search.stage = Stage::Engines { until };
-        if until <= now {
+        if search.ask_engines(now) <= now {
             return false;
         }
         let asked = search.asked.clone();
@@ -71,22 +58,18 @@
 
     /// The VM that asks the engines of an endpoint, without those that did not respond; none if it is this one.
     fn pick_lister(&self, endpoint: &id::Endpoint, unresponsive: &[id::Vm]) -> Option<SocketAddr> {
-        let rank = |vm: &id::Vm| origin::engines_rank(vm, endpoint);
-        let can_ask = |member: &&Member| {
+        let can_ask = |member: &Member| {
             let is_responsive = !unresponsive.contains(&member.descriptor.vm);
             is_responsive && member.is_serving() && !member.unreached.contains(endpoint)
         };
-        let members = self.state.members.iter().filter(can_ask);
-        let highest = members.max_by_key(|member| rank(&member.descriptor.vm))?;
-        let local = rank(&self.state.local.vm);
-        let is_here = !self.state.unreached.contains(endpoint);
-        let is_higher = !is_here || rank(&highest.descriptor.vm) > local;
-        is_higher.then_some(highest.descriptor.peer_address)
+        let is_reached = !self.state.unreached.contains(endpoint);
+        let lister = self.highest_ranked(origin::name_key(endpoint), can_ask, is_reached)?;
+        (lister.vm != self.state.local.vm).then_some(lister.peer_address)
     }
 
     /// Asks the engines from here; returns whether they have still to answer, or have told.
     fn ask_engines_here(&mut self, number: id::Call, question: &Question) -> bool {
-        self.handle_origin_question(question);
+        self.list_engines(&question.endpoint);
         match self.state.answer_origin(self.now, question) {
             Answer::Held(holding) => self.bind_by_engines(number, holding),
             Answer::Pending => {
@@ -183,8 +166,10 @@
     /// Asks the engines soon after the start, if this VM is the one that does: after the loss of all VMs new streams
     /// take the place of what the engines hold, before callers go on with earlier ones.
     pub(super) fn tick_listing(&mut self) {
-        let is_time = self.now >= START_DELAY && self.is_introduced() && self.state.pool_loaded;
-        if self.state.has_listed || !is_time || !self.state.is_ready() {
+        if self.state.has_listed || self.now < START_DELAY {
+            return;
+        }
+        if !self.is_introduced() || !self.state.pool_loaded || !self.state.is_ready() {
             return;
         }
         self.state.has_listed = true;
@@ -198,20 +183,13 @@
         }
     }
 
-    /// Asks the engines of an endpoint what they hold, if a question is about that.
-    pub(super) fn handle_origin_question(&mut self, question: &Question) {
-        if matches!(question.key, Key::Part(_)) && self.state.pool_loaded {
-            self.list_engines(&question.endpoint);
-        }
-    }
-
-    /// Asks the engines of an endpoint what they hold, if they were not asked lately.
-    fn list_engines(&mut self, endpoint: &id::Endpoint) {
-        if !self.state.cache_index.is_due(endpoint, self.now) {
+    /// Asks the engines of an endpoint what they hold, if they are known and were not asked lately.
+    pub(super) fn list_engines(&mut self, endpoint: &id::Endpoint) {
+        if !self.state.pool_loaded || !self.state.cache_index.is_due(endpoint, self.now) {
             return;
         }
         let runners = self.state.pool.at_endpoint(endpoint);
-        let engines = runners.filter(|runner| is_decode_engine(runner));
+        let engines = runners.filter(|runner| runner.descriptor.role == Some(Role::Decode));
         let asked: Vec<(Instance, SocketAddr)> = engines
             .map(|runner| (runner.descriptor.instance(), runner.descriptor.address))
             .collect();
@@ -256,7 +234,3 @@
         index.record(&engine.runner, &origin, parts, lifetime, self.now);
     }
 }
-
-fn is_decode_engine(runner: &Runner) -> bool {
-    runner.descriptor.role.is_some() && Purpose::Decode.accepts(runner.descriptor.role)
-}
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -77,7 +77,7 @@
             address,
             answer,
         } => reducer.handle_origin_answer(call, address, answer),
-        Event::OriginAsked { question } => reducer.handle_origin_question(&question),
+        Event::EnginesAsked { endpoint } => reducer.list_engines(&endpoint),
         Event::PartsListed {
             endpoint,
             engine,
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -10,7 +10,7 @@
 use crate::event::Effect;
 use crate::id;
 use crate::manifest::Kind as RouteKind;
-use crate::member::{Member, Status};
+use crate::member::{Descriptor, Member, Status};
 use crate::origin::{
     self, Answer, Key, Origin, Question, Record, Search, Source, Stage, ASKED, PENDING_INTERVAL,
     REPLICAS, ROUNDS, ROUND_TIMEOUT,
@@ -112,6 +112,20 @@
         }
     }
 
+    /// The VM that ranks highest for a key, of the others that pass the filter and, if it is a candidate, this one.
+    pub(super) fn highest_ranked(
+        &self,
+        key: u64,
+        filter: impl Fn(&Member) -> bool,
+        is_local_candidate: bool,
+    ) -> Option<&Descriptor> {
+        let members = self.state.members.iter().filter(|member| filter(member));
+        let others = members.map(|member| &member.descriptor);
+        let local = is_local_candidate.then_some(&self.state.local);
+        let candidates = others.chain(local);
+        candidates.max_by_key(|descriptor| origin::rank(&descriptor.vm, key))
+    }
+
     /// The other VMs that pass the filter, those that rank highest for a stream first.
     fn rank_members(&self, stream: id::Stream, filter: fn(&Member) -> bool) -> Vec<&Member> {
         let members = self.state.members.iter();
--- a/crates/relay/src/reduce/quarantine.rs
+++ b/crates/relay/src/reduce/quarantine.rs
@@ -6,7 +6,7 @@
 use crate::crash::{Culprit, Feature};
 use crate::decision_log::{Entry, Kind};
 use crate::id;
-use crate::origin;
+use crate::member::Member;
 use crate::refusal::Reason;
 
 use super::fleet::MAJORITY;
@@ -117,14 +117,9 @@
 
     /// Whether this VM lets requests through: by its own view of the fleet, one VM does for each part or request.
     fn is_trial_here(&self, feature: Feature) -> bool {
-        let rank = |vm| origin::rank(vm, feature.key());
-        let local = rank(&self.state.local.vm);
-        let mut others = self
-            .state
-            .members
-            .iter()
-            .filter(|member| member.is_serving());
-        self.state.is_ready() && others.all(|member| rank(&member.descriptor.vm) < local)
+        let highest = self.highest_ranked(feature.key(), Member::is_serving, true);
+        let is_local = highest.is_some_and(|highest| highest.vm == self.state.local.vm);
+        self.state.is_ready() && is_local
     }
 
     pub(super) fn log_release(&mut self, feature: Feature, cause: &str) {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -127,6 +127,18 @@
 }
 
 impl InFlight {
+    /// An attempt that is about to be dispatched to a runner.
+    pub fn new(instance: Instance, build: Option<id::Build>, now: Duration) -> Self {
+        Self {
+            build,
+            instance,
+            sent_at: now,
+            begun_at: None,
+            is_sound: false,
+            is_delegated: false,
+        }
+    }
+
     /// Whether its response has gone on for a moment.
     pub fn has_gone_on(&self, now: Duration) -> bool {
         self.begun_at.is_some_and(|at| at + BEGIN_MARGIN <= now)
--- a/crates/relay/tests/crash_fleet.rs
+++ b/crates/relay/tests/crash_fleet.rs
@@ -3,45 +3,23 @@
 mod support;
 
 use hornbeamtiller_relay::refusal::Reason;
+use support::check::Check;
 use support::ms;
-use support::poison::{play, Incident, Play, Report, POISON};
+use support::poison::{play, Incident, Play, POISON};
 
 /// Seeds of each play.
 const SEEDS: u64 = 3;
 
-/// What must hold of a play: at most three requests with the part are sent too late, and sound ones beside them
-/// are served.
-fn check_play(name: &str, play_: &Play) -> Report {
-    let report = play(play_);
-    for part in &play_.culprits {
-        let late = report.sent_too_late(*part);
-        assert!(
-            late <= 3,
-            "{name}, seed {}: {late} sent too late",
-            play_.seed
-        );
-    }
-    let refused = report.refusals_of_sound();
-    let is_refused = refused.contains(&Reason::PromptQuarantined);
-    assert!(
-        !is_refused,
-        "{name}, seed {}: sound requests are refused",
-        play_.seed
-    );
-    report
-}
-
-fn check_seeds(name: &str, play_: impl Fn(u64) -> Play) {
-    for seed in 1..=SEEDS {
-        check_play(name, &play_(seed));
-    }
-}
+const CHECK: Check = Check {
+    seeds: SEEDS,
+    never: &[Reason::PromptQuarantined],
+};
 
 /// Guards against requests with a part under which five runners have crashed, sent to runners by any VM.
 #[test]
 fn fleet_sends_no_more_crashing_requests() {
     for seed in 1..=SEEDS {
-        let report = check_play(
+        let report = CHECK.play(
             "default",
             &Play {
                 seed,
@@ -58,7 +36,7 @@
 
 #[test]
 fn fleet_slow_crashing_requests() {
-    check_seeds("slow", |seed| Play {
+    CHECK.seeds("slow", |seed| Play {
         seed,
         poison: 0.5,
         ..Play::default()
@@ -67,7 +45,7 @@
 
 #[test]
 fn fleet_two_crashing_parts() {
-    check_seeds("two parts", |seed| Play {
+    CHECK.seeds("two parts", |seed| Play {
         seed,
         culprits: vec![POISON, POISON + 1],
         ..Play::default()
@@ -81,7 +59,7 @@
         let vm = number as usize % 10;
         (ms(11_500 + 900 * number), Incident::Restart { vm })
     };
-    check_seeds("restarts", |seed| Play {
+    CHECK.seeds("restarts", |seed| Play {
         seed,
         incidents: (8..27).map(restart).collect(),
         ..Play::default()
@@ -95,7 +73,7 @@
         let time = ms(5_000);
         (ms(10_500 + 100 * vm as u64), Incident::Cut { vm, time })
     };
-    check_seeds("cut off", |seed| Play {
+    CHECK.seeds("cut off", |seed| Play {
         seed,
         incidents: (0..3).map(cut).collect(),
         ..Play::default()
@@ -124,7 +102,7 @@
 #[test]
 fn fleet_runners_crash_for_other_reasons() {
     for gap in [0, 20, 120, 250, 1_000] {
-        check_seeds("storm", |seed| {
+        CHECK.seeds("storm", |seed| {
             let crash = |number: u64| {
                 let engines = 8;
                 let gap = ms(gap);
@@ -146,7 +124,7 @@
 /// The same just after the start, when no VM knows which parts are sound.
 #[test]
 fn fleet_runners_crash_at_start() {
-    check_seeds("storm at start", |seed| {
+    CHECK.seeds("storm at start", |seed| {
         let (engines, gap) = (12, ms(200));
         Play {
             seed,
@@ -161,7 +139,7 @@
 /// Both at once: the part is found among crashes that it does not explain.
 #[test]
 fn fleet_crashing_requests_amid_other_crashes() {
-    check_seeds("both", |seed| {
+    CHECK.seeds("both", |seed| {
         let crash = |number: u64| {
             let (engines, gap) = (4, ms(150));
             (
@@ -180,7 +158,7 @@
 /// A part that comes back after a while without it is known still.
 #[test]
 fn fleet_part_comes_back() {
-    check_seeds("comes back", |seed| Play {
+    CHECK.seeds("comes back", |seed| Play {
         seed,
         sound: 10.0,
         poisoned: vec![ms(11_000)..ms(15_000), ms(40_000)..ms(45_000)],
--- a/crates/relay/tests/crash_request_fleet.rs
+++ b/crates/relay/tests/crash_request_fleet.rs
@@ -3,13 +3,12 @@
 mod support;
 
 use hornbeamtiller_relay::refusal::Reason;
+use support::check::Check;
 use support::ms;
-use support::poison::{play, Incident, Play, Report, Service, POISON};
+use support::poison::{Incident, Play, Service, POISON};
 
 /// Seeds of each play.
 const SEEDS: u64 = 6;
-/// Arrivals at runners that are allowed later than 3 s after the third crash.
-const LATE_MAX: usize = 3;
 
 fn plain(seed: u64) -> Play {
     Play {
@@ -21,43 +20,16 @@
     }
 }
 
-fn check_play(name: &str, play_: &Play) -> Report {
-    let report = play(play_);
-    for culprit in &play_.culprits {
-        let late = report.sent_too_late(*culprit);
-        let crashes = report.crashes_of(*culprit);
-        println!(
-            "{name}, seed {}: {crashes} crashes, {late} late",
-            play_.seed
-        );
-        assert!(
-            late <= LATE_MAX,
-            "{name}, seed {}: {late} reached runners too late, {crashes} crashes",
-            play_.seed
-        );
-    }
-    let refused = report.refusals_of_sound();
-    let is_refused = refused.contains(&Reason::PromptQuarantined)
-        || refused.contains(&Reason::RequestQuarantined);
-    assert!(
-        !is_refused,
-        "{name}, seed {}: sound requests are refused",
-        play_.seed
-    );
-    report
-}
-
-fn check_seeds(name: &str, play_: impl Fn(u64) -> Play) {
-    for seed in 1..=SEEDS {
-        check_play(name, &play_(seed));
-    }
-}
+const CHECK: Check = Check {
+    seeds: SEEDS,
+    never: &[Reason::PromptQuarantined, Reason::RequestQuarantined],
+};
 
 /// Guards against a request under which three runners have crashed, sent to runners by any VM.
 #[test]
 fn fleet_sends_no_more_repeated_crashing_requests() {
     for seed in 1..=SEEDS {
-        let report = check_play("default", &plain(seed));
+        let report = CHECK.play("default", &plain(seed));
         assert!(report.crashes_of(POISON) >= 3, "seed {seed}");
         let served = report.answered_share(ms(20_000)..ms(29_000));
         assert!(served > 0.95, "seed {seed}: {served}");
@@ -66,7 +38,7 @@
 
 #[test]
 fn fleet_crashing_request_rare() {
-    check_seeds("rare", |seed| Play {
+    CHECK.seeds("rare", |seed| Play {
         poison: 0.4,
         ..plain(seed)
     });
@@ -75,7 +47,7 @@
 /// Several copies at once, so that all runners run it before the first has ended.
 #[test]
 fn fleet_crashing_request_often() {
-    check_seeds("often", |seed| Play {
+    CHECK.seeds("often", |seed| Play {
         poison: 30.0,
         ..plain(seed)
     });
@@ -83,7 +55,7 @@
 
 #[test]
 fn fleet_two_crashing_requests() {
-    check_seeds("two", |seed| Play {
+    CHECK.seeds("two", |seed| Play {
         culprits: vec![POISON, POISON + 1],
         ..plain(seed)
     });
@@ -96,7 +68,7 @@
         let vm = number as usize % 10;
         (ms(11_500 + 900 * number), Incident::Restart { vm })
     };
-    check_seeds("restarts", |seed| Play {
+    CHECK.seeds("restarts", |seed| Play {
         incidents: (8..27).map(restart).collect(),
         ..plain(seed)
     });
@@ -109,7 +81,7 @@
         let time = ms(5_000);
         (ms(10_500 + 100 * vm as u64), Incident::Cut { vm, time })
     };
-    check_seeds("cut off", |seed| Play {
+    CHECK.seeds("cut off", |seed| Play {
         incidents: (0..3).map(cut).collect(),
         ..plain(seed)
     });
@@ -118,7 +90,7 @@
 /// A request that comes back after a while without it is known still.
 #[test]
 fn fleet_crashing_request_comes_back() {
-    check_seeds("comes back", |seed| Play {
+    CHECK.seeds("comes back", |seed| Play {
         poisoned: vec![ms(11_000)..ms(15_000), ms(40_000)..ms(45_000)],
         length: ms(45_000),
         ..plain(seed)
@@ -129,7 +101,7 @@
 #[test]
 fn fleet_plain_runners_crash_for_other_reasons() {
     for gap in [0, 20, 120, 250, 1_000] {
-        check_seeds("storm", |seed| {
+        CHECK.seeds("storm", |seed| {
             let crash = |number: u64| {
                 let (engines, gap) = (3, ms(gap));
                 let at = ms(11_000 + 5_000 * number);
@@ -147,7 +119,7 @@
 /// Both at once: the request is found among crashes that it does not explain.
 #[test]
 fn fleet_crashing_request_amid_other_crashes() {
-    check_seeds("both", |seed| {
+    CHECK.seeds("both", |seed| {
         let crash = |number: u64| {
             let (engines, gap) = (1, ms(150));
             let at = ms(11_500 + 3_000 * number);
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -293,7 +293,7 @@
     let mut fleet = Fleet::new(7, &TWO_BUILDS, 1);
     let streams = begin_and_restart_all(&mut fleet, 7);
     let endpoint: id::Endpoint = "llm".into();
-    let rank = |vm: &usize| origin::engines_rank(&format!("vm-{vm}").into(), &endpoint);
+    let rank = |vm: &usize| origin::rank(&format!("vm-{vm}").into(), origin::name_key(&endpoint));
     let lister = (1..=7).max_by_key(rank).expect("a VM");
     fleet.kill(lister);
     let vm = 1 + lister % 7;
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -9,7 +9,7 @@
 use hornbeamtiller_relay::event::{Arrival, Dispatch, Effect, Event, Operation};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::member::Descriptor as MemberDescriptor;
-use hornbeamtiller_relay::origin::{self, Answer, Question, Record, Source};
+use hornbeamtiller_relay::origin::{self, Answer, Key, Question, Record, Source};
 use hornbeamtiller_relay::pool::{Descriptor, Instance, Role};
 use hornbeamtiller_relay::refusal::Refusal;
 use hornbeamtiller_relay::state::State;
@@ -380,8 +380,10 @@
                     self.apply(vm, Event::OriginsReceived { records });
                 }
                 Message::Question(call, question) => {
-                    let asked = question.clone();
-                    self.apply(vm, Event::OriginAsked { question: asked });
+                    if matches!(question.key, Key::Part(_)) {
+                        let endpoint = question.endpoint.clone();
+                        self.apply(vm, Event::EnginesAsked { endpoint });
+                    }
                     let harness = &self.vms[&vm].harness;
                     let process_time = now - self.vms[&vm].started_at;
                     let answer = harness.state.answer_origin(process_time, &question);
