A runner that says in its answers that it leaves gets no further requests (DRAIN)

Callers saw: requests went on to a runner that had said that it leaves (Server-Leaving) for as long as the list of runners called it ready, and failed when it ended.

Cause: the header was not read. And had it been, an entry at a newer revision or a complete list would have made the runner ready again. Class: what the other end tells in its answers is known from one source only, which is late or down.

Change: relay::departure keeps which processes have said so; from the head of the answer on such a process is leaving, and no list makes it ready but an entry that has said draining since and then ready. All VMs are told in their views. A VM that has run a request for another one names the runner in its answer. Views are boxed in events, as they have grown.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use hornbeamtiller_relay::limit::Statement;
 use hornbeamtiller_relay::pool::Report;
 use hornbeamtiller_relay::state::State;
+use http::response;
 
 use crate::driver::{Driver, Payload};
 use crate::presence;
@@ -72,6 +73,7 @@
             ResponseKind::Mismatched | ResponseKind::Declined(Decline::Displaced)
         ) {
             self.state_limit(&response.head);
+            self.state_departure(&response.head);
         }
         match kind {
             ResponseKind::Declined(decline) => {
@@ -89,7 +91,7 @@
     }
 
     /// Reports what a response says of its runner's limit, unless there is none and never was one.
-    fn state_limit(&self, head: &http::response::Parts) {
+    fn state_limit(&self, head: &response::Parts) {
         let Some(statement) = self.driver.protocol().parse_limit(head) else {
             return;
         };
@@ -103,6 +105,39 @@
         }
     }
 
+    /// Reports that a response says of a runner that it leaves.
+    fn state_departure(&self, head: &response::Parts) {
+        let protocol = self.driver.protocol();
+        if let Some(instance) = protocol
+            .parse_departure(head)
+            .filter(|_| self.is_delegated())
+        {
+            self.driver.apply(Event::DepartureTold { instance });
+        } else if protocol.says_departure(head) {
+            let attempt = self.dispatch.attempt;
+            self.driver.apply(Event::DepartureStated { attempt });
+        }
+    }
+
+    fn is_delegated(&self) -> bool {
+        matches!(self.dispatch.operation, Operation::Delegate { .. })
+    }
+
+    /// Prepares the head of a runner's response for the caller, or for the VM that has delegated the request.
+    fn finish_head(&self, head: &mut response::Parts) {
+        let protocol = self.driver.protocol();
+        protocol.strip_response_head(head);
+        let is_for_vm = self.caller_request.metadata.delegated_by.is_some();
+        if !is_for_vm || !protocol.says_departure(head) {
+            return;
+        }
+        let attempt = self.dispatch.attempt;
+        let find = |state: &State| Some(state.in_flight.get(&attempt)?.instance.clone());
+        if let Some(instance) = self.driver.with_state(find) {
+            protocol.add_departure(head, &instance);
+        }
+    }
+
     fn end(&self, outcome: Outcome, reported: Option<Report>) {
         self.end_with(outcome, reported, Payload::Empty);
     }
@@ -156,7 +191,7 @@
             return self.end(outcome, reported);
         }
         let status = head.status.as_u16();
-        self.driver.protocol().strip_response_head(&mut head);
+        self.finish_head(&mut head);
         let payload = Payload::Response(head, body);
         self.end_with(Outcome::Answered { status }, reported, payload);
     }
@@ -165,7 +200,7 @@
         let ends_with_connection = response.ends_with_connection();
         let mut head = http::Response::new(()).into_parts().0;
         std::mem::swap(&mut head, &mut response.head);
-        self.driver.protocol().strip_response_head(&mut head);
+        self.finish_head(&mut head);
         let attempt = self.dispatch.attempt;
         let mut parser = sse::Parser::default();
         let mut unsent_head = Some(head);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -217,6 +217,7 @@
             ("retry_denied", counters.retries_denied),
             ("caller_gone", counters.callers_disconnected),
             ("runner_crashed", counters.runners_crashed),
+            ("runner_departing", counters.runners_departing),
         ] {
             self.events.with_label_values(&[event]).inc_by(count);
         }
--- a/crates/gateway/src/peer/service.rs
+++ b/crates/gateway/src/peer/service.rs
@@ -88,7 +88,7 @@
         let view = view::read(params.get()?.get_view()?)
             .map_err(|error| capnp::Error::failed(error.to_string()))?;
         let view = self.decode(view);
-        self.driver.apply(Event::ViewReceived { view });
+        self.driver.apply(Event::ViewReceived { view: view.into() });
         Ok(())
     }
 
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -94,6 +94,15 @@
     /// Parses what a runner says of its limit; `None` if that can't be understood.
     fn parse_limit(&self, head: &response::Parts) -> Option<Statement>;
 
+    /// Whether a response says that its runner leaves.
+    fn says_departure(&self, head: &response::Parts) -> bool;
+
+    /// Names the runner that leaves in a response to the VM that has delegated the request.
+    fn add_departure(&self, head: &mut response::Parts, runner: &Instance);
+
+    /// Parses which runner leaves, as named by the VM to which the request was delegated.
+    fn parse_departure(&self, head: &response::Parts) -> Option<Instance>;
+
     /// Removes hop-by-hop headers, and those meant for the gateway alone, from a runner's response.
     fn strip_response_head(&self, head: &mut response::Parts);
 
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -162,6 +162,7 @@
             field(&attributes.fingerprint),
             field(&attributes.parts)
         ),
+        "runner_departs" => format!("runner {runner} has said that it leaves, {ms} ms ago: {outcome}"),
         "reach" => format!("runners of {} {outcome} to this VM", field(&attributes.endpoint)),
         "delegated" if attributes.connected.as_deref() == Some("true") => format!(
             "attempt {attempt}: {outcome} asked to run the request, which reached runners {ms} ms ago"
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -56,6 +56,8 @@
     RunnerRests,
     /// The limit that a runner names has changed.
     LimitNamed,
+    /// A runner says that it leaves.
+    RunnerDeparts,
     /// The process of a runner has ended while it had requests.
     RunnerCrashed,
     /// Runners are sent no requests with a part of prompts any more.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -201,7 +201,7 @@
     /// A view of the fleet was received from a peer.
     ViewReceived {
         /// The view.
-        view: View,
+        view: Box<View>,
     },
     /// A VM claims capacity of engines that this VM allocates.
     ClaimReceived {
@@ -267,6 +267,16 @@
         /// What it says.
         statement: Statement,
     },
+    /// A response of a runner says that it leaves.
+    DepartureStated {
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// A VM to which a request was delegated tells that the runner which ran it leaves.
+    DepartureTold {
+        /// The runner.
+        instance: Instance,
+    },
     /// A VM asks for a permit for a request to a runner.
     PermitAsked {
         /// The runner.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod crash;
 pub mod decision_log;
+pub mod departure;
 pub mod event;
 pub mod id;
 pub mod limit;
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::crash;
+use crate::departure;
 use crate::id;
 use crate::limit;
 use crate::manifest::Manifest;
@@ -87,6 +88,10 @@
     pub limits: Vec<limit::Record>,
     /// What the sender knows of crashes, if it has news or the receiver is known to lack some.
     pub crashes: Option<crash::Report>,
+    /// Digest of the runners of which the sender knows that they leave.
+    pub departure_digest: u64,
+    /// Runners that leave, of which the sender has news, or that the receiver may lack.
+    pub departures: Vec<departure::Record>,
     /// Endpoints of which the sender reaches no runner, or none of a stage.
     pub unreached: Vec<id::Endpoint>,
     /// Endpoints which some VM does not reach, and of which the sender has just reached a runner of each stage.
@@ -112,6 +117,8 @@
             digest: self.digest,
             limits: self.limits,
             crashes: self.crashes,
+            departure_digest: self.departure_digest,
+            departures: self.departures,
             unreached: self.unreached,
             reached: self.reached,
             reply_requested: self.reply_requested,
@@ -132,7 +139,7 @@
     pub unacknowledged_views: u32,
     /// When it last left a view unacknowledged.
     pub missed_at: Option<Duration>,
-    /// When it was last told all that is known of crashes and limits.
+    /// When it was last told all that is known of crashes, limits and departures.
     pub informed_at: Option<Duration>,
     /// Version of its manifest, as of its last message.
     pub manifest_version: id::Version,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::breaker::Breaker;
+use crate::departure;
 use crate::id;
 
 /// Stage of a model engine in the pipeline.
@@ -207,8 +208,7 @@
             Some(old + PREFILL_RATE_WEIGHT * (prefill_tokens_per_ms - old));
     }
 
-    fn new(descriptor: Descriptor, now: Duration) -> Self {
-        let status = status(&descriptor, now);
+    fn new(descriptor: Descriptor, status: Status) -> Self {
         Self {
             descriptor,
             status,
@@ -227,11 +227,13 @@
     }
 }
 
-fn status(descriptor: &Descriptor, now: Duration) -> Status {
-    if descriptor.draining {
-        Status::Leaving { started_at: now }
-    } else {
-        Status::Ready
+/// The status of a runner by its entry, and by its own word.
+fn status(descriptor: &Descriptor, departures: &departure::Table, now: Duration) -> Status {
+    let said_at = departures.said_at(&descriptor.instance());
+    match said_at {
+        Some(started_at) => Status::Leaving { started_at },
+        None if descriptor.draining => Status::Leaving { started_at: now },
+        None => Status::Ready,
     }
 }
 
@@ -251,6 +253,8 @@
     departed_builds: BTreeMap<(id::Endpoint, id::Build), Duration>,
     /// Revisions at which entries were removed, so that an older entry does not restore one.
     removed: HashMap<id::Runner, id::Revision>,
+    /// Runners that have said that they leave.
+    pub departures: departure::Table,
 }
 
 /// Number of removals at which all of them are forgotten, to bound the memory.
@@ -329,7 +333,7 @@
         match known {
             Some(runner) if runner.descriptor.revision >= descriptor.revision => {
                 if runner.descriptor.revision == descriptor.revision {
-                    return Self::reinstate(runner, now);
+                    return Self::reinstate(runner, &self.departures, now);
                 }
                 return false;
             }
@@ -338,8 +342,10 @@
                 if runner.descriptor.started_at_ms == descriptor.started_at_ms
                     && runner.descriptor.address == descriptor.address =>
             {
+                self.departures
+                    .note_entry(&descriptor.instance(), descriptor.draining);
                 if runner.descriptor.draining != descriptor.draining || !descriptor.draining {
-                    let status = status(&descriptor, now);
+                    let status = status(&descriptor, &self.departures, now);
                     let is_leaving_already = matches!(
                         (runner.status, status),
                         (Status::Leaving { .. }, Status::Leaving { .. })
@@ -369,15 +375,18 @@
         let runner = Runner {
             local_load: local_load.unwrap_or_default(),
             peer_load: peer_load.unwrap_or_default(),
-            ..Runner::new(descriptor.clone(), now)
+            ..Runner::new(
+                descriptor.clone(),
+                status(&descriptor, &self.departures, now),
+            )
         };
         self.runners.insert(descriptor.runner, runner);
         true
     }
 
     /// Restores a runner whose entry had been missing from the list.
-    fn reinstate(runner: &mut Runner, now: Duration) -> bool {
-        let status = status(&runner.descriptor, now);
+    fn reinstate(runner: &mut Runner, departures: &departure::Table, now: Duration) -> bool {
+        let status = status(&runner.descriptor, departures, now);
         let changed = status == Status::Ready && runner.status != Status::Ready;
         if changed {
             runner.status = Status::Ready;
@@ -385,6 +394,17 @@
         changed
     }
 
+    /// Records that a process said at a time that it leaves; returns whether that is news.
+    pub fn mark_departing(&mut self, instance: &Instance, at: Duration) -> bool {
+        let is_news = self.departures.record(instance, at);
+        let runner = self.runners.get_mut(&instance.runner);
+        let runner = runner.filter(|runner| runner.descriptor.is_of_instance(instance));
+        if let Some(runner) = runner.filter(|runner| runner.status == Status::Ready) {
+            runner.status = Status::Leaving { started_at: at };
+        }
+        is_news
+    }
+
     /// Marks an entry as removed. Its runner gets requests only if no other can; returns whether
     /// anything changed.
     pub fn mark_removed(
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -10,7 +10,6 @@
 use crate::id;
 use crate::member::{Descriptor, Member, Status, View};
 
-use super::news::News;
 use super::Reducer;
 
 /// Interval between probes.
@@ -193,6 +192,8 @@
             digest: self.digest(),
             limits: Vec::new(),
             crashes: None,
+            departure_digest: self.state.pool.departures.digest(),
+            departures: Vec::new(),
             unreached: self.state.unreached.iter().cloned().collect(),
             reached: self.reached_suspects(),
             reply_requested: false,
@@ -214,6 +215,8 @@
             digest,
             limits,
             crashes,
+            departure_digest,
+            departures,
             unreached,
             reached,
             reply_requested,
@@ -256,10 +259,12 @@
             self.handle_crash_report(report);
         }
         self.handle_limits(limits);
+        self.handle_departures(departures);
         let differs = digest != self.digest();
         self.state.introduced |= serves && !differs;
-        let News { crashes, limits } = self.news_for(&peer, is_first || differs);
-        let has_news = crashes.is_some() || !limits.is_empty();
+        let lacks_departures = departure_digest != self.state.pool.departures.digest();
+        let news = self.news_for(&peer, is_first || differs || lacks_departures);
+        let has_news = !news.is_empty();
         let peer_versions = PeerVersions::new(source_reached, manifest_version, revision);
         let is_behind = !source_reached
             && (manifest_version < self.manifest_version() || revision < self.state.pool.revision);
@@ -275,11 +280,7 @@
                 .members
                 .get(&peer)
                 .map(|member| member.descriptor.peer_address);
-            let view = View {
-                crashes,
-                limits,
-                ..self.view(peer_versions, limit, false)
-            };
+            let view = news.into_view(self.view(peer_versions, limit, false));
             if let Some(address) = address {
                 self.emit(Effect::PublishView { address, view });
             }
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod crash;
 mod delegate;
+mod departure;
 mod dispatch;
 mod finish;
 mod fleet;
@@ -61,7 +62,7 @@
             outcome,
             reported,
         } => reducer.handle_attempt_end(attempt, outcome, reported),
-        Event::ViewReceived { view } => reducer.handle_view(view),
+        Event::ViewReceived { view } => reducer.handle_view(*view),
         Event::PeerUnresponsive { address } => reducer.handle_unresponsive_peer(address),
         Event::ClaimReceived { claim } => reducer.handle_claim(claim),
         Event::GrantsReceived { batch } => reducer.handle_grants(batch),
@@ -87,6 +88,8 @@
         Event::LimitStated { attempt, statement } => {
             reducer.handle_limit_statement(attempt, statement)
         }
+        Event::DepartureStated { attempt } => reducer.handle_departure_statement(attempt),
+        Event::DepartureTold { instance } => reducer.record_departure(&instance, None),
         Event::PermitAsked { instance, asker } => reducer.handle_permit_ask(instance, asker),
         Event::PermitReceived { instance } => reducer.handle_permit(instance),
         Event::PermitReturned { instance } => reducer.handle_returned_permit(&instance),
@@ -134,6 +137,7 @@
         self.tick_listing();
         self.tick_crashes();
         self.tick_limits();
+        self.tick_departures();
         self.tell_news();
         self.tick_leave();
     }
--- a/crates/relay/src/reduce/news.rs
+++ b/crates/relay/src/reduce/news.rs
@@ -1,6 +1,7 @@
-//! What VMs tell each other of crashes and limits, in their views.
+//! What VMs tell each other of crashes, limits and departures, in their views.
 
 use crate::crash;
+use crate::departure;
 use crate::event::Effect;
 use crate::id;
 use crate::limit;
@@ -9,11 +10,28 @@
 use super::fleet::PROBE_INTERVAL;
 use super::Reducer;
 
-/// What a view says of crashes and limits.
+/// What a view says of crashes, limits and departures.
 #[derive(Debug, Clone, Default)]
 pub(super) struct News {
-    pub(super) crashes: Option<crash::Report>,
-    pub(super) limits: Vec<limit::Record>,
+    crashes: Option<crash::Report>,
+    limits: Vec<limit::Record>,
+    departures: Vec<departure::Record>,
+}
+
+impl News {
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_none() && self.limits.is_empty() && self.departures.is_empty()
+    }
+
+    /// The view with this news.
+    pub(super) fn into_view(self, view: View) -> View {
+        View {
+            crashes: self.crashes,
+            limits: self.limits,
+            departures: self.departures,
+            ..view
+        }
+    }
 }
 
 impl Reducer<'_> {
@@ -22,7 +40,7 @@
         self.state.quarantine.digest() ^ self.state.limits.digest()
     }
 
-    /// What a peer is told of crashes and limits: all that is known, if it may lack some and was not told
+    /// What a peer is told of crashes, limits and departures: all that is known, if it may lack some and was not told
     /// a moment ago.
     pub(super) fn news_for(&mut self, peer: &id::Vm, may_lack: bool) -> News {
         if !self.informs(peer, may_lack) {
@@ -31,11 +49,11 @@
         News {
             crashes: self.describe_crashes(),
             limits: self.describe_limits(),
+            departures: self.state.pool.departures.describe_all(self.now),
         }
     }
 
-    /// Whether a peer that may lack it is now told all that is known of crashes and limits; not more often
-    /// than it is probed.
+    /// Whether a peer that may lack it is now told all that is known; not more often than it is probed.
     fn informs(&mut self, peer: &id::Vm, may_lack: bool) -> bool {
         let now = self.now;
         let Some(member) = self.state.members.get_mut(peer).filter(|_| may_lack) else {
@@ -58,7 +76,7 @@
             .collect()
     }
 
-    /// Tells some other VMs what this one has learnt of crashes and limits since the last tick; they tell others.
+    /// Tells some other VMs what this one has learnt since the last tick; they tell others.
     pub(super) fn tell_news(&mut self) {
         let untold = std::mem::take(&mut self.state.untold);
         let crashes = self.describe_news(&untold);
@@ -67,23 +85,28 @@
         let limits: Vec<limit::Record> = changed
             .filter_map(|instance| known.describe(instance, self.now))
             .collect();
-        if crashes.is_some() || !limits.is_empty() {
-            self.publish_news(&News { crashes, limits });
+        let departing = untold.departures.iter();
+        let departures = departing
+            .filter_map(|instance| self.state.pool.departures.describe(instance, self.now))
+            .collect();
+        let news = News {
+            crashes,
+            limits,
+            departures,
+        };
+        if !news.is_empty() {
+            self.publish_news(&news);
         }
     }
 
-    /// Sends a random sample of the other VMs what this one has learnt of crashes and limits.
+    /// Sends a random sample of the other VMs what this one has learnt.
     fn publish_news(&mut self, news: &News) {
         for vm in self.sample_members() {
             let Some(member) = self.state.members.get(&vm) else {
                 continue;
             };
             let address = member.descriptor.peer_address;
-            let view = View {
-                crashes: news.crashes.clone(),
-                limits: news.limits.clone(),
-                ..self.load_view()
-            };
+            let view = news.clone().into_view(self.load_view());
             self.emit(Effect::PublishView { address, view });
         }
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -50,6 +50,8 @@
     pub retries_denied: u64,
     /// Runners found to have ended while they had requests of this VM.
     pub runners_crashed: u64,
+    /// Runners that say that they leave.
+    pub runners_departing: u64,
     /// Callers that disconnected before their response was complete.
     pub callers_disconnected: u64,
     /// Attempts by endpoint and by what they cost the retry budget.
@@ -98,7 +100,7 @@
     pub is_unacknowledged: bool,
 }
 
-/// What other VMs are still to be told of crashes and limits.
+/// What other VMs are still to be told of crashes, limits and departures.
 #[derive(Debug, Clone, Default)]
 pub struct Untold {
     /// Runners that have crashed.
@@ -107,6 +109,8 @@
     pub features: BTreeSet<Feature>,
     /// Runners whose limit has changed.
     pub limits: BTreeSet<Instance>,
+    /// Runners that say that they leave.
+    pub departures: BTreeSet<Instance>,
 }
 
 /// The runner of an attempt in flight, as listed when it was dispatched.
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -280,7 +280,9 @@
     });
     // Told twice, and also by another VM.
     for _ in 0..2 {
-        harness.apply(Event::ViewReceived { view: told.clone() });
+        harness.apply(Event::ViewReceived {
+            view: told.clone().into(),
+        });
         harness.advance(ms(10));
     }
     assert!(harness.state.quarantine.is_empty());
@@ -288,7 +290,7 @@
         crashes: vec![crash(10, 700), crash(11, 500)],
         features: Vec::new(),
     });
-    harness.apply(Event::ViewReceived { view: told });
+    harness.apply(Event::ViewReceived { view: told.into() });
     harness.advance(ms(10));
     assert!(is_held(&harness, SECOND));
 }
@@ -407,11 +409,11 @@
     assert!(support::dispatches(&arrive(&mut harness, &[FIRST, SECOND, 1])).is_empty());
     dispatch(&harness.arrive(support::NON_IDEMPOTENT));
     let probe = support::view(support::member("vm-1", 1, 100), true);
-    let effects = other.apply(Event::ViewReceived { view: probe });
+    let effects = other.apply(Event::ViewReceived { view: probe.into() });
     let mut view = support::view(peer, false);
     view.crashes = told_views(&effects).pop();
     view.digest = other.state.quarantine.digest();
-    let effects = harness.apply(Event::ViewReceived { view });
+    let effects = harness.apply(Event::ViewReceived { view: view.into() });
     let refused = refusal(&effects).expect("a refusal");
     assert_eq!(refused.reason, Reason::PromptQuarantined);
     dispatch(&arrive(&mut harness, &[FIRST, 0xb, 2]));
@@ -427,7 +429,9 @@
     view.crashes = Some(Report::default());
     let mut answers = 0;
     for _ in 0..100 {
-        let effects = harness.apply(Event::ViewReceived { view: view.clone() });
+        let effects = harness.apply(Event::ViewReceived {
+            view: view.clone().into(),
+        });
         answers += told_views(&effects).len();
         harness.now += ms(1);
     }
@@ -514,7 +518,7 @@
             hold: Some(hold),
         }],
     });
-    let effects = harness.apply(Event::ViewReceived { view: told });
+    let effects = harness.apply(Event::ViewReceived { view: told.into() });
     let aborts = |effect: &Effect| matches!(effect, Effect::AbortAttempt { attempt } if *attempt == replacement.attempt);
     assert!(support::has(&effects, aborts), "{effects:?}");
     assert!(harness.state.by_attempt.contains_key(&attempt));
--- a/crates/relay/tests/crash_request.rs
+++ b/crates/relay/tests/crash_request.rs
@@ -195,7 +195,7 @@
             hold: Some(hold),
         }],
     });
-    let refused = refusal(&harness.apply(Event::ViewReceived { view: told }));
+    let refused = refusal(&harness.apply(Event::ViewReceived { view: told.into() }));
     let refused = refused.expect("a refusal");
     assert_eq!(refused.reason, Reason::RequestQuarantined);
     assert_eq!((refused.claim, refused.retry_after), (Claim::NotRun, None));
--- a/crates/relay/tests/delegate.rs
+++ b/crates/relay/tests/delegate.rs
@@ -97,7 +97,7 @@
             crashes: vec![crash],
             features: Vec::new(),
         });
-        harness.apply(Event::ViewReceived { view: told });
+        harness.apply(Event::ViewReceived { view: told.into() });
         assert_eq!(harness.state.evidence.has_crashed(&instance), is_known);
         harness.now += ms(10);
     }
@@ -109,7 +109,7 @@
     let mut harness = fleet(2);
     let mut told = view(member("vm-2", 2, 1), false);
     told.unreached = vec!["pay".into()];
-    harness.apply(Event::ViewReceived { view: told });
+    harness.apply(Event::ViewReceived { view: told.into() });
     for _ in 0..5 {
         let delegated = delegate(&mut harness, NON_IDEMPOTENT);
         assert_eq!(&*delegated.runner, "vm-3");
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -179,7 +179,9 @@
     let mut reported = harness.state.local.clone();
     reported.status = Status::Down;
     received.members = vec![reported.clone()];
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     assert!(harness.state.local.version > reported.version);
 }
 
@@ -192,7 +194,9 @@
     let mut earlier = harness.state.local.clone();
     earlier.incarnation += 5_000;
     received.members = vec![earlier.clone()];
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     assert!(harness.state.local.incarnation > earlier.incarnation);
 }
 
@@ -213,7 +217,7 @@
     query.manifest_version = 0;
     query.revision = 0;
     query.source_reached = false;
-    let replies = published_views(&harness.apply(Event::ViewReceived { view: query }));
+    let replies = published_views(&harness.apply(Event::ViewReceived { view: query.into() }));
     let manifest = replies.iter().find_map(|view| view.manifest.clone());
     assert_eq!(manifest.map(|manifest| manifest.version), Some(2));
     assert!(replies.iter().any(|view| view.runners.is_some()));
@@ -231,7 +235,7 @@
     query.manifest_version = 0;
     query.revision = 0;
     harness.receive_view(member("vm-2", 2, 7), true);
-    let replies = published_views(&harness.apply(Event::ViewReceived { view: query }));
+    let replies = published_views(&harness.apply(Event::ViewReceived { view: query.into() }));
     assert!(replies
         .iter()
         .all(|view| view.manifest.is_none() && view.runners.is_none()));
@@ -245,7 +249,9 @@
     received.manifest = Some(manifest(6, routes()));
     received.manifest_version = 6;
     received.runners = Some(support::descriptors());
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     assert!(harness.state.is_ready());
     dispatch(&harness.arrive(NON_IDEMPOTENT));
 }
@@ -274,7 +280,9 @@
         prefill_tokens: 0,
     };
     received.loads = vec![("make-1".into(), load)];
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     let peer_requests = |harness: &Harness| {
         let runner = harness.state.pool.get(&"make-1".into()).expect("known");
         runner.peer_load.requests
@@ -297,7 +305,9 @@
             prefill_tokens: 0,
         };
         received.loads = vec![("make-9".into(), load)];
-        harness.apply(Event::ViewReceived { view: received });
+        harness.apply(Event::ViewReceived {
+            view: received.into(),
+        });
     };
     report(&mut harness, "vm-2", 2, 5);
     let descriptor = hornbeamtiller_relay::pool::Descriptor {
@@ -331,7 +341,9 @@
     // One of them loses the service, so this VM is among the first three again.
     let mut received = view(member("vm-03", 5, 1), false);
     received.source_reached = false;
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     assert!(harness.state.is_frequent_poller());
 }
 
@@ -341,7 +353,9 @@
     assert!(!harness.state.is_manifest_stale());
     let mut received = view(member("vm-2", 2, 1), false);
     received.manifest_version = 3;
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     assert!(harness.state.is_manifest_stale());
     harness.apply(Event::ManifestRead {
         manifest: manifest(3, routes()),
@@ -357,11 +371,13 @@
     let mut received = view(member("vm-2", 2, 1), false);
     (received.revision, received.last_change) = (50, 10);
     harness.apply(Event::ViewReceived {
-        view: received.clone(),
+        view: received.clone().into(),
     });
     assert!(!harness.state.is_runner_list_stale());
     received.last_change = 11;
-    harness.apply(Event::ViewReceived { view: received });
+    harness.apply(Event::ViewReceived {
+        view: received.into(),
+    });
     assert!(harness.state.is_runner_list_stale());
     harness.apply(Event::RunnerRemoved {
         runner: "pay-1".into(),
--- a/crates/relay/tests/limit.rs
+++ b/crates/relay/tests/limit.rs
@@ -155,7 +155,7 @@
         rate,
         age,
     }];
-    harness.apply(Event::ViewReceived { view: told });
+    harness.apply(Event::ViewReceived { view: told.into() });
 }
 
 /// The limit is taken from any response: here from that of a prefill.
--- a/crates/relay/tests/stream.rs
+++ b/crates/relay/tests/stream.rs
@@ -377,7 +377,7 @@
         let mut harness = Harness::with_shared_loads(3);
         let mut view = support::view(support::member("vm-2", 2, 7), false);
         view.waiting_calls = waiting;
-        harness.apply(Event::ViewReceived { view });
+        harness.apply(Event::ViewReceived { view: view.into() });
         let arrivals = (0..20).map(|_| dispatches(&harness.arrive(STREAM)).len());
         arrivals.sum::<usize>()
     };
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -270,7 +270,7 @@
             fleet.configure(number, engines.clone(), 10);
             for other in (0..count).filter(|other| *other != number) {
                 let view: View = super::view(describe(other, 1), false);
-                fleet.apply(number, Event::ViewReceived { view });
+                fleet.apply(number, Event::ViewReceived { view: view.into() });
             }
         }
         fleet
@@ -397,7 +397,7 @@
             Effect::ForwardEvent { call } => self.record_event(vm, call),
             Effect::PublishView { address, view } => {
                 self.views += 1;
-                self.send(vm, address, Event::ViewReceived { view });
+                self.send(vm, address, Event::ViewReceived { view: view.into() });
             }
             Effect::AskPermit {
                 address,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -382,7 +382,7 @@
     /// Delivers a view of a peer that has no load.
     pub fn receive_view(&mut self, sender: MemberDescriptor, reply_requested: bool) -> Vec<Effect> {
         let view = view(sender, reply_requested);
-        self.apply(Event::ViewReceived { view })
+        self.apply(Event::ViewReceived { view: view.into() })
     }
 }
 
@@ -421,6 +421,8 @@
         digest: 0,
         limits: Vec::new(),
         crashes: None,
+        departure_digest: 0,
+        departures: Vec::new(),
         unreached: Vec::new(),
         reached: Vec::new(),
         reply_requested,
@@ -441,6 +443,15 @@
     }
 }
 
+/// The views that are sent to peers.
+pub fn published_views(effects: &[Effect]) -> Vec<View> {
+    let views = effects.iter().filter_map(|effect| match effect {
+        Effect::PublishView { view, .. } => Some(view.clone()),
+        _ => None,
+    });
+    views.collect()
+}
+
 pub fn dispatches(effects: &[Effect]) -> Vec<Dispatch> {
     effects
         .iter()
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -97,6 +97,16 @@
   # Endpoints of which the sender reaches no runner, or none of a stage.
   reached @18 :List(Text);
   # Endpoints which some VM does not reach, and of which the sender has just reached a runner of each stage.
+  departureDigest @19 :UInt64;
+  # Of the runners of which the sender knows that they leave.
+  departures @20 :List(Departure);
+}
+
+struct Departure {
+  # A runner that has said that it leaves.
+  runner @0 :Text;
+  born @1 :UInt64;
+  ageMillis @2 :UInt32;
 }
 
 struct Limit {
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -8,9 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hornbeamtiller_relay::departure;
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::member::{self, Descriptor, Status};
-use hornbeamtiller_relay::pool::{self, Load, Role};
+use hornbeamtiller_relay::pool::{self, Instance, Load, Role};
 
 use crate::crash;
 use crate::fleet_capnp as schema;
@@ -64,6 +65,11 @@
     write_endpoints(&view.unreached, unreached);
     let reached = out.reborrow().init_reached(view.reached.len() as u32);
     write_endpoints(&view.reached, reached);
+    out.set_departure_digest(view.departure_digest);
+    let mut departures = out.reborrow().init_departures(view.departures.len() as u32);
+    for (index, record) in view.departures.iter().enumerate() {
+        write_departure(record, departures.reborrow().get(index as u32));
+    }
     let mut limits = out.reborrow().init_limits(view.limits.len() as u32);
     for (index, record) in view.limits.iter().enumerate() {
         limit::write(record, limits.reborrow().get(index as u32));
@@ -81,6 +87,22 @@
     }
 }
 
+fn write_departure(record: &departure::Record, mut out: schema::departure::Builder<'_>) {
+    out.set_runner(&*record.instance.runner);
+    out.set_born(record.instance.started_at_ms);
+    out.set_age_millis(millis(record.age));
+}
+
+fn read_departure(record: schema::departure::Reader<'_>) -> Result<departure::Record, Error> {
+    Ok(departure::Record {
+        instance: Instance {
+            runner: record.get_runner()?.to_str()?.into(),
+            started_at_ms: record.get_born(),
+        },
+        age: Duration::from_millis(record.get_age_millis().into()),
+    })
+}
+
 fn write_endpoints(endpoints: &[id::Endpoint], mut out: capnp::text_list::Builder<'_>) {
     for (index, endpoint) in endpoints.iter().enumerate() {
         out.set(index as u32, &**endpoint);
@@ -168,6 +190,12 @@
             .map(limit::read)
             .collect::<Result<_, _>>()?,
         crashes: crash::read(view)?,
+        departure_digest: view.get_departure_digest(),
+        departures: view
+            .get_departures()?
+            .iter()
+            .map(read_departure)
+            .collect::<Result<_, _>>()?,
         unreached: read_endpoints(view.get_unreached()?)?,
         reached: read_endpoints(view.get_reached()?)?,
         reply_requested: view.get_asks(),
