--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -53,10 +53,14 @@
             .driver
             .protocol()
             .build_request(&self.caller_request, &self.dispatch);
+        let reuse = match self.dispatch.is_repeat {
+            true => Reuse::Fresh,
+            false => Reuse::Allowed,
+        };
         let sent = self
             .driver
             .client()
-            .send_once(self.dispatch.address, request, Reuse::Allowed, self.timeout)
+            .send_once(self.dispatch.address, request, reuse, self.timeout)
             .await;
         let response = match sent {
             Ok(response) => response,
--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -187,7 +187,10 @@
     ) -> Result<Response, Error> {
         let mut may_reuse = reuse == Reuse::Allowed;
         loop {
-            let pooled = self.take_idle(address).filter(|_| may_reuse);
+            let pooled = match may_reuse {
+                true => self.take_idle(address),
+                false => None,
+            };
             may_reuse = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,5 +1,6 @@
 //! One call: its request, its progress, and what its attempts may have executed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -192,6 +193,8 @@
     pub retry_denied: bool,
     /// Runners that failed the request, had no capacity for it, or have another build than it requires.
     pub tried: Vec<id::Runner>,
+    /// Addresses to which it was sent.
+    pub sent_to: Vec<SocketAddr>,
     /// The processes at which an attempt was lost before its response had gone on for a moment.
     pub lost_at: Vec<Instance>,
     /// Runners that were not reached for it.
@@ -260,6 +263,15 @@
         self.execution_count + u32::from(self.standby.is_some())
     }
 
+    /// Records that it is sent to an address; returns whether it was before.
+    pub fn mark_sent(&mut self, address: SocketAddr) -> bool {
+        let is_repeat = self.sent_to.contains(&address);
+        if !is_repeat {
+            self.sent_to.push(address);
+        }
+        is_repeat
+    }
+
     /// Records that a runner failed the request, was silent, had no capacity for it, or is of a build that
     /// can't go on with it.
     pub fn mark_tried(&mut self, runner: &id::Runner) {
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -357,6 +357,9 @@
     pub operation: Operation,
     /// Time limit for the runner.
     pub time_limit: Duration,
+    /// Whether the request was sent to this address before. A connection that was used then may still bring an
+    /// earlier answer.
+    pub is_repeat: bool,
 }
 
 /// How a call ended, as counted in metrics.
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -67,6 +67,7 @@
             arrivals: Arrivals::default(),
             retry_denied: false,
             tried: Vec::new(),
+            sent_to: Vec::new(),
             lost_at: Vec::new(),
             unreached: Vec::new(),
             delegated_by: arrival.delegated_by.clone(),
--- a/crates/relay/src/reduce/delegate.rs
+++ b/crates/relay/src/reduce/delegate.rs
@@ -155,6 +155,7 @@
                 address: delegate.caller_address,
                 operation,
                 time_limit,
+                is_repeat: false,
             },
         );
     }
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -228,6 +228,7 @@
             Operation::Plain | Operation::Generate { .. } | Operation::Delegate { .. } => Step::Run,
         };
         let charge = call.arrivals.start(step);
+        let is_repeat = call.mark_sent(runner.descriptor.address);
         let time_limit = call.remaining(self.now);
         let endpoint = call.endpoint.clone();
         let entry = Entry::new(Kind::Dispatched)
@@ -256,6 +257,7 @@
                 address: runner.descriptor.address,
                 operation,
                 time_limit,
+                is_repeat,
             },
         );
         attempt
