--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -221,7 +221,10 @@
                 self.log_failure(Failure::Unusable);
                 return self.end(Outcome::Lost, reported);
             }
-            let events = StreamEvents::take(&mut parser);
+            let Some(events) = StreamEvents::take(&mut parser) else {
+                self.log_failure(Failure::Unusable);
+                return self.end(Outcome::Lost, reported);
+            };
             for (event, position) in events.0 {
                 // The head is forwarded with the first event, so that a stream that breaks before it
                 // can still be retried or refused.
@@ -295,12 +298,16 @@
 struct StreamEvents(Vec<(Bytes, Option<u64>)>);
 
 impl StreamEvents {
-    fn take(parser: &mut sse::Parser) -> Self {
+    /// Takes what a parser has buffered; none if a part of it is no event.
+    fn take(parser: &mut sse::Parser) -> Option<Self> {
         let mut events = Vec::new();
         // Blocks without an id are sent together with the next event that has one, or alone if no
         // such event is buffered.
         let mut pending = BytesMut::new();
         while let Some(block) = parser.next_block() {
+            if !sse::is_event(&block) {
+                return None;
+            }
             match sse::parse_id(&block) {
                 Some(position) if pending.is_empty() => events.push((block, Some(position))),
                 Some(position) => {
@@ -313,6 +320,6 @@
         if !pending.is_empty() {
             events.push((pending.freeze(), None));
         }
-        Self(events)
+        Some(Self(events))
     }
 }
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -5,6 +5,9 @@
 /// Largest size of one event, in bytes.
 const EVENT_BYTES_MAX: usize = 256 << 10;
 
+/// The fields of events, with the colon after them.
+const FIELDS: [&[u8]; 4] = [b"id:", b"data:", b"event:", b"retry:"];
+
 /// One event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -69,6 +72,14 @@
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
 
+/// Whether a block is an event or a comment, and not bytes of something else.
+pub fn is_event(block: &[u8]) -> bool {
+    let lines = block.split(|byte| *byte == b'\n');
+    let mut lines = lines.filter(|line| !line.is_empty());
+    let is_field = |line: &[u8]| FIELDS.iter().any(|field| line.starts_with(field));
+    lines.clone().any(is_field) || lines.all(|line| line.starts_with(b":"))
+}
+
 fn parse_event(block: &Bytes) -> Option<Event> {
     let mut data = None;
     for line in block.split(|byte| *byte == b'\n') {
