A runner that asks for no requests for a time gets none from that VM (BUDGET)

Callers saw: requests that a runner had turned away with Retry-After came to it again after 60 ms, and were declined again; where all runners did so, their callers waited for a place and were told to come back after 0.12 s.

Cause: Retry-After of a runner's 503 was not read. Class: as of Server-Leaving.

Change: the runner gets no request from this VM until then (the longest of several; at most 60 s; for that process alone), whatever was granted or reserved. Where all runners of a stage rest, a call that no runner has got is run by another VM, any other one is refused at once, with a Retry-After from when the first may be asked on, spread; a stream that has started waits.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -78,6 +78,7 @@
         ) {
             self.state_limit(&response.head);
             self.state_departure(&response.head);
+            self.state_rest(&response.head);
         }
         match kind {
             ResponseKind::Declined(decline) => {
@@ -123,6 +124,15 @@
         }
     }
 
+    /// Reports that a runner asks for no requests for a time.
+    fn state_rest(&self, head: &response::Parts) {
+        let attempt = self.dispatch.attempt;
+        let asked = self.driver.protocol().parse_rest(head);
+        if let Some(time) = asked.filter(|_| !self.is_delegated()) {
+            self.driver.apply(Event::RestAsked { attempt, time });
+        }
+    }
+
     fn is_delegated(&self) -> bool {
         matches!(self.dispatch.operation, Operation::Delegate { .. })
     }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -94,6 +94,9 @@
     /// Parses what a runner says of its limit; `None` if that can't be understood.
     fn parse_limit(&self, head: &response::Parts) -> Option<Statement>;
 
+    /// Parses for how long a runner that declines a request asks for no further ones; none if it does not.
+    fn parse_rest(&self, head: &response::Parts) -> Option<Duration>;
+
     /// Whether a response says that its runner leaves.
     fn says_departure(&self, head: &response::Parts) -> bool;
 
--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -162,6 +162,7 @@
             field(&attributes.fingerprint),
             field(&attributes.parts)
         ),
+        "rest_asked" => format!("runner {runner} asks for no requests for {ms} ms"),
         "runner_departs" => format!("runner {runner} has said that it leaves, {ms} ms ago: {outcome}"),
         "reach" => format!("runners of {} {outcome} to this VM", field(&attributes.endpoint)),
         "delegated" if attributes.connected.as_deref() == Some("true") => format!(
@@ -207,6 +208,7 @@
         "request_quarantined" => "the same request crashed runners before",
         "out_of_reach" => "this VM reached no runner, nor did the one that asked it",
         "timed_out" => "the deadline passed",
+        "resting" => "all runners have asked for no requests for a while",
         "limited" => "the runners name limits, and others were sent to them first",
         "no_retry_left" => "the retry budget had no retry left",
         "leaving" => "the process was shutting down",
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -56,6 +56,8 @@
     RunnerRests,
     /// The limit that a runner names has changed.
     LimitNamed,
+    /// A runner asks for no requests for a while.
+    RestAsked,
     /// A runner says that it leaves.
     RunnerDeparts,
     /// The process of a runner has ended while it had requests.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -267,6 +267,13 @@
         /// What it says.
         statement: Statement,
     },
+    /// A response of a runner that declines a request asks for no further ones for a time.
+    RestAsked {
+        /// The attempt.
+        attempt: id::Attempt,
+        /// The time.
+        time: Duration,
+    },
     /// A response of a runner says that it leaves.
     DepartureStated {
         /// The attempt.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -109,7 +109,7 @@
     now: Duration,
     rng: &mut impl Rng,
 ) -> Option<&'a Runner> {
-    let candidates: Vec<&Runner> = eligible(pool, query)
+    let candidates: Vec<&Runner> = eligible(pool, query, now)
         .filter(|runner| query.purpose != Purpose::Decode || has_capacity(runner, query))
         .collect();
     let ready = |runner: &&&Runner| runner.status == Status::Ready;
@@ -164,7 +164,7 @@
 
 /// Picks a leaving runner that may still be used.
 pub fn pick_draining<'a>(pool: &'a Pool, query: &Query<'_>, now: Duration) -> Option<&'a Runner> {
-    eligible(pool, query)
+    eligible(pool, query, now)
         .filter(|runner| is_draining_usable(runner, query, now))
         .filter(|runner| !is_cooling_down(runner, query.purpose, now))
         .filter(|runner| has_capacity(runner, query))
@@ -174,17 +174,19 @@
 /// Whether any runner may get the call, now or once it has capacity.
 pub fn has_usable(pool: &Pool, query: &Query<'_>, now: Duration) -> bool {
     let is_ready = |runner: &Runner| runner.status == Status::Ready;
-    eligible(pool, query).any(|runner| is_ready(runner) || is_draining_usable(runner, query, now))
+    eligible(pool, query, now)
+        .any(|runner| is_ready(runner) || is_draining_usable(runner, query, now))
 }
 
-/// The runners that serve the purpose and have the build.
+/// The runners that serve the purpose, have the build, and have not asked for no requests.
 fn eligible<'a, 'q>(
     pool: &'a Pool,
     query: &'q Query<'_>,
+    now: Duration,
 ) -> impl Iterator<Item = &'a Runner> + use<'a, 'q> {
     pool.at_endpoint(query.endpoint)
         .filter(|runner| query.purpose.accepts(runner.descriptor.role) && !runner.displaced)
-        .filter(|runner| !runner.is_held_back)
+        .filter(move |runner| !runner.is_held_back && !runner.is_resting(now))
         .filter(|runner| runner.descriptor.is_of_build(query.build))
 }
 
@@ -201,7 +203,7 @@
         .last_full_at
         .is_some_and(|at| at + FULL_COOLDOWN > now);
     let kv = purpose == Purpose::Prefill && runner.kv_cooldown_until > now;
-    full || kv || runner.breaker.is_open(now)
+    full || kv || runner.is_resting(now) || runner.breaker.is_open(now)
 }
 
 /// A random part of the cost, so that VMs with the same view of the loads do not all pick the same
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -151,6 +151,8 @@
     pub last_seen_at: Option<Duration>,
     /// When this VM last had a connection to it that was made to see whether it is reached.
     pub connected_at: Option<Duration>,
+    /// Until when it has asked this VM for no requests.
+    pub rests_until: Duration,
     /// Until when it gets no prefills, because its KV caches expired too soon.
     pub kv_cooldown_until: Duration,
     /// Whether another runner responded at its address.
@@ -179,6 +181,11 @@
         failed_at.filter(|failed_at| self.reached_at().is_none_or(|at| at < *failed_at))
     }
 
+    /// Whether it has asked this VM for no requests for now.
+    pub fn is_resting(&self, now: Duration) -> bool {
+        self.rests_until > now
+    }
+
     /// Total known load in flight.
     pub fn load(&self) -> Load {
         let mut load = self.local_load;
@@ -220,6 +227,7 @@
             last_full_at: None,
             last_seen_at: None,
             connected_at: None,
+            rests_until: Duration::ZERO,
             kv_cooldown_until: Duration::ZERO,
             displaced: false,
             is_held_back: false,
--- a/crates/relay/src/reduce/delegate.rs
+++ b/crates/relay/src/reduce/delegate.rs
@@ -43,7 +43,14 @@
             self.fall_back(number, reason);
             return true;
         }
-        if !self.is_fresh(number) {
+        self.delegate(number)
+    }
+
+    /// Has another VM run a call, if one can; returns whether one was asked.
+    pub(super) fn delegate(&mut self, number: id::Call) -> bool {
+        let call = self.state.calls.get(&number);
+        let is_own = call.is_some_and(|call| call.delegated_by.is_none());
+        if !is_own || !self.is_fresh(number) {
             return false;
         }
         let Some(delegate) = self.pick_delegate(number) else {
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -73,7 +73,7 @@
                 self.fall_back(number, Reason::NoRetryLeft)
             };
         }
-        if self.advance_out_of_reach(number) {
+        if self.advance_out_of_reach(number) || self.advance_resting(number) {
             return;
         }
         let Some(call) = self.state.calls.get(&number) else {
--- a/crates/relay/src/reduce/listing.rs
+++ b/crates/relay/src/reduce/listing.rs
@@ -189,7 +189,9 @@
             return;
         }
         let runners = self.state.pool.at_endpoint(endpoint);
-        let engines = runners.filter(|runner| runner.descriptor.role == Some(Role::Decode));
+        let engines = runners.filter(|runner| {
+            runner.descriptor.role == Some(Role::Decode) && !runner.is_resting(self.now)
+        });
         let asked: Vec<(Instance, SocketAddr)> = engines
             .map(|runner| (runner.descriptor.instance(), runner.descriptor.address))
             .collect();
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -20,6 +20,7 @@
 mod outcome;
 mod quarantine;
 mod reach;
+mod rest;
 mod retry;
 mod source;
 mod standby;
@@ -88,6 +89,7 @@
         Event::LimitStated { attempt, statement } => {
             reducer.handle_limit_statement(attempt, statement)
         }
+        Event::RestAsked { attempt, time } => reducer.handle_rest(attempt, time),
         Event::DepartureStated { attempt } => reducer.handle_departure_statement(attempt),
         Event::DepartureTold { instance } => reducer.record_departure(&instance, None),
         Event::PermitAsked { instance, asker } => reducer.handle_permit_ask(instance, asker),
--- a/crates/relay/src/reduce/reach.rs
+++ b/crates/relay/src/reduce/reach.rs
@@ -55,7 +55,7 @@
     }
 
     /// What the calls of an endpoint need runners for.
-    fn needed_stages(&self, endpoint: &id::Endpoint) -> &'static [Purpose] {
+    pub(super) fn needed_stages(&self, endpoint: &id::Endpoint) -> &'static [Purpose] {
         let manifest = self.state.manifest.as_ref();
         let known = manifest.and_then(|manifest| manifest.endpoints.get(endpoint));
         if known.is_some_and(|known| known.engine.is_some()) {
@@ -101,7 +101,7 @@
         first.is_some_and(|first| reached_at.is_none_or(|at| at < *first))
     }
 
-    fn ready_runners<'a>(
+    pub(super) fn ready_runners<'a>(
         &'a self,
         endpoint: &id::Endpoint,
         purpose: Purpose,
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -24,6 +24,8 @@
     Full,
     /// The runners name limits, and other requests are sent to them first.
     Limited,
+    /// All runners of the endpoint have asked for no requests for a while.
+    Resting,
     /// The retry budget has no retry left.
     NoRetryLeft,
     /// The runners that were tried failed.
