VMs that reach no runner ask the others with a backoff, and serve beside the release before

Callers saw nothing yet: found by counting what VMs say to each other where no VM reaches a runner.

Change: six are asked at a time, for all endpoints together, and the interval doubles up to 3 s while too few are known that reach the endpoint. Those that did a moment ago are asked first.

The plays of 66 VMs serve all callers of cut VMs as before, also where every second VM, or each that reaches runners, has the views of the release before.

--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -153,8 +153,6 @@
     pub unreached: Vec<id::Endpoint>,
     /// When it last told, or showed, that it reaches an endpoint.
     pub reached_at: BTreeMap<id::Endpoint, Duration>,
-    /// When it was last asked what it reaches.
-    pub surveyed_at: Option<Duration>,
 }
 
 impl Member {
@@ -260,7 +258,6 @@
                     source_reached: true,
                     unreached: Vec::new(),
                     reached_at: BTreeMap::new(),
-                    surveyed_at: None,
                 };
                 self.members.insert(descriptor.vm, member);
                 true
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -29,7 +29,7 @@
 /// Maximum number of descriptors in the reply to the first view of a VM.
 const INITIAL_DESCRIPTORS_MAX: usize = 64;
 /// Number of VMs to which a change is published immediately.
-pub(super) const PUBLISH_FANOUT: usize = 8;
+const PUBLISH_FANOUT: usize = 8;
 /// Share of the fleet that a VM has to reach to know what most others know.
 pub(super) const MAJORITY: f64 = 0.5;
 /// How long a VM that is down is remembered.
--- a/crates/relay/src/reduce/reach.rs
+++ b/crates/relay/src/reduce/reach.rs
@@ -137,6 +137,7 @@
         if before != self.state.unreached {
             self.log_reach(&before);
             self.publish_to_sample();
+            self.restart_survey(before.is_empty());
         }
         self.survey();
     }
--- a/crates/relay/src/reduce/survey.rs
+++ b/crates/relay/src/reduce/survey.rs
@@ -3,6 +3,7 @@
 //! Views of all VMs come around only once in many seconds where the fleet is large, and a VM that says nothing may not
 //! have found out yet. So a VM counts as one that reaches an endpoint if it has said or shown so a moment ago.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::seq::IteratorRandom as _;
@@ -11,32 +12,46 @@
 use crate::id;
 use crate::member::Member;
 
-use super::fleet::PUBLISH_FANOUT;
 use super::Reducer;
 
 /// Number of VMs known to reach an endpoint from which on no others are asked.
 const REACHING_MIN: usize = 4;
 /// How long a VM that reached an endpoint is taken to reach it still.
 pub(super) const REACHING_TIME: Duration = Duration::from_secs(2);
-/// Interval between two rounds of questions.
-const SURVEY_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between two questions to the same VM.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two rounds of questions; it doubles while too few are known that reach the endpoint,
+const INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// up to this.
+const INTERVAL_MAX: Duration = Duration::from_secs(3);
+/// Maximum number of VMs that are asked in one round.
+const ASKED_MAX: usize = 6;
 
 impl Reducer<'_> {
-    /// Asks some VMs what they reach, for each endpoint that this VM does not reach.
+    /// Asks at once, as this VM reaches other endpoints than before, and often again if it reached all.
+    pub(super) fn restart_survey(&mut self, has_reached_all: bool) {
+        let survey = &mut self.state.survey;
+        survey.next_at = self.now;
+        if has_reached_all {
+            survey.interval = INTERVAL_MIN;
+        }
+    }
+
+    /// Asks some VMs what they reach, if too few are known that reach what this one does not.
     pub(super) fn survey(&mut self) {
-        if self.state.unreached.is_empty() || self.now < self.state.next_survey_at {
+        if self.state.unreached.is_empty() || self.now < self.state.survey.next_at {
             return;
         }
-        self.state.next_survey_at = self.now + SURVEY_INTERVAL;
+        let mut asked: BTreeSet<id::Vm> = BTreeSet::new();
         for endpoint in self.state.unreached.clone() {
-            for vm in self.pick_surveyed(&endpoint) {
-                if let Some(member) = self.state.members.get_mut(&vm) {
-                    member.surveyed_at = Some(self.now);
-                }
-                self.publish(&vm, true);
-            }
+            asked.extend(self.pick_surveyed(&endpoint));
+        }
+        let survey = &mut self.state.survey;
+        survey.interval = match asked.is_empty() {
+            true => INTERVAL_MIN,
+            false => (survey.interval * 2).min(INTERVAL_MAX),
+        };
+        survey.next_at = self.now + survey.interval;
+        for vm in asked.into_iter().take(ASKED_MAX) {
+            self.publish(&vm, true);
         }
     }
 
@@ -50,22 +65,18 @@
         if reaching.len() >= REACHING_MIN {
             return Vec::new();
         }
-        let is_due = |member: &&Member| {
-            let surveyed_at = member.surveyed_at;
-            surveyed_at.is_none_or(|at| at + REPEAT_INTERVAL <= now)
+        // Those that did a moment ago, then those of which nothing is known; what a VM said may have changed since.
+        let rank = |member: &Member| match member.reached_at.contains_key(endpoint) {
+            true => 0,
+            false if !member.unreached.contains(endpoint) => 1,
+            false => 2,
         };
-        let (unreaching, unknown): (Vec<&Member>, Vec<&Member>) = others
-            .into_iter()
-            .filter(is_due)
-            .partition(|member| member.unreached.contains(endpoint));
-        // What a VM said may have changed since.
-        let asked = if unknown.is_empty() {
-            unreaching
-        } else {
-            unknown
+        let Some(best) = others.iter().map(|member| rank(member)).min() else {
+            return Vec::new();
         };
-        let asked = asked.into_iter().map(|member| member.descriptor.vm.clone());
-        asked.choose_multiple(&mut self.state.rng, PUBLISH_FANOUT)
+        let asked = others.into_iter().filter(|member| rank(member) == best);
+        let asked = asked.map(|member| member.descriptor.vm.clone());
+        asked.choose_multiple(&mut self.state.rng, ASKED_MAX)
     }
 
     /// Whether a VM is known to reach an endpoint.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -100,6 +100,15 @@
     pub is_unacknowledged: bool,
 }
 
+/// When other VMs are asked what they reach.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Survey {
+    /// When to ask next.
+    pub next_at: Duration,
+    /// Time between the last two rounds of questions.
+    pub interval: Duration,
+}
+
 /// What other VMs are still to be told of crashes, limits and departures.
 #[derive(Debug, Clone, Default)]
 pub struct Untold {
@@ -195,8 +204,8 @@
     pub unreached: BTreeSet<id::Endpoint>,
     /// Runners that are being probed, as they may be out of reach.
     pub probes: HashSet<Instance>,
-    /// When to ask other VMs next what they reach.
-    pub next_survey_at: Duration,
+    /// When to ask other VMs what they reach.
+    pub survey: Survey,
     /// When runners were last probed.
     pub probed_at: HashMap<Instance, Duration>,
     /// Limits that runners name.
@@ -281,7 +290,7 @@
             abandoned: HashMap::new(),
             unreached: BTreeSet::new(),
             probes: HashSet::new(),
-            next_survey_at: Duration::ZERO,
+            survey: Survey::default(),
             probed_at: HashMap::new(),
             limits: limit::Table::default(),
             issuer: limit::Issuer::default(),
--- a/crates/relay/tests/reach_fleet.rs
+++ b/crates/relay/tests/reach_fleet.rs
@@ -115,6 +115,41 @@
     }
 }
 
+/// Every second VM is of the release before, which does not say what it reaches.
+#[test]
+fn cut_vms_beside_older_release_serve_their_callers() {
+    for barrier in [Barrier::Refusing, Barrier::Hanging] {
+        let play = Play {
+            older: (0..LARGE_FLEET).step_by(2).collect(),
+            ..large_play(LARGE_FLEET, LARGE_FLEET / 4, barrier)
+        };
+        check_play(&format!("older release, {barrier:?}"), &play);
+        let all_older = Play {
+            older: (0..LARGE_FLEET / 4).collect(),
+            ..large_play(LARGE_FLEET, LARGE_FLEET / 4, barrier)
+        };
+        check_play(&format!("all that reach older, {barrier:?}"), &all_older);
+    }
+}
+
+/// Views of one VM a second, of about 0.3 KB each, that keep control within 7 KB/s.
+const VIEWS_MAX: f64 = 20.0;
+
+/// Guards against a fleet that is busy asking itself who reaches the runners, where none does.
+#[test]
+fn no_vm_reaches_runners_few_views() {
+    let play_ = large_play(LARGE_FLEET, 0, Barrier::Refusing);
+    let calm = Play {
+        cuts: Vec::new(),
+        ..play_.clone()
+    };
+    let views = |play_: &Play| play(play_).fleet.views as f64;
+    let time = (play_.length - play_.cuts[0].time.start).as_secs_f64();
+    let extra = (views(&play_) - views(&calm)) / time / LARGE_FLEET as f64;
+    println!("{extra:.1} views a second and VM more than without a cut");
+    assert!(extra < VIEWS_MAX, "{extra}");
+}
+
 /// Few callers, so that a VM learns little from them.
 #[test]
 fn cut_vm_few_callers() {
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -57,6 +57,8 @@
     delegated_calls: BTreeMap<(usize, id::Attempt), (usize, id::Call)>,
     /// VMs that reach no other VM.
     pub cut: BTreeSet<usize>,
+    /// VMs whose views are those of the release before.
+    pub older: BTreeSet<usize>,
     /// Runners that VMs do not reach, and how it shows.
     pub unreached: BTreeMap<(usize, id::Runner), Barrier>,
     /// Parts that crash each engine that begins a stream with them.
@@ -202,6 +204,16 @@
     State::new(settings, local, seeds, number as u64)
 }
 
+/// A view as a VM of the release before sends or understands it.
+fn downgrade(view: View) -> View {
+    View {
+        reached: Vec::new(),
+        departure_digest: 0,
+        departures: Vec::new(),
+        ..view
+    }
+}
+
 fn end_attempt(attempt: id::Attempt, outcome: Outcome) -> Event {
     Event::AttemptEnded {
         attempt,
@@ -245,6 +257,7 @@
             delegations: BTreeMap::new(),
             delegated_calls: BTreeMap::new(),
             cut: BTreeSet::new(),
+            older: BTreeSet::new(),
             unreached: BTreeMap::new(),
             poison: BTreeSet::new(),
             crashing: BTreeSet::new(),
@@ -397,6 +410,15 @@
             Effect::ForwardEvent { call } => self.record_event(vm, call),
             Effect::PublishView { address, view } => {
                 self.views += 1;
+                let to = self
+                    .vms
+                    .iter()
+                    .position(|it| it.local.peer_address == address);
+                let is_older = |vm: usize| self.older.contains(&vm);
+                let view = match is_older(vm) || to.is_some_and(is_older) {
+                    true => downgrade(view),
+                    false => view,
+                };
                 self.send(vm, address, Event::ViewReceived { view: view.into() });
             }
             Effect::AskPermit {
--- a/crates/relay/tests/support/reach.rs
+++ b/crates/relay/tests/support/reach.rs
@@ -35,6 +35,8 @@
     pub plain: f64,
     pub streams: f64,
     pub cuts: Vec<Cut>,
+    /// VMs of the release before.
+    pub older: Vec<usize>,
     /// VMs that are started anew, and when.
     pub restarts: Vec<(Duration, usize)>,
     pub length: Duration,
@@ -49,6 +51,7 @@
             plain: 40.0,
             streams: 4.0,
             cuts: Vec::new(),
+            older: Vec::new(),
             restarts: Vec::new(),
             length: ms(30_000),
         }
@@ -90,6 +93,7 @@
         },
         last_call: 0,
     };
+    world.report.fleet.older = play.older.iter().copied().collect();
     while world.report.fleet.now < play.length {
         world.step();
     }
