review: case 2, streams go on at another software version after all machines were killed

Cause: an engine that holds the last part of a session's prompt is taken for the one that began the stream.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,68 +1,121 @@
-"""A runner answers with a list of refusals that it has kept, a text of 64 bytes a line, in which each line reads like the
-head of a refusal. Its clients read at full speed."""
+"""A release of the engines: two software versions serve side by side, and those of v1 leave. All machines are killed at once
+and start again; clients take up their streams, which began at v1. Each session had an earlier request, at v2."""
 
 import asyncio
 import os
+import re
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
 import lab as standin
-from lab import BROKEN, HELD, TROUBLE, Runner, answer, open_channel, request_bytes, route
+from lab import BOUNDS, BROKEN, HELD, TROUBLE, Runner, open_channel, read_head, request_bytes, route
 
-# The same lists but for the status code that the lines name.
-CODE = b"400" if TROUBLE else b"200"
-LINE = b"HTTP/1.1 " + CODE + b" Bad Request\r\nRequest-Id: 00000000000000000000aa\r\n\r\n"
-BODY = LINE * 2048
-TURNS = 12
+SESSIONS = 14
+DRAIN_S = BOUNDS["drain_timeout_ms"] / 1e3
 
 
-class Listing(Runner):
-    async def run(self, method, target, headers, writer, common):
-        request = headers["request-id"]
-        self.lab.record("run", request, "at", self.name, target)
-        answer(writer, 200, BODY, common + [("Response-Seal", "s." + self.name)])
-        await writer.drain()
+async def play(lab):
+    record, port = lab.record, lab.ports["front"]
+    engine = {"slots": 64, "events": 60, "event_ms": 100}
+    newer = [Runner(lab, "llm", stage="prefill", version="v2", **engine),
+             Runner(lab, "llm", stage="decode", version="v2", **{**engine, "event_ms": 10})]
+    older = [Runner(lab, "llm", stage="prefill", version="v1", **engine),
+             Runner(lab, "llm", stage="decode", version="v1", **engine)]
+    routes = [route("summary", "/summary/", "streaming", "llm", timeout_ms=14000, target_ms=900, resumable=True,
+                    sticky_sessions=True, gap_target_ms=300, attempts=2)]
+    await lab.open(lab.manifest(routes, engines=["llm"]), newer)
 
+    class Client:
+        def __init__(self, number):
+            self.session = f"{0x5e550000 + number:x}"
+            self.first_request = None
+            self.last_id = 0
+            self.versions = []
+            self.is_complete = False
 
-async def play(lab):
-    assert len(LINE) == 64
-    record = lab.record
-    routes = [route("protocol", "/protocol/", "idempotent", "payments", timeout_ms=1500)]
-    await lab.open(lab.manifest(routes, plain=["payments"]), [Listing(lab, "payments"), Listing(lab, "payments")])
-    wrong = 0
-    for turn in range(TURNS):
-        vm = lab.vms[turn % len(lab.vms)]
-        reader, writer = await open_channel(vm.address, lab.ports["front"])
-        request = lab.next_id()
-        record("sent", request, "GET /protocol/1 at", vm.name)
-        writer.write(request_bytes("GET", "/protocol/1", lab.headers(request, 1500)))
-        head, body = await take_parts(reader)
-        expected = int(head.get("content-length", 0))
-        is_same = body == BODY
-        wrong += not is_same
-        record("answered", request, "Response-Seal", head.get("response-seal"), f"{len(body)} of {expected} bytes:",
-               "the runner's" if is_same else "not the runner's")
-        if not is_same:
-            at = next((n for n in range(len(body)) if body[n] != BODY[n]), len(body))
-            record("    from byte", at, "it reads", body[at:at + 240])
-        writer.close()
-    record("successes with bytes that are not the runner's body:", wrong, "of", TURNS)
-    return BROKEN if wrong else HELD
+        async def attempt(self, vm):
+            """One client attempt; takes up the stream if it has begun."""
+            request = lab.next_id()
+            model = [("Model", "m"), ("Token-Counts", "2200,60"), ("Prompt-Prefix", f"c0ffee:200,{self.session}:2000")]
+            if self.last_id:
+                model += [("Last-Event-Id", self.last_id), ("Resumes", self.first_request)]
+            status = None
+            try:
+                reader, writer = await open_channel(vm.address, port)
+                writer.write(request_bytes("POST", "/summary/1", lab.headers(request, 14000, *model), b"{}"))
+                head = await read_head(reader)
+                status = head and int(head[0].split(" ")[1])
+                text = b""
+                while status == 200:
+                    data = await reader.read(4096)
+                    text += data
+                    for number, version in re.findall(rb"id: (\d+)\ndata: (v\d)", text):
+                        if int(number) > self.last_id:
+                            self.first_request = self.first_request or request
+                            self.last_id = int(number)
+                            if version not in self.versions:
+                                self.versions.append(version)
+                    if text.endswith(b"0\r\n\r\n"):
+                        self.is_complete = True
+                    if not data or self.is_complete:
+                        break
+                writer.close()
+            except (OSError, asyncio.TimeoutError):
+                pass
+            record("session", self.session, "request", request, "at", vm.name, "status", status, "last event", self.last_id,
+                   "of", *[version.decode() for version in self.versions], "complete" if self.is_complete else "broken off")
+
+        async def play(self, number):
+            until = record.now() + 14
+            tries = 0
+            while not self.is_complete and record.now() < until and tries < 8:
+                await self.attempt(lab.vms[(number + tries) % len(lab.vms)])
+                tries += 1
+                await asyncio.sleep(0.4)
+
+    # Each session has a request while only the newer version serves.
+    await asyncio.gather(*[Client(number).play(number) for number in range(SESSIONS)])
+    record("the earlier requests of all sessions have ended at v2")
+    newer[1].event_ms = 100
+    for runner in older:
+        await runner.open()
+        runner.register()
+    lab.runners += older
+    record("runners of v1 serve too")
+    await asyncio.sleep(1.5)
+    clients = [Client(number) for number in range(SESSIONS)]
+    tasks = [asyncio.create_task(client.play(number)) for number, client in enumerate(clients)]
+    await asyncio.sleep(1)
+    for runner in older:
+        runner.state, runner.is_leaving = "draining", True
+        runner.register()
+    record("the store confirms that the runners of v1 are draining")
+    leaving = asyncio.create_task(leave(lab, older))
+    await asyncio.sleep(1.5)
+    if TROUBLE:
+        for vm in lab.vms:
+            vm.signal(signal.SIGKILL)
+        for vm in lab.vms:
+            vm.process.wait()
+        await asyncio.sleep(0.5)
+        for vm in lab.vms:
+            vm.start()
+    await asyncio.gather(leaving, *tasks)
+    mixed = [client.session for client in clients if len(client.versions) > 1]
+    record("streams that hold events of two software versions:", len(mixed), "of", len(clients))
+    return BROKEN if len(mixed) > 2 else HELD
 
 
-async def take_parts(reader):
-    """The headers, and what comes of the body within the client's time limit."""
-    _, headers = await standin.read_head(reader)
-    body = b""
-    try:
-        while len(body) < int(headers["content-length"]):
-            data = await asyncio.wait_for(reader.read(1 << 16), 1.5)
-            if not data:
-                break
-            body += data
-    except asyncio.TimeoutError:
-        pass
-    return headers, body
+async def leave(lab, runners):
+    """Leaves once the drain timeout has passed and what is in progress has ended."""
+    await asyncio.sleep(DRAIN_S)
+    while any(runner.running for runner in runners):
+        await asyncio.sleep(0.05)
+    for runner in runners:
+        lab.store.write(f"servers/{runner.name}", None)
+        runner.end()
+    lab.record("the runners of v1 have left")
 
 
 standin.main(play)
--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -239,6 +239,9 @@
         self.running = 0
         self.handles = set()
         self.runs = []
+        # The parts of prompts that it keeps, and how long it takes to list them.
+        self.kept = {}
+        self.list_ms = 5
 
     def entry(self):
         self.sequence += 1
@@ -267,7 +270,9 @@
             self.handles.discard(target.rsplit("/", 1)[1])
             return answer(writer, 200, b"", common)
         if target == "/kv-list":
-            held = {"epoch": 1, "next": 1, "held": [], "born": self.born}
+            await asyncio.sleep(self.list_ms / 1e3)
+            kept = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
+            held = {"epoch": 1, "next": 1, "held": kept, "born": self.born}
             return answer(writer, 200, json.dumps(held).encode(), common)
         if headers.get("expect-instance", self.name) != self.name:
             return answer(writer, 421, b"", common + [("Not-Executed", "1")])
@@ -291,13 +296,17 @@
         self.lab.record("run", request, "at", self.name, "state", self.state, method, target,
                         "deadline-ms", headers.get("deadline-ms"))
         seal = [("Response-Seal", "s." + secrets.token_hex(6))]
+        for entry in headers.get("prompt-prefix", "").split(","):
+            part, _, tokens = entry.partition(":")
+            if part:
+                self.kept[part] = int(tokens)
         if self.stage == "decode" or target.startswith("/stream/"):
             lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
             lines += [f"{name}: {value}" for name, value in common + seal]
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
             for number in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
                 await asyncio.sleep(self.event_ms / 1e3)
-                event = f"id: {number}\ndata: {'x' * self.event_bytes}\n\n".encode()
+                event = f"id: {number}\ndata: {self.version} {'x' * self.event_bytes}\n\n".encode()
                 writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
