--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,6 +12,7 @@
 from lab import BOUNDS, BROKEN, HELD, TROUBLE, Runner, open_channel, read_head, request_bytes, route
 
 SESSIONS = 14
+RETRY_AFTER_S = 1.5
 DRAIN_S = BOUNDS["drain_timeout_ms"] / 1e3
 
 
@@ -67,12 +68,11 @@
                    "of", *[version.decode() for version in self.versions], "complete" if self.is_complete else "broken off")
 
         async def play(self, number):
-            until = record.now() + 14
-            tries = 0
-            while not self.is_complete and record.now() < until and tries < 8:
-                await self.attempt(lab.vms[(number + tries) % len(lab.vms)])
-                tries += 1
-                await asyncio.sleep(0.4)
+            """The request, and one retry, as on the sheet."""
+            await self.attempt(lab.vms[number % len(lab.vms)])
+            if not self.is_complete:
+                await asyncio.sleep(RETRY_AFTER_S)
+                await self.attempt(lab.vms[(number + 1) % len(lab.vms)])
 
     # Each session has a request while only the newer version serves.
     await asyncio.gather(*[Client(number).play(number) for number in range(SESSIONS)])
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -68,7 +68,7 @@
     record("the store confirms at revision", revision, "that", leaving.name, "is draining")
     # Nobody asks for anything for a while; then some do at once.
     await asyncio.sleep(DRAIN_S + 0.5)
-    tasks = [asyncio.create_task(topup(vm)) for _ in range(4) for vm in lab.vms]
+    tasks = [asyncio.create_task(topup(vm)) for _ in range(8) for vm in lab.vms]
     await asyncio.sleep(0.03)
     # It has served for longer than it had to.
     leaving.end()
--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -492,14 +492,16 @@
             if time.monotonic() > until or any(vm.has_ended() for vm in self.vms):
                 raise RuntimeError("the processes do not become ready")
             await asyncio.sleep(0.1)
-        # Traffic starts 10 s after the machines do.
-        await asyncio.sleep(3)
+        # All machines are in touch `stability_window_ms` after their start.
+        await asyncio.sleep(BOUNDS["stability_window_ms"] / 1e3 + 1)
 
     def next_id(self):
         self.last_id += 1
         return f"{secrets.token_hex(6)}{self.last_id:04x}"
 
     def headers(self, request, deadline_ms, *more):
+        """The headers of a request that is about to be sent."""
+        self.record("sent", request, *[f"{name}: {value}" for name, value in more])
         return [("Host", "toll.example"), ("Request-Id", request), ("Deadline-Ms", deadline_ms), *more]
 
     def close(self):
