relay: engines' evidence counts for a version only if no other can have begun the stream

Cause: the last part of a prompt may belong to a session, so an engine can hold it from an earlier request. An engine that had left, or had not listed in time, counted as one that holds nothing. Change: the evidence counts only if each engine of another version has listed, and none is known to have left or started anew within a timeout of a route. A process that has not known the list for as long reads the store's history.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::channel::oneshot;
+use futures::channel::{mpsc, oneshot};
 use hornbeamtiller_http::body::{BoundedSender, Channel, Truncated};
 use hornbeamtiller_http::cancel;
 use hornbeamtiller_http::client::{self, Client, Reuse};
@@ -27,7 +27,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Connections;
 use crate::protocol::{CallerRequest, Protocol};
-use crate::{attempt, fingerprint, log_line, presence};
+use crate::{attempt, fingerprint, log_line, presence, source};
 
 /// Maximum size of an engine's list of the parts that it holds, in bytes.
 const PART_LIST_BYTES_MAX: usize = 1 << 20;
@@ -100,6 +100,8 @@
     fingerprint_key: fingerprint::Key,
     last_call: Cell<Call>,
     exited: Cell<bool>,
+    /// Takes what is to be read from the configuration service, if one is followed.
+    source: RefCell<Option<mpsc::UnboundedSender<source::Request>>>,
 }
 
 impl<P: Protocol> Driver<P> {
@@ -125,6 +127,7 @@
             fingerprint_key,
             last_call: Cell::new(0),
             exited: Cell::new(false),
+            source: RefCell::default(),
         }))
     }
 
@@ -153,6 +156,13 @@
         &self.0.connections
     }
 
+    /// What is to be read from the configuration service, for the task that does so.
+    pub fn source_requests(&self) -> mpsc::UnboundedReceiver<source::Request> {
+        let (sender, receiver) = mpsc::unbounded();
+        self.0.source.replace(Some(sender));
+        receiver
+    }
+
     /// The memory that this process may hold for others.
     pub fn budget(&self) -> &Budget {
         &self.0.budget
@@ -285,6 +295,7 @@
                 engine,
                 address,
             } => self.list_parts(endpoint, engine, address),
+            Effect::ReadHistory => self.ask_source(source::Request::History),
             Effect::AskPermit {
                 address,
                 instance,
@@ -385,6 +396,14 @@
         drop(sender);
     }
 
+    fn ask_source(&self, request: source::Request) {
+        let sender = self.0.source.borrow().clone();
+        let sent = sender.is_some_and(|sender| sender.unbounded_send(request).is_ok());
+        if !sent {
+            self.apply(request.unanswered());
+        }
+    }
+
     /// Frees a KV cache. It expires soon by itself, so the request is not retried.
     fn free_kv(&self, kv: KvCache) {
         let driver = self.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod presence;
 pub mod protocol;
 pub mod settings;
+pub mod source;
 
 pub use driver::Driver;
 pub use gateway::Gateway;
--- a/crates/relay/src/cache_index.rs
+++ b/crates/relay/src/cache_index.rs
@@ -1,16 +1,18 @@
 //! Which software versions hold the prompts of streams.
 //!
 //! A decode engine keeps the parts of a prompt for some time after the stream has broken off. The last part
-//! belongs to the request alone, so an engine that holds it has been given the request, at its software version.
-//! Where no VM knows any more which software version began a stream, that is the evidence left. Engines of two
-//! versions that hold the part contradict each other, and nothing follows then; a prefill engine proves nothing,
-//! as it begins no stream.
+//! belongs to the request or to its session, so an engine that holds it has been given the request, or an earlier one
+//! of the session, at its software version. Where no VM knows any more which software version began a stream, that is
+//! the evidence left. It counts only if no engine of another version can have begun the stream: engines of two
+//! versions that hold the part contradict each other, one that has not listed what it holds may hold it too, and so may
+//! one that has left, or has started anew, since the stream may have begun. A prefill engine proves nothing, as it
+//! begins no stream.
 //!
 //! Engines work more slowly while they list what they hold, so one VM asks them for all others, all of an endpoint at
 //! once and at most once per interval. What an engine has held still counts after it has dropped it, for as long as
 //! a stream may go on.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use crate::id;
@@ -21,6 +23,8 @@
 pub const LISTING_INTERVAL: Duration = Duration::from_secs(2);
 /// How long engines have to answer.
 pub const LISTING_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long the history of the list of runners is awaited.
+pub const HISTORY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Where the prompt of a stream is held.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +40,10 @@
 struct Listing {
     started_at: Duration,
     awaited: BTreeSet<Instance>,
+    /// All engines of the endpoint.
+    known: BTreeSet<Instance>,
+    /// The engines that have not listed what they hold, with their software versions.
+    unlisted: BTreeMap<Instance, id::Build>,
     held: HashMap<id::Runner, HashSet<id::Part>>,
 }
 
@@ -54,23 +62,56 @@
         last.is_none_or(|last| last.started_at + LISTING_INTERVAL <= now)
     }
 
-    /// Records that these engines of an endpoint are asked.
-    pub fn start(&mut self, endpoint: &id::Endpoint, awaited: BTreeSet<Instance>, now: Duration) {
+    /// Records that engines of an endpoint are asked: those of `asked`. `engines` are all of the endpoint, with their
+    /// software versions; one that has answered before need not do so again, as evidence outlasts the listing.
+    pub fn start(
+        &mut self,
+        endpoint: &id::Endpoint,
+        asked: BTreeSet<Instance>,
+        engines: BTreeMap<Instance, id::Build>,
+        now: Duration,
+    ) {
+        let last = self.listings.get(endpoint);
+        let is_unlisted = |engine: &Instance| {
+            last.is_none_or(|last| {
+                !last.known.contains(engine) || last.unlisted.contains_key(engine)
+            })
+        };
+        let known = engines.keys().cloned().collect();
+        let unlisted = engines
+            .into_iter()
+            .filter(|(engine, _)| is_unlisted(engine))
+            .collect();
         let listing = Listing {
             started_at: now,
-            awaited,
+            awaited: asked,
+            known,
+            unlisted,
             held: HashMap::new(),
         };
         self.listings.insert(endpoint.clone(), listing);
     }
 
-    /// Records that an engine has answered, or has not in time.
-    pub fn end(&mut self, endpoint: &id::Endpoint, engine: &Instance) {
-        if let Some(listing) = self.listings.get_mut(endpoint) {
-            listing.awaited.remove(engine);
+    /// Records that an engine has listed what it holds, or has not in time.
+    pub fn end(&mut self, endpoint: &id::Endpoint, engine: &Instance, is_listed: bool) {
+        let Some(listing) = self.listings.get_mut(endpoint) else {
+            return;
+        };
+        listing.awaited.remove(engine);
+        if is_listed {
+            listing.unlisted.remove(engine);
         }
     }
 
+    /// Whether an engine of another software version has not listed what it holds, so that it may hold any part.
+    pub fn is_unlisted_elsewhere(&self, origin: &Origin) -> bool {
+        let listing = self.listings.get(&origin.endpoint);
+        listing.is_some_and(|listing| {
+            let mut builds = listing.unlisted.values();
+            builds.any(|build| *build != origin.build)
+        })
+    }
+
     /// Records the parts that an engine holds, as evidence that counts for `lifetime`.
     pub fn record(
         &mut self,
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -38,6 +38,8 @@
     Origin,
     /// An engine was asked which parts of prompts it holds.
     PartsListed,
+    /// The history of the list of runners was read, for engines that have left.
+    HistoryRead,
     /// A runner's response was forwarded.
     Answered,
     /// A stream ended completely.
--- a/crates/relay/src/event/effect.rs
+++ b/crates/relay/src/event/effect.rs
@@ -204,6 +204,8 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Reads from the configuration service which runners were listed lately.
+    ReadHistory,
     /// Asks a peer for a permit for a request to a runner.
     AskPermit {
         /// Address of the peer.
--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -283,6 +283,11 @@
         /// The parts; none if there was no answer that can be used.
         parts: Option<Vec<id::Part>>,
     },
+    /// It was read which runners were listed lately, or could not be.
+    HistoryRead {
+        /// All versions of all entries, as far back as they are known; none if no history is to be had.
+        entries: Option<Vec<Descriptor>>,
+    },
     /// A response of a runner says something of its limit.
     LimitStated {
         /// The attempt.
--- a/crates/relay/src/pool/mod.rs
+++ b/crates/relay/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Pools of runners, as listed by the configuration service and as observed in traffic.
 
 mod descriptor;
+mod history;
 mod runner;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -8,8 +9,10 @@
 
 use crate::departure;
 use crate::id;
+use crate::origin::Origin;
 
 pub use descriptor::{Descriptor, Instance, Role};
+pub use history::History;
 use runner::status;
 pub use runner::{Load, Report, Runner, Status};
 
@@ -27,6 +30,9 @@
     peer_loads: HashMap<id::Runner, Load>,
     /// When a runner that could begin streams was last dropped, by endpoint and software version.
     departed_builds: BTreeMap<(id::Endpoint, id::Build), Duration>,
+    /// When it was last learnt that an engine which could begin streams is gone with all that it held, by endpoint and
+    /// software version.
+    lost_engines: BTreeMap<(id::Endpoint, id::Build), Duration>,
     /// Revisions at which entries were removed, so that an older entry does not restore one.
     removed: HashMap<id::Runner, id::Revision>,
     /// Runners that have said that they leave.
@@ -143,6 +149,10 @@
             .get(&descriptor.runner)
             .map(|known| known.local_load);
         let peer_load = self.peer_loads.get(&descriptor.runner).copied();
+        if let Some(previous) = self.runners.get(&descriptor.runner) {
+            let previous = previous.descriptor.clone();
+            self.record_lost(previous, now);
+        }
         self.remove(&descriptor.runner.clone(), now);
         self.endpoints
             .entry(descriptor.endpoint.clone())
@@ -275,6 +285,30 @@
         self.departed_builds.insert(key, now);
     }
 
+    /// Records an entry that the list held at some time before it was read.
+    pub fn record_earlier(&mut self, descriptor: Descriptor, now: Duration) {
+        if self.find(&descriptor.instance()).is_none() {
+            self.record_departure(descriptor.clone(), now);
+            self.record_lost(descriptor, now);
+        }
+    }
+
+    fn record_lost(&mut self, descriptor: Descriptor, now: Duration) {
+        if descriptor.can_begin_streams() {
+            let key = (descriptor.endpoint, descriptor.build);
+            self.lost_engines.insert(key, now);
+        }
+    }
+
+    /// Whether an engine of the same endpoint, but of another software version, is known to have gone since with all that
+    /// it held.
+    pub fn has_lost_elsewhere(&self, origin: &Origin, since: Duration) -> bool {
+        let mut lost = self.lost_engines.iter();
+        lost.any(|((endpoint, build), at)| {
+            *endpoint == origin.endpoint && *build != origin.build && *at >= since
+        })
+    }
+
     /// The software versions of all runners of an endpoint that were in the pool at any time since, and
     /// that can begin streams.
     pub fn builds_since(&self, endpoint: &id::Endpoint, since: Duration) -> BTreeSet<&id::Build> {
@@ -295,5 +329,6 @@
     pub fn forget_builds(&mut self, before: Duration) {
         self.departed_builds
             .retain(|_, dropped_at| *dropped_at >= before);
+        self.lost_engines.retain(|_, lost_at| *lost_at >= before);
     }
 }
--- a/crates/relay/src/reduce/listing.rs
+++ b/crates/relay/src/reduce/listing.rs
@@ -11,7 +11,7 @@
 use crate::id;
 use crate::member::Member;
 use crate::origin::{self, Answer, Key, Origin, Question, Source, PENDING_INTERVAL, ROUND_TIMEOUT};
-use crate::pool::{Instance, Role, Runner};
+use crate::pool::{Descriptor, History, Instance, Role, Runner};
 
 use super::Reducer;
 
@@ -189,14 +189,20 @@
             return;
         }
         let runners = self.state.pool.at_endpoint(endpoint);
-        let engines = runners.filter(|runner| {
-            runner.descriptor.role == Some(Role::Decode) && !runner.is_resting(self.now)
+        let engines = runners.filter(|runner| runner.descriptor.role == Some(Role::Decode));
+        let builds = engines.clone().map(|runner| {
+            let descriptor = &runner.descriptor;
+            (descriptor.instance(), descriptor.build.clone())
         });
+        let builds = builds.collect();
         let asked: Vec<(Instance, SocketAddr)> = engines
+            .filter(|runner| !runner.is_resting(self.now))
             .map(|runner| (runner.descriptor.instance(), runner.descriptor.address))
             .collect();
         let awaited = asked.iter().map(|(engine, _)| engine.clone()).collect();
-        self.state.cache_index.start(endpoint, awaited, self.now);
+        let index = &mut self.state.cache_index;
+        index.start(endpoint, awaited, builds, self.now);
+        self.read_history();
         for (engine, address) in asked {
             self.emit(Effect::ListParts {
                 endpoint: endpoint.clone(),
@@ -206,6 +212,33 @@
         }
     }
 
+    /// Has the history of the list read, if this process may have missed engines that have left.
+    fn read_history(&mut self) {
+        let since = self.state.list_known_since;
+        let needed_since = self.state.stream_age_limit(self.now);
+        let is_known = needed_since > Duration::ZERO && since.is_some_and(|at| at <= needed_since);
+        if is_known || !self.state.history.is_due(since) {
+            return;
+        }
+        self.state.history = History::Awaited { since: self.now };
+        self.emit(Effect::ReadHistory);
+    }
+
+    /// Records the engines that the history of the list names and that have left since.
+    pub(super) fn handle_history(&mut self, entries: Option<Vec<Descriptor>>) {
+        let entry = Entry::new(Kind::HistoryRead);
+        let Some(entries) = entries else {
+            self.state.history = History::Unavailable;
+            return self.log(entry.outcome("unavailable"));
+        };
+        self.state.history = History::Read { at: self.now };
+        let count = entries.len() as u64;
+        for descriptor in entries {
+            self.state.pool.record_earlier(descriptor, self.now);
+        }
+        self.log(entry.outcome("read").version(count));
+    }
+
     /// Records what an engine holds. It counts for the process that was asked, with the software version that this
     /// process was listed with.
     pub(super) fn handle_listed_parts(
@@ -214,7 +247,9 @@
         engine: &Instance,
         parts: Option<Vec<id::Part>>,
     ) {
-        self.state.cache_index.end(endpoint, engine);
+        let is_listed = parts.is_some();
+        let index = &mut self.state.cache_index;
+        index.end(endpoint, engine, is_listed);
         let count = parts.as_ref().map_or(0, |parts| parts.len() as u64);
         let entry = Entry::new(Kind::PartsListed)
             .runner(&engine.runner)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -10,7 +10,7 @@
 use crate::allocation::{Allocator, Claim, GrantNumber};
 use crate::backlog::Backlog;
 use crate::budget::{Budget, Charge, Share};
-use crate::cache_index;
+use crate::cache_index::{self, HISTORY_TIMEOUT};
 use crate::call::Call;
 use crate::cap;
 use crate::crash::{Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
@@ -20,10 +20,10 @@
 use crate::manifest::Manifest;
 use crate::member::{Descriptor, Table};
 use crate::order;
-use crate::origin;
+use crate::origin::{self, Origin};
 use crate::overload;
 use crate::policy::Policy;
-use crate::pool::{Instance, Load, Pool};
+use crate::pool::{History, Instance, Load, Pool};
 use crate::settings::Settings;
 use crate::speed::Pace;
 
@@ -278,6 +278,8 @@
     pub has_listed: bool,
     /// What engines hold, as far as this VM has asked them.
     pub cache_index: cache_index::Index,
+    /// Whether the runners are known that were listed before this VM read the list.
+    pub history: History,
     /// Origins that are still to be told to other VMs.
     pub untold_origins: Vec<origin::Record>,
     /// When this VM last heard that no manifest is newer than its own, from the configuration service or from a VM that
@@ -353,6 +355,7 @@
             origins: origin::Table::default(),
             has_listed: false,
             cache_index: cache_index::Index::default(),
+            history: History::default(),
             untold_origins: Vec::new(),
             manifest_confirmed_at: Duration::ZERO,
             list_known_since: None,
@@ -422,11 +425,25 @@
         question: &origin::Question,
         part: id::Part,
     ) -> origin::Answer {
-        if self.cache_index.is_pending(&question.endpoint, now) {
+        let is_pending = self.cache_index.is_pending(&question.endpoint, now);
+        if is_pending || self.history.is_pending(now, HISTORY_TIMEOUT) {
             return origin::Answer::Pending;
         }
         let holding = self.cache_index.find(part, now);
-        holding.map_or(origin::Answer::Unknown, origin::Answer::Held)
+        let proven = holding.filter(|holding| !self.may_be_held_elsewhere(&holding.origin, now));
+        proven.map_or(origin::Answer::Unknown, origin::Answer::Held)
+    }
+
+    /// Whether an engine of another software version may hold, or may have held, what engines of this one hold.
+    fn may_be_held_elsewhere(&self, origin: &Origin, now: Duration) -> bool {
+        let since = self.stream_age_limit(now);
+        self.cache_index.is_unlisted_elsewhere(origin)
+            || self.pool.has_lost_elsewhere(origin, since)
+    }
+
+    /// Streams that began before can't go on any more.
+    pub fn stream_age_limit(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.stream_timeout_max)
     }
 
     /// Whether this VM polls the configuration service at a short interval, so that an update whose
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -83,6 +83,10 @@
     pub mute: BTreeSet<id::Runner>,
     /// Number of times that a runner was asked what it holds.
     pub listings: u32,
+    /// Whether the configuration service still has its history.
+    pub has_history: bool,
+    /// All entries that were ever written.
+    written: Vec<Descriptor>,
 }
 
 /// The part that all prompts have in common.
@@ -114,6 +118,8 @@
             held: BTreeMap::new(),
             mute: BTreeSet::new(),
             listings: 0,
+            has_history: false,
+            written: Vec::new(),
         };
         fleet.list("read-1", "v1", Role::Prefill);
         for (index, build) in builds.iter().enumerate() {
@@ -160,6 +166,7 @@
         };
         // A new process under the name holds nothing.
         self.held.remove(&entry.runner);
+        self.written.push(entry.clone());
         self.runners.insert(entry.runner.clone(), entry.clone());
         entry
     }
@@ -285,6 +292,8 @@
         let effects = known.harness.apply(event);
         let sender_start = known.started_at;
         let mut lists = Vec::new();
+        let mut all = effects.iter();
+        let reads_history = all.any(|effect| matches!(effect, Effect::ReadHistory));
         for effect in &effects {
             if let Effect::Refuse { call, refusal } = effect {
                 self.refusals.insert((vm, *call), *refusal);
@@ -320,6 +329,10 @@
         for (endpoint, engine) in lists {
             self.list_parts(vm, endpoint, engine);
         }
+        if reads_history {
+            let entries = self.has_history.then(|| self.written.clone());
+            self.apply(vm, Event::HistoryRead { entries });
+        }
         effects
     }
 
@@ -509,6 +522,12 @@
         Some((request, build))
     }
 
+    /// Lets the engines of a software version hold the prompts of these streams from earlier requests of their sessions.
+    pub fn hold_sessions(&mut self, engine: &str, streams: &[(String, id::Build)]) {
+        let held = self.held.entry(engine.into()).or_default();
+        held.extend(streams.iter().map(|(stream, _)| origin::stream(stream)));
+    }
+
     /// Goes on with a stream at a VM, as a caller that names this request.
     pub fn resume(&mut self, vm: usize, resumes: Option<&str>) -> Resumption {
         let prompt = resumes.map_or_else(|| Arc::from([]), parts);
