platform, relay: revisions have the era of the store

Cause: entries at revisions not higher than the known ones were dropped; after the restore revisions are lower. Nothing read Store-Era. Change: a revision holds its era; an answer of another era has everything read anew; views name eras. What a copy says of a runner that was known to leave, to be gone, or to have started anew is doubted until the runner writes or has been listed for 5 s.

--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -50,7 +50,7 @@
     pub resume_after: Option<u64>,
     /// Id of the request that brought the first event of the stream, if the caller names one.
     pub resumes: Option<Arc<str>>,
-    /// The parts of its prompt, in order; the last one belongs to the request alone.
+    /// The parts of its prompt, in order; the last one belongs to the request or its session.
     pub parts: Arc<[id::Part]>,
     /// What the caller asks for.
     pub fingerprint: id::Fingerprint,
--- a/crates/relay/src/id.rs
+++ b/crates/relay/src/id.rs
@@ -8,7 +8,7 @@
 pub type Attempt = u64;
 /// Version of a manifest; a higher version replaces a lower one completely.
 pub type Version = u64;
-/// Revision of the configuration service's store.
+/// Revision of the configuration service's store, with its era; see [`crate::revision`].
 pub type Revision = u64;
 /// Name of an availability zone.
 pub type Zone = Arc<str>;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod pool;
 pub mod reduce;
 pub mod refusal;
+pub mod revision;
 pub mod settings;
 pub mod speed;
 pub mod state;
--- a/crates/relay/src/pool/mod.rs
+++ b/crates/relay/src/pool/mod.rs
@@ -10,6 +10,7 @@
 use crate::departure;
 use crate::id;
 use crate::origin::Origin;
+use crate::revision;
 
 pub use descriptor::{Descriptor, Instance, Role};
 pub use history::History;
@@ -39,6 +40,9 @@
     pub departures: departure::Table,
 }
 
+/// How long an entry may be of a copy from which the configuration service was restored: if its runner is gone, it is
+/// removed within three heartbeats, which come each 1.2 s.
+const COPY_RETENTION: Duration = Duration::from_secs(5);
 /// Number of removals at which all of them are forgotten, to bound the memory.
 const REMOVED_MAX: usize = 4096;
 
@@ -113,6 +117,14 @@
         }
         let known = self.runners.get_mut(&descriptor.runner);
         match known {
+            // A copy from which the configuration service was restored names an earlier process of the runner.
+            Some(runner)
+                if revision::era(descriptor.revision)
+                    > revision::era(runner.descriptor.revision)
+                    && descriptor.started_at_ms < runner.descriptor.started_at_ms =>
+            {
+                return false;
+            }
             Some(runner) if runner.descriptor.revision >= descriptor.revision => {
                 if runner.descriptor.revision == descriptor.revision {
                     return Self::reinstate(runner, &self.departures, now);
@@ -124,6 +136,15 @@
                 if runner.descriptor.started_at_ms == descriptor.started_at_ms
                     && runner.descriptor.address == descriptor.address =>
             {
+                if runner.is_doubtful(&descriptor) {
+                    runner.doubted_until = Some(now + COPY_RETENTION);
+                    runner.descriptor = Descriptor {
+                        draining: runner.descriptor.draining,
+                        ..descriptor
+                    };
+                    return true;
+                }
+                runner.doubted_until = None;
                 self.departures
                     .note_entry(&descriptor.instance(), descriptor.draining);
                 if runner.descriptor.draining != descriptor.draining || !descriptor.draining {
@@ -135,6 +156,9 @@
                     if !is_leaving_already {
                         runner.status = status;
                     }
+                    if status != Status::Ready {
+                        runner.left_at = descriptor.revision;
+                    }
                 }
                 runner.displaced = false;
                 let previous = std::mem::replace(&mut runner.descriptor, descriptor);
@@ -161,6 +185,7 @@
         let runner = Runner {
             local_load: local_load.unwrap_or_default(),
             peer_load: peer_load.unwrap_or_default(),
+            left_at: descriptor.revision,
             ..Runner::new(
                 descriptor.clone(),
                 status(&descriptor, &self.departures, now),
@@ -172,6 +197,9 @@
 
     /// Restores a runner whose entry had been missing from the list.
     fn reinstate(runner: &mut Runner, departures: &departure::Table, now: Duration) -> bool {
+        if runner.doubted_until.is_some_and(|until| until > now) {
+            return false;
+        }
         let status = status(&runner.descriptor, departures, now);
         let changed = status == Status::Ready && runner.status != Status::Ready;
         if changed {
@@ -211,7 +239,7 @@
             self.removed.clear();
         }
         self.removed.insert(runner.clone(), revision);
-        self.mark_leaving(runner, now)
+        self.mark_leaving(runner, revision, now)
     }
 
     /// Replaces the list: entries that it lacks and that are not newer than it are marked as
@@ -238,19 +266,33 @@
             .map(|runner| runner.descriptor.runner.clone())
             .collect();
         for runner in unlisted {
-            changed |= self.mark_leaving(&runner, now);
+            changed |= self.mark_leaving(&runner, revision, now);
         }
         self.revision = self.revision.max(revision);
         changed
     }
 
-    fn mark_leaving(&mut self, runner: &id::Runner, now: Duration) -> bool {
-        match self.runners.get_mut(runner) {
-            Some(known) if known.status == Status::Ready => {
-                known.status = Status::Leaving { started_at: now };
-                true
+    fn mark_leaving(&mut self, runner: &id::Runner, revision: id::Revision, now: Duration) -> bool {
+        let Some(known) = self.runners.get_mut(runner) else {
+            return false;
+        };
+        known.left_at = revision;
+        known.doubted_until = None;
+        let was_ready = known.status == Status::Ready;
+        if was_ready {
+            known.status = Status::Leaving { started_at: now };
+        }
+        was_ready
+    }
+
+    /// Takes entries for true that are still listed some time after the configuration service was restored from a copy.
+    pub fn settle_doubts(&mut self, now: Duration) {
+        for runner in self.runners.values_mut() {
+            if runner.doubted_until.is_some_and(|until| until <= now) {
+                runner.doubted_until = None;
+                runner.descriptor.draining = false;
+                Self::reinstate(runner, &self.departures, now);
             }
-            _ => false,
         }
     }
 
--- a/crates/relay/src/pool/runner.rs
+++ b/crates/relay/src/pool/runner.rs
@@ -4,6 +4,8 @@
 
 use crate::breaker::Breaker;
 use crate::departure;
+use crate::id;
+use crate::revision;
 use crate::speed;
 
 use super::Descriptor;
@@ -67,6 +69,11 @@
     pub descriptor: Descriptor,
     /// Whether it accepts new requests.
     pub status: Status,
+    /// Revision of the news by which it is leaving, or was.
+    pub left_at: id::Revision,
+    /// Until when an entry that says that it is ready is taken for one of a copy from which the configuration service was
+    /// restored.
+    pub doubted_until: Option<Duration>,
     /// Its circuit breaker and traffic statistics.
     pub breaker: Breaker,
     /// Load that this VM has in flight there.
@@ -149,10 +156,21 @@
             Some(old + PREFILL_RATE_WEIGHT * (prefill_tokens_per_ms - old));
     }
 
+    /// Whether an entry of the same process may be older than what is known: it says that the runner is ready, was read in
+    /// a later era of the configuration service, and the runner was leaving in an earlier one.
+    pub(super) fn is_doubtful(&self, entry: &Descriptor) -> bool {
+        let era = revision::era(entry.revision);
+        let is_first = era > revision::era(self.descriptor.revision);
+        let was_leaving = self.status != Status::Ready && revision::era(self.left_at) < era;
+        is_first && was_leaving && !entry.draining
+    }
+
     pub(super) fn new(descriptor: Descriptor, status: Status) -> Self {
         Self {
             descriptor,
             status,
+            left_at: 0,
+            doubted_until: None,
             breaker: Breaker::default(),
             local_load: Load::default(),
             peer_load: Load::default(),
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -9,6 +9,8 @@
 use crate::event::Effect;
 use crate::id;
 use crate::member::{Descriptor, Member, Status, View};
+use crate::pool;
+use crate::revision;
 
 use super::Reducer;
 
@@ -236,6 +238,9 @@
             has_slowdowns,
             reply_requested,
         } = view;
+        let era = revision::era(self.state.pool.revision);
+        let revision = revision::in_era(revision, era);
+        let last_change = revision::in_era(last_change, era);
         if sender.vm == self.state.local.vm {
             return;
         }
@@ -271,7 +276,11 @@
         if let Some(runners) = runners {
             // A peer's list is used only while the configuration service is unreachable.
             if !self.state.source_reached && revision > self.state.pool.revision {
-                self.handle_pool(runners, revision);
+                let runners = runners.into_iter().map(|runner| pool::Descriptor {
+                    revision: revision::in_era(runner.revision, era),
+                    ..runner
+                });
+                self.handle_pool(runners.collect(), revision);
             }
         }
         if let Some(report) = crashes {
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -148,6 +148,7 @@
     }
 
     pub(super) fn tick_pool(&mut self) {
+        self.state.pool.settle_doubts(self.now);
         self.state.pool.evict_leaving(self.now, LEAVING_RETENTION);
         let oldest = self.now.saturating_sub(self.state.origin_lifetime());
         self.state.pool.forget_builds(oldest);
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -68,6 +68,8 @@
   revision @8 :UInt64;
   build @9 :Text;
   # Software version.
+  era @10 :UInt16;
+  # Of the configuration service, to which the revision belongs; 0 if unknown.
 }
 
 struct Load {
@@ -118,6 +120,10 @@
   departures @20 :List(Departure);
   slowdowns @21 :Bool;
   # Whether a runner has told the sender its slowdown.
+  revisionEra @22 :UInt16;
+  # Era of the configuration service to which `revision` belongs; 0 if unknown.
+  changedEra @23 :UInt16;
+  # The same of `changed`.
 }
 
 struct Departure {
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -12,6 +12,7 @@
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::member::{self, Descriptor, Status};
 use hornbeamtiller_relay::pool::{self, Instance, Load, Role};
+use hornbeamtiller_relay::revision;
 
 use crate::crash;
 use crate::fleet_capnp as schema;
@@ -51,8 +52,10 @@
     }
     out.set_version(view.manifest_version);
     out.set_manifest(view.manifest.as_deref().unwrap_or_default());
-    out.set_revision(view.revision);
-    out.set_changed(view.last_change);
+    out.set_revision(revision::number(view.revision));
+    out.set_revision_era(revision::era(view.revision));
+    out.set_changed(revision::number(view.last_change));
+    out.set_changed_era(revision::era(view.last_change));
     out.set_asks(view.reply_requested);
     out.set_waiting(view.waiting_calls);
     out.set_source_reached(view.source_reached);
@@ -152,7 +155,8 @@
         Some(Role::Decode) => schema::Role::Decode,
     });
     out.set_born(descriptor.started_at_ms);
-    out.set_revision(descriptor.revision);
+    out.set_revision(revision::number(descriptor.revision));
+    out.set_era(revision::era(descriptor.revision));
     out.set_build(&*descriptor.build);
 }
 
@@ -171,8 +175,8 @@
         manifest: Some(view.get_manifest()?)
             .filter(|bytes| !bytes.is_empty())
             .map(Arc::from),
-        revision: view.get_revision(),
-        last_change: view.get_changed(),
+        revision: revision::compose(view.get_revision_era(), view.get_revision()),
+        last_change: revision::compose(view.get_changed_era(), view.get_changed()),
         runners: match view.get_has_runners() {
             true => Some(runners.collect::<Result<_, _>>()?),
             false => None,
@@ -246,7 +250,7 @@
             schema::Role::Decode => Some(Role::Decode),
         },
         started_at_ms: descriptor.get_born(),
-        revision: descriptor.get_revision(),
+        revision: revision::compose(descriptor.get_era(), descriptor.get_revision()),
         build: descriptor.get_build()?.to_str()?.into(),
     })
 }
