--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -32,7 +32,8 @@
 
 /// Routes model requests between prefill and decode pools, and calls to plain services.
 ///
-/// SIGTERM and SIGINT start a graceful leave; a second one ends the process immediately.
+/// SIGTERM and SIGINT start a graceful leave. A second SIGINT ends the process immediately; a second SIGTERM changes
+/// nothing.
 #[derive(Debug, Parser)]
 #[command(
     version,
@@ -236,11 +237,13 @@
     unsafe { libmimalloc_sys::mi_collect(false) };
 }
 
-/// Handles SIGTERM and SIGINT: the first signal sets a flag, the second ends the process.
+/// Handles SIGTERM and SIGINT: they set a flag, and a second SIGINT ends the process. A supervisor may send SIGTERM again
+/// while responses are being completed; to end them it sends SIGKILL.
 fn install_signal_handlers() -> std::io::Result<Arc<AtomicBool>> {
     let stop_requested = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register_conditional_shutdown(signal, 1, stop_requested.clone())?;
+    let interrupt = signal_hook::consts::SIGINT;
+    signal_hook::flag::register_conditional_shutdown(interrupt, 1, stop_requested.clone())?;
+    for signal in [signal_hook::consts::SIGTERM, interrupt] {
         signal_hook::flag::register(signal, stop_requested.clone())?;
     }
     Ok(stop_requested)
