relay: late in a planned stop only what surely ends is accepted

Cause: how long streams had taken until then decided what may begin; after short ones, or where engines turned slower, that is too short. A request completed after the process had left was decided by nothing, as ticks had stopped. Change: a call that arrives later than 2.5 s after the signal is accepted only if its time limit ends before the process does; one that is completed after the process has left is refused as not run. Evidence: leave_refuses_late_stream_after_short_ones and leave_refuses_arrival_after_exit; both fail without the change.

--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -25,6 +25,10 @@
 impl Reducer<'_> {
     pub(super) fn handle_arrival(&mut self, arrival: Arrival) {
         self.state.counters.arrived += 1;
+        if self.state.exited {
+            let refusal = Refusal::not_run(Reason::Leaving, NOT_READY_RETRY_AFTER);
+            return self.refuse_arrival(&arrival, refusal);
+        }
         let Some(manifest) = self.state.manifest.clone() else {
             let refusal = Refusal::not_run(Reason::NoManifest, NOT_READY_RETRY_AFTER);
             return self.refuse_arrival(&arrival, refusal);
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -18,6 +18,10 @@
 /// How long before it would be killed the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(900);
 
+/// How long after the signal calls arrive that are accepted if they are only expected to end in time. Callers that come
+/// later have been told to go elsewhere.
+const ARRIVAL_TIME: Duration = Duration::from_millis(2_500);
+
 /// Weight of a stream that took less time than expected in the expected time of the next.
 const SHORTER_STREAM_WEIGHT: f64 = 0.02;
 
@@ -64,11 +68,15 @@
         Some(started_at + grace_period.saturating_sub(EXIT_MARGIN))
     }
 
-    /// Whether a call that starts its next attempt now is expected to end before this process exits.
+    /// Whether a call that starts its next attempt now is expected to end before this process exits; for a call that
+    /// arrives late, whether it ends by then at the latest.
     pub(super) fn can_end_before_exit(&self, call: &Call) -> bool {
-        let Some(exit_at) = self.exit_at() else {
+        let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
             return true;
         };
+        if call.arrived_at > started_at + ARRIVAL_TIME {
+            return call.deadline <= exit_at && !self.state.exited;
+        }
         let expected = match call.route.kind {
             RouteKind::Streaming => self.state.stream_time,
             RouteKind::Idempotent | RouteKind::NonIdempotent => Some(call.route.target_latency),
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -2,13 +2,13 @@
 
 mod support;
 
-use hornbeamtiller_relay::event::{Effect, Event, Outcome};
+use hornbeamtiller_relay::event::{Arrival, Effect, Event, Outcome};
 use hornbeamtiller_relay::member::{Status, View};
 use hornbeamtiller_relay::pool::Role;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
 use support::{
-    descriptor, dispatch, manifest, member, ms, refusal, routes, view, Harness, IDEMPOTENT,
-    NON_IDEMPOTENT, STREAM,
+    descriptor, dispatch, manifest, member, ms, refusal, routes, stream_arrival, view, Harness,
+    IDEMPOTENT, NON_IDEMPOTENT, STREAM,
 };
 
 fn published_views(effects: &[Effect]) -> Vec<View> {
@@ -88,6 +88,51 @@
     assert!(refused.retry_after.is_some());
 }
 
+/// Guards against a stream that is taken late, as the streams before were short, and cut by the exit.
+#[test]
+fn leave_refuses_late_stream_after_short_ones() {
+    let mut harness = Harness::new(1);
+    let run = harness.start_stream(STREAM);
+    harness.apply(Event::StreamStarted {
+        attempt: run.attempt,
+    });
+    harness.now += ms(100);
+    harness.end_attempt(run.attempt, Outcome::Ended);
+    harness.apply(Event::Leave);
+    harness.now += ms(2_000);
+    assert!(refusal(&harness.arrive(STREAM)).is_none());
+    harness.now += ms(1_000);
+    let refused = refusal(&harness.arrive(STREAM)).expect("a refusal");
+    assert_eq!(
+        (refused.claim, refused.reason),
+        (Claim::NotRun, Reason::Leaving)
+    );
+}
+
+/// Guards against a request that has been read and gets no answer, since it was completed after the process had left.
+#[test]
+fn leave_refuses_arrival_after_exit() {
+    let mut harness = Harness::new(1);
+    harness.apply(Event::Leave);
+    harness.advance(ms(5_000));
+    assert!(harness.state.exited);
+    // A caller that goes on with a stream would have to wait until it is known where that began.
+    let resumption = Event::Arrived(Arrival {
+        resume_after: Some(3),
+        ..stream_arrival(1, STREAM)
+    });
+    let mut answers = vec![harness.apply(resumption)];
+    answers.extend([STREAM, NON_IDEMPOTENT, IDEMPOTENT].map(|path| harness.arrive(path)));
+    for answer in answers {
+        let refused = refusal(&answer).expect("a refusal");
+        assert_eq!(
+            (refused.claim, refused.reason),
+            (Claim::NotRun, Reason::Leaving)
+        );
+    }
+    assert!(harness.state.calls.is_empty());
+}
+
 /// Guards against a connection that is closed without an answer because the process exits.
 #[test]
 fn leave_answers_all_calls_before_exit() {
