http, platform: a planned stop ends when the clients have their answers

Cause: a process counted as idle when the reducer had no call left; what the HTTP server and the system still held for clients did not count.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use hornbeamtiller_http::accept::Acceptor;
 use hornbeamtiller_http::client::{self, Client};
 use hornbeamtiller_http::memory::Budget;
-use hornbeamtiller_http::server::{Limits, Server};
+use hornbeamtiller_http::server::{Closing, Limits, Server};
 use hornbeamtiller_http::socket::Listener;
 use hornbeamtiller_relay::event::Event;
 use hornbeamtiller_relay::member::{Descriptor, Status};
@@ -157,10 +157,16 @@
         self.driver.has_exited()
     }
 
-    /// Closes the listeners. Responses in progress are completed while the runtime runs.
-    pub fn close(self) {
-        self.callers.close();
+    /// How long after it was told to leave the process may run.
+    pub fn grace_period(&self) -> Duration {
+        self.driver.with_state(|state| state.settings.grace_period)
+    }
+
+    /// Closes the listeners. Responses in progress are completed while the runtime runs; the handle tells when callers
+    /// have received them.
+    pub fn close(self) -> Closing {
         self.peers.close();
+        self.callers.close()
     }
 }
 
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -14,6 +14,7 @@
 
 use clap::{Parser, Subcommand};
 use error_stack::{Report, ResultExt as _};
+use hornbeamtiller_http::server::UNREAD_TIMEOUT;
 use hornbeamtiller_node::{Flags, Node, Settings};
 use hornbeamtiller_platform::Process;
 use hornbeamtiller_relay::policy::{self, Policy};
@@ -27,8 +28,12 @@
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is polled, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
-/// Time to flush the last bytes of responses after all work has ended.
+/// Least time after all work has ended, in which the last messages to peers are written.
 const FLUSH_DELAY: Duration = Duration::from_millis(300);
+/// How long before the end of the grace period the process ends, whatever clients have still to receive.
+const KILL_MARGIN: Duration = Duration::from_millis(150);
+/// Interval at which it is checked whether clients have received their responses.
+const CLOSING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Routes model requests between prefill and decode pools, and calls to plain services.
 ///
@@ -222,15 +227,30 @@
             process.reload();
         }
     }
+    let last_moment = Instant::now() + process.grace_period().saturating_sub(KILL_MARGIN);
     process.leave();
     while !process.has_left() {
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
     }
-    process.close();
-    monoio::time::sleep(FLUSH_DELAY).await;
+    let closing = process.close();
+    wait_for_clients(|| closing.is_complete(), last_moment).await;
     Ok(())
 }
 
+/// Waits until all clients have received their responses, but no longer than until a time.
+async fn wait_for_clients(is_complete: impl Fn() -> bool, last_moment: Instant) {
+    monoio::time::sleep(FLUSH_DELAY).await;
+    while !is_complete() && Instant::now() < last_moment {
+        monoio::time::sleep(CLOSING_POLL_INTERVAL).await;
+    }
+    let outcome = if is_complete() {
+        "all responses received"
+    } else {
+        "responses not received"
+    };
+    log::info!(outcome; "closed");
+}
+
 /// Gives unused memory back to the system.
 fn collect_memory() {
     // SAFETY: Releases memory that is not in use, of this thread's heap and of all threads' free pages.
@@ -265,8 +285,9 @@
     }
     node.leave();
     node.wait_until_left().await;
-    node.close();
-    monoio::time::sleep(FLUSH_DELAY).await;
+    let closing = node.close();
+    let last_moment = Instant::now() + UNREAD_TIMEOUT;
+    wait_for_clients(|| closing.is_complete(), last_moment).await;
     log::info!("left");
     Ok(())
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -26,6 +26,11 @@
 /// packet that was lost is repeated after some 200 ms.
 const SLOW_AFTER: Duration = Duration::from_millis(300);
 
+/// Send buffer of a connection whose last response is being written, in bytes. The system may allow less.
+const LAST_SEND_BUFFER_BYTES: usize = 1 << 20;
+/// Bytes of input that are dropped at a time.
+const DISCARD_BYTES: usize = 4 << 10;
+
 /// Connections that are looked at to find one that can make room.
 const CANDIDATES_MAX: usize = 16;
 
@@ -97,6 +102,8 @@
     phase: Cell<Phase>,
     /// When the phase began.
     since: Cell<Instant>,
+    /// Whether a part of a request head has come.
+    has_head: Cell<bool>,
     last_read_at: Cell<Instant>,
     /// When the client began to let the server wait with its response, and the bytes that it has taken since then.
     blocked: Cell<Option<(Instant, u64)>>,
@@ -118,6 +125,7 @@
         Rc::new(Self {
             socket,
             phase: Cell::new(Phase::Head),
+            has_head: Cell::new(false),
             since: Cell::new(now),
             last_read_at: Cell::new(now),
             blocked: Cell::new(None),
@@ -175,6 +183,7 @@
     }
 
     fn end_exchange(&self) {
+        self.has_head.set(false);
         self.ended_in.set(self.turn.get());
         self.enter(Phase::Idle);
     }
@@ -235,6 +244,40 @@
         (unread >= SLOW_AFTER && self.cut_reason().is_none()).then_some(unread)
     }
 
+    /// Whether a request is being received or served, or the client has not received all of a response.
+    pub(crate) fn is_busy(&self) -> bool {
+        let is_receiving = self.phase.get() == Phase::Head && self.has_head.get();
+        let is_serving = self.phase.get() == Phase::Exchange || self.blocked.get().is_some();
+        is_receiving || is_serving || self.has_undelivered()
+    }
+
+    /// Whether the client's system has not acknowledged all bytes that were written.
+    pub(crate) fn has_undelivered(&self) -> bool {
+        let mut bytes: libc::c_int = 0;
+        // SAFETY: The socket is closed only after the connection is no longer registered, and the call writes one `c_int`.
+        let failed = unsafe { libc::ioctl(self.socket, libc::TIOCOUTQ, &mut bytes) } != 0;
+        !failed && bytes > 0
+    }
+
+    /// Lets the system hold as much of the response as it may, so that the client can receive it after this process has
+    /// ended.
+    pub(crate) fn extend_send_buffer(&self) {
+        // SAFETY: The socket is closed only after the connection is no longer registered.
+        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
+        if let Err(error) = SockRef::from(&socket).set_send_buffer_size(LAST_SEND_BUFFER_BYTES) {
+            log::info!(error:% = error; "send_buffer_not_extended");
+        }
+    }
+
+    /// Drops what the client has sent.
+    pub(crate) fn discard_input(&self) {
+        // SAFETY: The socket is closed only after the connection is no longer registered.
+        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
+        let mut buffer = [MaybeUninit::uninit(); DISCARD_BYTES];
+        // The socket does not block; an error shows in what is written.
+        _ = SockRef::from(&socket).recv(&mut buffer);
+    }
+
     /// Whether the system has received bytes that were not read. Then the process is slow, not the client.
     fn has_unread(&self) -> bool {
         // SAFETY: The socket is closed only after the connection is no longer registered.
@@ -280,6 +323,7 @@
         ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
         let control = &self.control;
         control.last_read_at.set(Instant::now());
+        control.has_head.set(true);
         if control.phase.get() == Phase::Idle {
             control.enter(Phase::Head);
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -36,6 +36,8 @@
 /// Smallest read buffer that `hyper` accepts, in bytes.
 const HEAD_BYTES_MIN: usize = 8192;
 
+/// Interval at which it is checked whether a client has received its last response.
+const LINGER_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which connections are checked for timeouts.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 /// The part of the connections with unread responses that is closed at a time while memory is short.
@@ -165,9 +167,10 @@
     }
 
     /// Shuts down gracefully: stops listening and closes each connection once its exchange, if any,
-    /// is complete.
-    pub fn close(self) {
+    /// is complete and the client has received the response. Returns a handle by which to wait for that.
+    pub fn close(self) -> Closing {
         self.connections.shut_down(Shutdown::Graceful);
+        Closing(self.connections)
     }
 
     /// Stops listening and closes all connections immediately, as the exit of the process would.
@@ -176,6 +179,18 @@
     }
 }
 
+/// A server that is shutting down.
+#[derive(Debug)]
+pub struct Closing(Rc<Connections>);
+
+impl Closing {
+    /// Whether all clients have received the responses to the requests that the server has begun to read.
+    pub fn is_complete(&self) -> bool {
+        let open = self.0.open.borrow();
+        !open.values().any(|control| control.is_busy())
+    }
+}
+
 /// The open connections of a server, and their shutdown signal.
 #[derive(Debug, Default)]
 struct Connections {
@@ -363,6 +378,7 @@
             Some(Shutdown::Abort) => return Poll::Ready(()),
             Some(Shutdown::Graceful) if !shutdown_started => {
                 shutdown_started = true;
+                control.extend_send_buffer();
                 connection.as_mut().graceful_shutdown();
             }
             _ => {}
@@ -371,6 +387,18 @@
         connection.as_mut().poll(cx).map(|_| ())
     };
     poll_fn(drive).await;
+    if registration.connections.shutdown.get() == Some(Shutdown::Graceful) {
+        linger(&registration.control).await;
+    }
+}
+
+/// Keeps a connection whose last response is written until its client has received all of it. What the client sends
+/// meanwhile is dropped: a socket that is closed with unread bytes is reset, and what was not received yet is lost.
+async fn linger(control: &Control) {
+    while control.cut_reason().is_none() && control.has_undelivered() {
+        control.discard_input();
+        monoio::time::sleep(LINGER_INTERVAL).await;
+    }
 }
 
 /// Keeps requests that were sent ahead of responses from taking the turns of others: after a few, all connections
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -64,6 +64,70 @@
     .expect("a runtime");
 }
 
+/// Bytes of a response that no buffer of the system holds.
+const LARGE_BYTES: usize = 8 << 20;
+/// What a slow reader takes at a time.
+const SLOW_READ_BYTES: usize = 64 << 10;
+
+/// Answers at once, with many bytes.
+#[derive(Clone)]
+struct Large;
+
+impl Handler for Large {
+    type Source = Never;
+
+    async fn handle(&self, _request: Request<Incoming>) -> Response<Outgoing<Never>> {
+        Response::new(Outgoing::full(vec![b'x'; LARGE_BYTES]))
+    }
+}
+
+/// Guards against a process that ends while a client is still reading, as its handlers have no work left. The client has
+/// also sent bytes that nobody reads, which would reset a connection that is closed.
+#[test]
+fn close_waits_for_slow_reader() {
+    block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, Limits::default(), Large).expect("a listener");
+        let mut stream = TcpStream::connect_addr(server.address())
+            .await
+            .expect("connected");
+        let request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP".to_vec();
+        stream.write_all(request).await.0.expect("written");
+        monoio::time::sleep(SETTLE_TIME).await;
+        let closing = server.close();
+        let mut received = 0;
+        let mut buffer = vec![0; SLOW_READ_BYTES];
+        while received < LARGE_BYTES {
+            assert!(!closing.is_complete(), "after {received} bytes");
+            let (read, filled) = stream.read(buffer).await;
+            buffer = filled;
+            let bytes = read.expect("no reset");
+            assert!(bytes > 0, "cut after {received} bytes");
+            received += bytes;
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        monoio::time::sleep(SETTLE_TIME).await;
+        assert!(closing.is_complete());
+    })
+    .expect("a runtime");
+}
+
+/// A connection without a request keeps nobody waiting.
+#[test]
+fn close_idle_connection_is_complete() {
+    block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, Limits::default(), Large).expect("a listener");
+        let stream = TcpStream::connect_addr(server.address())
+            .await
+            .expect("connected");
+        monoio::time::sleep(SETTLE_TIME).await;
+        assert!(server.close().is_complete());
+        drop(stream);
+    })
+    .expect("a runtime");
+}
+
 /// Answers at once.
 #[derive(Clone)]
 struct Fast {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use hornbeamtiller_core::token::Instance;
 use hornbeamtiller_http::accept::Acceptor;
 use hornbeamtiller_http::client::{self, Client};
-use hornbeamtiller_http::server::{Limits, Server};
+use hornbeamtiller_http::server::{Closing, Limits, Server};
 use hornbeamtiller_http::socket::Listener;
 
 use crate::caller;
@@ -141,11 +141,11 @@
     }
 
     /// Closes the listeners and the incoming peer connections. Responses to callers and operators
-    /// in progress are completed while the runtime runs.
-    pub fn close(self) {
-        self.callers.close();
+    /// in progress are completed while the runtime runs; the handle tells when callers have received them.
+    pub fn close(self) -> Closing {
         self.operators.close();
         self.peers.close();
+        self.callers.close()
     }
 }
 
