http: a peer that sends without end keeps neither other tasks nor timers from running

Cause: one poll of the connection had no end; and timers fire only when no task is ready, while a connection and the reader of a body of very small chunks wake each other without end.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use hornbeamtiller_http::accept::Acceptor;
 use hornbeamtiller_http::client::{self, Client};
 use hornbeamtiller_http::memory::Budget;
+use hornbeamtiller_http::pulse;
 use hornbeamtiller_http::server::{Closing, Limits, Server};
 use hornbeamtiller_http::socket::Listener;
 use hornbeamtiller_relay::event::Event;
@@ -173,6 +174,8 @@
 async fn run_timer<P: Protocol>(driver: Driver<P>) {
     while !driver.has_exited() {
         monoio::time::sleep(TICK_INTERVAL).await;
+        pulse::beat();
         driver.apply(Event::Tick);
     }
+    pulse::stop();
 }
--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -2,11 +2,12 @@
 //! been.
 
 use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future as _};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -25,7 +26,9 @@
 use crate::cancel;
 use crate::idle_timeout;
 use crate::memory::{grow, grown_capacity, Budget, Holder};
+use crate::pulse::Pulse;
 use crate::socket;
+use crate::turn::{Bounded, Turn};
 
 mod error;
 mod pool;
@@ -90,7 +93,7 @@
 }
 
 /// The side of a connection that hyper drives.
-type Driven = http1::Connection<MonoioIo<TcpStreamPoll>, Full<Bytes>>;
+type Driven = http1::Connection<Bounded<MonoioIo<TcpStreamPoll>>, Full<Bytes>>;
 
 /// An HTTP client of one thread; clones share the connection pool.
 #[derive(Clone)]
@@ -109,12 +112,23 @@
 
 /// Drives a connection until it ends or its guard is dropped. If that leaves a request without its
 /// response, the server must not receive the rest of the request later.
-async fn run_connection(mut connection: Driven, token: cancel::Token, is_answered: Rc<Cell<bool>>) {
-    let result = token.run_until_cancelled(&mut connection).await;
+async fn run_connection(
+    mut connection: Driven,
+    turn: Turn,
+    token: cancel::Token,
+    is_answered: Rc<Cell<bool>>,
+) {
+    let mut pulse = Pulse::default();
+    let drive = poll_fn(|cx| {
+        ready!(pulse.poll_beat(cx));
+        turn.begin();
+        Pin::new(&mut connection).poll(cx)
+    });
+    let result = token.run_until_cancelled(drive).await;
     if is_answered.get() || matches!(result, Some(Ok(()))) {
         return;
     }
-    let io = connection.into_parts().io;
+    let io = connection.into_parts().io.into_inner();
     if let Err(error) = socket::reset_on_close(&*io) {
         log::warn!("can't reset a connection: {error}");
     }
@@ -235,7 +249,9 @@
             Err(_) => return Err(connect_error(io::ErrorKind::TimedOut.into())),
         };
         socket::configure(&stream, self.settings.user_timeout).map_err(connect_error)?;
+        let turn = Turn::default();
         let io = MonoioIo::new(stream.into_poll_io().map_err(connect_error)?);
+        let io = Bounded::new(io, turn.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(io)
@@ -243,7 +259,7 @@
             .map_err(|error| connect_error(io::Error::other(error)))?;
         let (guard, token) = cancel::Guard::new();
         let is_answered = Rc::<Cell<bool>>::default();
-        monoio::spawn(run_connection(connection, token, is_answered.clone()));
+        monoio::spawn(run_connection(connection, turn, token, is_answered.clone()));
         Ok(Connection {
             sender,
             is_answered,
--- /dev/null
+++ b/crates/http/src/pulse.rs
@@ -0,0 +1,62 @@
+//! Keeps timers running while peers send without end.
+//!
+//! The runtime looks at its timers only when no task is ready to run. Two tasks that wake each other for each few bytes
+//! that a peer sends keep all timers of the thread from firing, for as long as the peer goes on. So a timer of the process
+//! beats here; if it has not done so for some time, the tasks of connections wait until it has.
+
+use std::cell::{Cell, RefCell};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+/// Time without a beat after which timers are held to be kept from firing; three periods of the timer that beats.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(45);
+/// Polls of a connection after which it looks at the clock again.
+const POLLS_PER_CHECK: u32 = 16;
+
+thread_local! {
+    static LAST_BEAT: Cell<Option<Instant>> = const { Cell::new(None) };
+    static WAITING: RefCell<Vec<Waker>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Tells that timers fire. To be called by a timer of this thread each 15 ms or so, from the first call on until
+/// [`stop`].
+pub fn beat() {
+    LAST_BEAT.set(Some(Instant::now()));
+    wake_all();
+}
+
+/// Tells that the timer which beats has ended.
+pub fn stop() {
+    LAST_BEAT.set(None);
+    wake_all();
+}
+
+fn wake_all() {
+    let waiting = WAITING.take();
+    waiting.into_iter().for_each(Waker::wake);
+}
+
+/// Lets one connection wait for timers.
+#[derive(Debug, Default)]
+pub(crate) struct Pulse {
+    polls: u32,
+}
+
+impl Pulse {
+    /// Ready if the connection may go on. Else its task is woken once timers have fired.
+    pub(crate) fn poll_beat(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.polls += 1;
+        if self.polls < POLLS_PER_CHECK {
+            return Poll::Ready(());
+        }
+        let is_late = LAST_BEAT
+            .get()
+            .is_some_and(|at| at.elapsed() >= BEAT_TIMEOUT);
+        if is_late {
+            WAITING.with_borrow_mut(|waiting| waiting.push(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        self.polls = 0;
+        Poll::Ready(())
+    }
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,7 +9,7 @@
 use std::os::fd::AsRawFd as _;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
@@ -26,6 +26,7 @@
 use crate::connection::{Control, Monitored, Tracked};
 use crate::memory::{Budget, Cut};
 use crate::parse_refusal::{Rewriter, MARKER_HEADER};
+use crate::pulse::Pulse;
 use crate::socket::{self, Listener};
 
 pub use crate::connection::{Handle, Timeouts};
@@ -368,7 +369,9 @@
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut shutdown_started = false;
+    let mut pulse = Pulse::default();
     let drive = |cx: &mut Context<'_>| {
+        ready!(pulse.poll_beat(cx));
         control.register(cx.waker());
         if let Some(cut) = control.cut_reason() {
             limits.budget.count_cut(cut);
