relay, platform: a sole software version is confirmed by the store before a stream goes on at it

Cause: the only version of the list counted as the only one, however old the list was. Change: the store is asked for changes of the list first, later than the call has come; without an answer it is refused, to come back.

--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -295,6 +295,7 @@
                 engine,
                 address,
             } => self.list_parts(endpoint, engine, address),
+            Effect::CheckList => self.ask_source(source::Request::Check),
             Effect::ReadHistory => self.ask_source(source::Request::History),
             Effect::AskPermit {
                 address,
--- a/crates/relay/src/event/effect.rs
+++ b/crates/relay/src/event/effect.rs
@@ -204,6 +204,8 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Asks the configuration service for the changes of the list that this VM has not heard of.
+    CheckList,
     /// Reads from the configuration service which runners were listed lately.
     ReadHistory,
     /// Asks a peer for a permit for a request to a runner.
--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -283,6 +283,11 @@
         /// The parts; none if there was no answer that can be used.
         parts: Option<Vec<id::Part>>,
     },
+    /// The configuration service was asked for changes of the list, which came before this.
+    ListChecked {
+        /// Whether it has answered.
+        is_confirmed: bool,
+    },
     /// It was read which runners were listed lately, or could not be.
     HistoryRead {
         /// All versions of all entries, as far back as they are known; none if no history is to be had.
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -27,6 +27,8 @@
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval at which a VM that is asking the engines is asked for what it has found.
 pub const PENDING_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a search waits for the configuration service.
+const SOURCE_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a search waits for what engines hold.
 const ENGINES_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of streams whose origin is kept.
@@ -213,6 +215,11 @@
 pub enum Stage {
     /// The VMs that may have been told it.
     Vms,
+    /// The configuration service, for runners that this VM has not heard of.
+    Source {
+        /// Until when it has to answer.
+        until: Duration,
+    },
     /// A VM that asks the engines.
     Engines {
         /// Until when it has to find out.
@@ -259,6 +266,17 @@
         }
     }
 
+    /// Goes on with the configuration service, if it has not done so yet; returns until when that is awaited.
+    pub fn ask_source(&mut self, now: Duration) -> Duration {
+        if let Stage::Source { until } = self.stage {
+            return until;
+        }
+        let until = now + SOURCE_TIMEOUT;
+        self.stage = Stage::Source { until };
+        self.awaited.clear();
+        until
+    }
+
     /// Goes on with the engines, if it has not done so yet; returns until when they are asked.
     pub fn ask_engines(&mut self, now: Duration) -> Duration {
         if let Stage::Engines { until } = self.stage {
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -91,6 +91,7 @@
             engine,
             parts,
         } => reducer.handle_listed_parts(&endpoint, &engine, parts),
+        Event::ListChecked { is_confirmed } => reducer.handle_list_check(is_confirmed),
         Event::HistoryRead { entries } => reducer.handle_history(entries),
         Event::LimitStated { attempt, statement } => {
             reducer.handle_limit_statement(attempt, statement)
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::call::Phase;
+use crate::call::{Call, Phase};
 use crate::decision_log::{Entry, Kind};
 use crate::event::Effect;
 use crate::id;
@@ -22,6 +22,9 @@
 /// How long a process that has just started may not know all of its peers.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
 
+/// Time after which the configuration service is asked again, if it has not answered.
+const LIST_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How long a process that does not run may come back with what it knows.
 const PAUSE_TIME: Duration = Duration::from_secs(5);
 
@@ -237,8 +240,10 @@
         if search.deadline > now {
             return;
         }
-        if search.stage != Stage::Vms {
-            return self.advance_engine_search(number);
+        match search.stage {
+            Stage::Vms => {}
+            Stage::Source { .. } => return self.conclude(number),
+            Stage::Engines { .. } => return self.advance_engine_search(number),
         }
         search.has_unresponsive |= !search.awaited.is_empty();
         self.ask_next(number);
@@ -307,14 +312,71 @@
         let is_only = |build: &&id::Build| seen.iter().all(|other| other == *build);
         let sole = search.sole.as_ref().filter(|_| !search.is_mixed);
         if let Some(build) = sole.filter(is_only).cloned() {
-            let endpoint = question.endpoint;
-            return self.bind(number, Origin { endpoint, build }, Source::SoleBuild);
+            let origin = Origin {
+                endpoint: question.endpoint,
+                build,
+            };
+            return self.bind_to_sole(number, origin);
         }
         if !self.ask_engines(number) {
             self.give_up_search(number);
         }
     }
 
+    /// Lets a call go on at the only software version that is known, once the configuration service has confirmed since
+    /// the call came that there is no other: a VM that was cut off, or stood still, may not have heard of one at which others
+    /// have begun streams.
+    fn bind_to_sole(&mut self, number: id::Call, origin: Origin) {
+        let now = self.now;
+        let confirmed_at = self.state.list_confirmed_at;
+        let Some(call) = self.state.calls.get_mut(&number) else {
+            return;
+        };
+        if confirmed_at.is_some_and(|at| at >= call.arrived_at) {
+            return self.bind(number, origin, Source::SoleBuild);
+        }
+        let Some(search) = call.search.as_mut() else {
+            return;
+        };
+        if search.ask_source(now) <= now {
+            self.record_source(number, Source::Unreachable, None);
+            return self.fail_call(number, Reason::OriginUnreachable);
+        }
+        search.deadline = now + PENDING_INTERVAL;
+        call.phase = Phase::Waiting {
+            retry_at: now + PENDING_INTERVAL,
+        };
+        self.check_list();
+    }
+
+    /// Has the configuration service asked for changes of the list, unless it is being asked.
+    fn check_list(&mut self) {
+        let now = self.now;
+        let asked_at = self.state.list_asked_at;
+        if asked_at.is_none_or(|at| at + LIST_CHECK_TIMEOUT <= now) {
+            self.state.list_asked_at = Some(now);
+            self.emit(Effect::CheckList);
+        }
+    }
+
+    /// Goes on with the searches that wait for the configuration service.
+    pub(super) fn handle_list_check(&mut self, is_confirmed: bool) {
+        let asked_at = self.state.list_asked_at.take();
+        if is_confirmed {
+            self.state.list_confirmed_at = asked_at.max(self.state.list_confirmed_at);
+        }
+        let is_waiting = |call: &Call| {
+            let search = call.search.as_ref();
+            search.is_some_and(|search| matches!(search.stage, Stage::Source { .. }))
+        };
+        let calls = self.state.calls.iter();
+        let waiting = calls.filter(|(_, call)| is_waiting(call));
+        let waiting: Vec<id::Call> = waiting.map(|(number, _)| *number).collect();
+        for number in waiting.into_iter().filter(|_| is_confirmed) {
+            self.conclude(number);
+        }
+    }
+
     /// Refuses a call whose stream may have begun at any of several software versions.
     pub(super) fn give_up_search(&mut self, number: id::Call) {
         let call = self.state.calls.get(&number);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -287,6 +287,10 @@
     pub manifest_confirmed_at: Duration,
     /// Since when the list of runners has been read from the configuration service without a break.
     pub list_known_since: Option<Duration>,
+    /// When the configuration service was last asked, with success, for changes of the list.
+    pub list_confirmed_at: Option<Duration>,
+    /// Since when its answer is awaited.
+    pub list_asked_at: Option<Duration>,
     /// Longest timeout of a route of streams, of all manifests in force since the start.
     pub stream_timeout_max: Duration,
     /// Retry budgets by endpoint.
@@ -359,6 +363,8 @@
             untold_origins: Vec::new(),
             manifest_confirmed_at: Duration::ZERO,
             list_known_since: None,
+            list_confirmed_at: None,
+            list_asked_at: None,
             stream_timeout_max: Duration::ZERO,
             budgets: HashMap::new(),
             leaving_since: None,
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -516,6 +516,39 @@
     assert_eq!(refused(forged), (Reason::OriginUnknown, false));
 }
 
+/// A stream that has begun at a version of which one VM, which is cut off from the others, has not heard.
+fn begin_unheard_of(fleet: &mut Fleet) -> String {
+    let others = [2, 3, 4, 5, 6];
+    fleet.list_at(&others, "make-1", "v2");
+    fleet.isolate(1);
+    loop {
+        let (request, build) = begin(fleet, 2);
+        if &*build == "v2" {
+            return request;
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another version at a VM that was out of step while runners of a new version
+/// joined.
+#[test]
+fn resume_at_isolated_vm_new_build_not_joined() {
+    let mut fleet = Fleet::new(6, &["v1"], 1);
+    let request = begin_unheard_of(&mut fleet);
+    let resumption = fleet.resume(1, Some(&request));
+    assert_ne!(resumption, bound(&"v1".into()));
+}
+
+/// The same where that VM does not reach the configuration service either, and has not noticed.
+#[test]
+fn resume_at_isolated_vm_source_not_reached_refused() {
+    let mut fleet = Fleet::new(6, &["v1"], 1);
+    let request = begin_unheard_of(&mut fleet);
+    fleet.without_source.insert(1);
+    let resumption = fleet.resume(1, Some(&request));
+    assert_eq!(refused(resumption), (Reason::OriginUnreachable, true));
+}
+
 #[test]
 fn resume_source_was_lost_refused() {
     let mut harness = Harness::new(1);
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -83,6 +83,9 @@
     pub mute: BTreeSet<id::Runner>,
     /// Number of times that a runner was asked what it holds.
     pub listings: u32,
+    /// The VMs that do not reach the configuration service, without having noticed.
+    pub without_source: BTreeSet<usize>,
+    isolated: BTreeSet<usize>,
     /// Whether the configuration service still has its history.
     pub has_history: bool,
     /// All entries that were ever written.
@@ -118,6 +121,8 @@
             held: BTreeMap::new(),
             mute: BTreeSet::new(),
             listings: 0,
+            without_source: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             has_history: false,
             written: Vec::new(),
         };
@@ -329,6 +334,11 @@
         for (endpoint, engine) in lists {
             self.list_parts(vm, endpoint, engine);
         }
+        let mut all = effects.iter();
+        if all.any(|effect| matches!(effect, Effect::CheckList)) {
+            let checked = self.check_list(vm);
+            self.run_attempts(peer(vm).peer_address, checked);
+        }
         if reads_history {
             let entries = self.has_history.then(|| self.written.clone());
             self.apply(vm, Event::HistoryRead { entries });
@@ -336,6 +346,28 @@
         effects
     }
 
+    /// Tells a VM of all runners that are listed, and that it has heard of all.
+    fn check_list(&mut self, vm: usize) -> Vec<Effect> {
+        let is_confirmed = !self.without_source.contains(&vm);
+        let listed: Vec<Descriptor> = self.runners.values().cloned().collect();
+        for descriptor in listed.into_iter().filter(|_| is_confirmed) {
+            self.apply(vm, Event::RunnerUpdated { descriptor });
+        }
+        self.apply(vm, Event::ListChecked { is_confirmed })
+    }
+
+    /// Cuts a VM off from all others, which it believes to be down then.
+    pub fn isolate(&mut self, vm: usize) {
+        self.isolated.insert(vm);
+        for _ in 0..3 {
+            for other in self.running().into_iter().filter(|other| *other != vm) {
+                let address = peer(other).peer_address;
+                self.apply(vm, Event::PeerUnresponsive { address });
+            }
+            self.now += OUTAGE_TIME;
+        }
+    }
+
     /// Tells a VM what a runner holds.
     fn list_parts(&mut self, vm: usize, endpoint: id::Endpoint, engine: Instance) {
         self.listings += 1;
@@ -352,6 +384,10 @@
     }
 
     fn post(&mut self, letter: Letter) {
+        let ends = [letter.from, letter.to].map(|address| self.vm_at(address));
+        if ends.iter().flatten().any(|vm| self.isolated.contains(vm)) {
+            return self.fail(letter);
+        }
         if self.draw(self.network.lost) {
             return self.fail(letter);
         }
