relay: no figure of a caller ends the process by a conversion to a duration

Cause: a prefill of no tokens counted as a rate of 0; the next estimate divided by it, and Duration::from_secs_f64 panics. Change: an empty prompt says nothing of the rate; computed durations are made by relay::duration, which replaces figures out of range, and clippy rejects the functions that panic; tokens that callers name are bounded on arrival.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -10,6 +10,7 @@
 use hornbeamtiller_http::body::{self, Channel, Outgoing as Body, Source, Truncated};
 use hornbeamtiller_http::memory::{Exhausted, Guard, Holder};
 use hornbeamtiller_http::server::{Handle, Handler, Timeouts, UNREAD_TIMEOUT};
+use hornbeamtiller_relay::duration;
 use hornbeamtiller_relay::event::{Arrival, Event};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::organisation::Identity;
@@ -325,7 +326,7 @@
 /// The refusal of a request for which there is no memory. The time is spread, so that not all come back at once.
 fn no_memory() -> Refusal {
     let delay = rand::rng().random_range(NO_MEMORY_RETRY_AFTER);
-    Refusal::not_run(Reason::NoMemory, Duration::from_secs_f64(delay))
+    Refusal::not_run(Reason::NoMemory, duration::from_seconds(delay))
 }
 
 /// Estimates the memory that a request needs beside its body, in bytes.
--- a/crates/relay/src/allocation/round.rs
+++ b/crates/relay/src/allocation/round.rs
@@ -5,6 +5,7 @@
 
 use super::exclusion::Exclusions;
 use super::{group_of, Ask, Group, Limits, Urgency};
+use crate::duration::Scale as _;
 use crate::id;
 use crate::manifest::Engine;
 use crate::placement::{self, STREAM_COST};
@@ -317,7 +318,7 @@
                 Some(field) => {
                     let slowness = field.slowness(runner, self.now);
                     let balance =
-                        STREAM_COST.mul_f64(DECODE_BALANCE * field.recent_work(runner, self.now));
+                        STREAM_COST.scale(DECODE_BALANCE * field.recent_work(runner, self.now));
                     placement::stream_cost(load.requests, slowness) + balance
                 }
                 None => STREAM_COST * load.requests,
@@ -345,8 +346,8 @@
     /// proportion to their speed, rather than the fastest one all of it.
     fn prefill_balance(&self, field: &Field, runner: &Runner) -> Duration {
         let call = field.median_time().unwrap_or_default();
-        let call = call.mul_f64(self.ask.prefill_tokens as f64);
-        call.mul_f64(PREFILL_BALANCE * field.recent_work(runner, self.now))
+        let call = call.scale(self.ask.prefill_tokens as f64);
+        call.scale(PREFILL_BALANCE * field.recent_work(runner, self.now))
     }
 
     /// The prefill engine that is expected to finish first; one in the zone of the decode engine is
--- a/crates/relay/src/breaker.rs
+++ b/crates/relay/src/breaker.rs
@@ -1,6 +1,7 @@
 //! A circuit breaker for each runner, with its failure rate and latency as observed in live
 //! traffic.
 
+use crate::duration;
 use std::time::Duration;
 
 /// How long the breaker stays open after the first broken exchange; doubles with each further one.
@@ -127,6 +128,6 @@
 
     /// Moving average of the response latency, if any response was received.
     pub fn latency(&self) -> Option<Duration> {
-        self.latency.map(Duration::from_secs_f64)
+        self.latency.map(duration::from_seconds)
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod crash;
 pub mod decision_log;
 pub mod departure;
+pub mod duration;
 pub mod event;
 pub mod id;
 pub mod limit;
--- a/crates/relay/src/limit/permit.rs
+++ b/crates/relay/src/limit/permit.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use crate::duration::Scale as _;
 use crate::pool::Instance;
 
 /// How long a permit can be used.
@@ -50,7 +51,7 @@
     /// the fleet.
     pub fn ask(&mut self, instance: &Instance, vms: usize, now: Duration) -> bool {
         let asked_at = self.asked_at.get(instance);
-        let timeout = ASK_TIMEOUT.mul_f64((vms as f64 / SMALL_FLEET as f64).max(1.0));
+        let timeout = ASK_TIMEOUT.scale((vms as f64 / SMALL_FLEET as f64).max(1.0));
         if asked_at.is_some_and(|at| *at + timeout > now) {
             return false;
         }
--- a/crates/relay/src/order/history.rs
+++ b/crates/relay/src/order/history.rs
@@ -6,6 +6,7 @@
 use super::{Entry, Shares, Throughput, Work};
 use crate::allocation::hash;
 use crate::backlog::{self, Backlog};
+use crate::duration::Scale as _;
 
 /// Shortest time after which a refused call is to come again.
 const RETURN_AFTER_MIN: Duration = Duration::from_millis(200);
@@ -42,6 +43,6 @@
         let delay = self.backlog.push(time(ahead), time(entry.work), now);
         let uniform = hash(entry.vm.as_bytes(), entry.call) as f64 / u64::MAX as f64;
         let spread = 1.0 + RETURN_SPREAD * (uniform - 0.5);
-        delay.mul_f64(spread).max(RETURN_AFTER_MIN)
+        delay.scale(spread).max(RETURN_AFTER_MIN)
     }
 }
--- a/crates/relay/src/overload/mod.rs
+++ b/crates/relay/src/overload/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::duration;
 use crate::id;
 use crate::origin;
 
@@ -134,7 +135,7 @@
 
 /// Interval between two reports of a VM, in a fleet of this size.
 pub fn report_interval(vms: usize) -> Duration {
-    let by_load = Duration::from_secs_f64(vms as f64 / REPORTS_PER_SECOND);
+    let by_load = duration::from_seconds(vms as f64 / REPORTS_PER_SECOND);
     INTERVAL_MIN.max(by_load)
 }
 
--- a/crates/relay/src/overload/monitor.rs
+++ b/crates/relay/src/overload/monitor.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::duration::Scale as _;
 use crate::id;
 
 use super::{share, Admission, Class, Demand, Key, Rate, Report};
@@ -164,7 +165,7 @@
         self.average_mix(now.saturating_sub(since.unwrap_or_default()));
         if is_new {
             let is_queueing =
-                seen.wait >= target.mul_f64(OVERLOAD_FRACTION) && seen.free_part <= FREE_PART_MAX;
+                seen.wait >= target.scale(OVERLOAD_FRACTION) && seen.free_part <= FREE_PART_MAX;
             if !is_queueing || seen.demand <= 0.0 || seen.served <= 0.0 {
                 self.queueing_since = None;
                 return None;
@@ -200,7 +201,7 @@
 
     /// Forgets reports and queues that are not renewed.
     fn expire(&mut self, interval: Duration, now: Duration) {
-        let lifetime = LIFETIME_MIN + interval.mul_f64(LIFETIME_INTERVALS);
+        let lifetime = LIFETIME_MIN + interval.scale(LIFETIME_INTERVALS);
         self.reports.retain(|_, (_, at)| *at + lifetime > now);
         self.queues.retain(|_, queue| queue.at + lifetime > now);
     }
@@ -225,7 +226,7 @@
             demand: demand.map(|demand| demand.rate).sum(),
             served: reports().map(|report| report.served).sum(),
             declined: reports().map(|report| report.declined).sum(),
-            wait: self.work().mul_f64(waiting / slots),
+            wait: self.work().scale(waiting / slots),
             free_part: free / slots,
             vms: self.reports.len(),
         }
@@ -247,9 +248,9 @@
     /// queues are shorter than wanted or slots are free, less if they are longer. Both rates are of the VMs that
     /// report, so that it does not matter how many do.
     fn admit(&mut self, seen: &Change, target: Duration, interval: Duration) -> bool {
-        let wanted = target.mul_f64(WAIT_FRACTION).as_secs_f64();
+        let wanted = target.scale(WAIT_FRACTION).as_secs_f64();
         let time = interval
-            .mul_f64(CORRECTION_INTERVALS)
+            .scale(CORRECTION_INTERVALS)
             .max(CORRECTION_TIME_MIN);
         let correction = 1.0
             + (wanted - seen.wait.as_secs_f64()) / time.as_secs_f64()
--- a/crates/relay/src/overload/observer.rs
+++ b/crates/relay/src/overload/observer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::duration::{self, Scale as _};
 use crate::id;
 use crate::origin;
 use crate::pool;
@@ -78,15 +79,15 @@
             let old = self.work.unwrap_or(work);
             self.work = Some(old + WORK_WEIGHT * (work - old));
         }
-        let wait = self.work().mul_f64(queued);
-        if wait >= target.mul_f64(QUEUE_FRACTION) {
+        let wait = self.work().scale(queued);
+        if wait >= target.scale(QUEUE_FRACTION) {
             self.queue_seen_at = Some(now);
         }
     }
 
     /// How long a request takes at a runner without a queue, as far as known.
     pub fn work(&self) -> Duration {
-        Duration::from_secs_f64(self.work.unwrap_or(0.0))
+        duration::from_seconds(self.work.unwrap_or(0.0))
     }
 
     /// Whether a report is due.
@@ -124,7 +125,7 @@
 
     /// Spreads the next report over an interval; `phase` is from 0 to 1.
     pub fn delay_report(&mut self, interval: Duration, phase: f64, now: Duration) {
-        self.reported_at = Some(now.saturating_sub(interval.mul_f64(phase)));
+        self.reported_at = Some(now.saturating_sub(interval.scale(phase)));
     }
 
     /// Takes what a monitor says; returns whether the endpoint has become overloaded or has ceased to be for this VM.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -11,6 +11,7 @@
 use rand::seq::IndexedRandom as _;
 use rand::Rng;
 
+use crate::duration::Scale as _;
 use crate::id;
 use crate::manifest::Engine;
 use crate::pool::{Load, Pool, Role, Runner, Status};
@@ -207,7 +208,7 @@
     let busy = reported.running + reported.waiting;
     let service = field.current_time(runner, now).unwrap_or(LATENCY_DEFAULT);
     // Until its queue is worked off, or a slot becomes free.
-    let busy_for = service.mul_f64(f64::from(busy) / f64::from(slots));
+    let busy_for = service.scale(f64::from(busy) / f64::from(slots));
     busy >= slots && at + busy_for.min(REPORT_AGE_MAX) > now
 }
 
@@ -264,7 +265,7 @@
         Purpose::Prefill => PREFILL_JITTER,
         Purpose::Decode => STREAM_COST,
     };
-    bound.mul_f64(rng.random())
+    bound.scale(rng.random())
 }
 
 fn is_usable(runner: &Runner, drain_timeout: Duration, now: Duration) -> bool {
@@ -322,13 +323,13 @@
 
 /// Cost of the failures that are expected at a runner, as a duration.
 pub fn failure_cost(runner: &Runner, now: Duration) -> Duration {
-    FAILURE_COST.mul_f64(runner.breaker.failure_rate(now))
+    FAILURE_COST.scale(runner.breaker.failure_rate(now))
 }
 
 /// Expected cost of one more stream at a decode engine where engines report slowdowns, as a duration: the
 /// streams there, with the new one, slow each other down in proportion to the time of an event.
 pub(crate) fn stream_cost(requests: u32, slowness: f64) -> Duration {
-    STREAM_COST.mul_f64(f64::from(requests + 1) * slowness)
+    STREAM_COST.scale(f64::from(requests + 1) * slowness)
 }
 
 /// Expected time until a prefill engine has prefilled this many tokens.
@@ -340,7 +341,7 @@
 ) -> Duration {
     let time = field.and_then(|field| field.current_time(runner, now));
     match time {
-        Some(time) => time.mul_f64(tokens as f64),
+        Some(time) => time.scale(tokens as f64),
         None => runner.prefill_time(tokens),
     }
 }
@@ -350,7 +351,7 @@
     let time = field.current_time(runner, now).unwrap_or(LATENCY_DEFAULT);
     let slots = f64::from(runner.descriptor.slots.max(1));
     let ahead = f64::from(queue_length(runner, now));
-    time.mul_f64(1.0 + ahead / slots)
+    time.scale(1.0 + ahead / slots)
 }
 
 /// Expected cost of placing the call at a runner, as a duration. `field` is the stage that the runner is
@@ -372,7 +373,7 @@
         (Purpose::Plain, None) => {
             let latency = runner.breaker.latency().unwrap_or(LATENCY_DEFAULT);
             let slots = f64::from(runner.descriptor.slots.max(1));
-            latency.mul_f64(1.0 + f64::from(queue_length(runner, now)) / slots)
+            latency.scale(1.0 + f64::from(queue_length(runner, now)) / slots)
         }
         (Purpose::Prefill, _) => {
             let tokens = load.prefill_tokens + query.load.prefill_tokens;
--- a/crates/relay/src/pool/runner.rs
+++ b/crates/relay/src/pool/runner.rs
@@ -4,6 +4,7 @@
 
 use crate::breaker::Breaker;
 use crate::departure;
+use crate::duration::{self, Scale as _};
 use crate::id;
 use crate::revision;
 use crate::speed;
@@ -139,16 +140,20 @@
         let prefill_tokens_per_ms = self
             .prefill_tokens_per_ms
             .unwrap_or(PREFILL_TOKENS_PER_MS_DEFAULT);
-        Duration::from_secs_f64(tokens as f64 / prefill_tokens_per_ms / 1e3)
+        duration::from_seconds(tokens as f64 / prefill_tokens_per_ms / 1e3)
     }
 
     /// Expected time to prefill this many tokens at a runner that also generates streams.
     pub fn prefill_time_while_decoding(&self, tokens: u64) -> Duration {
-        self.prefill_time(tokens).mul_f64(DECODE_PREFILL_SLOWDOWN)
+        self.prefill_time(tokens).scale(DECODE_PREFILL_SLOWDOWN)
     }
 
     /// Records how long a prefill of this many tokens took.
     pub fn record_prefill(&mut self, tokens: u64, took: Duration) {
+        // An empty prompt says nothing of the rate.
+        if tokens == 0 {
+            return;
+        }
         let millis = (took.as_secs_f64() * 1e3).max(1.0);
         let prefill_tokens_per_ms = tokens as f64 / millis;
         let old = self.prefill_tokens_per_ms.unwrap_or(prefill_tokens_per_ms);
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -8,7 +8,7 @@
 use crate::call::{Call, Execution, Phase, Progress};
 use crate::cap::{Charge, Entrance};
 use crate::decision_log::{Entry, Kind};
-use crate::event::{Arrival, Effect, Ending};
+use crate::event::{Arrival, Effect, Ending, Prompt};
 use crate::id;
 use crate::manifest::Kind as RouteKind;
 use crate::origin;
@@ -22,6 +22,17 @@
 /// A caller that states no limit is assumed to wait for the route's timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
+/// A caller may name any number of tokens. This many are more than an engine has room for, and sums of such numbers do not
+/// overflow.
+const TOKENS_MAX: u64 = 1 << 32;
+
+fn bound_tokens(prompt: Prompt) -> Prompt {
+    Prompt {
+        tokens: prompt.tokens.min(TOKENS_MAX),
+        output_tokens: prompt.output_tokens.min(TOKENS_MAX),
+    }
+}
+
 impl Reducer<'_> {
     pub(super) fn handle_arrival(&mut self, arrival: Arrival) {
         self.state.counters.arrived += 1;
@@ -76,7 +87,7 @@
             endpoint,
             arrived_at: self.now,
             deadline: self.now + limit,
-            prompt: arrival.prompt.filter(|_| is_model),
+            prompt: arrival.prompt.filter(|_| is_model).map(bound_tokens),
             parts: arrival.parts.clone(),
             fingerprint: arrival.fingerprint,
             phase: Phase::Waiting { retry_at: self.now },
@@ -112,7 +123,7 @@
         };
         let cost = call.identity.organisation().and_then(|organisation| {
             let cap = organisation.cap.as_ref()?;
-            Some(cap.cost(arrival.stated_tokens))
+            Some(cap.cost(arrival.stated_tokens.map(|tokens| tokens.min(TOKENS_MAX))))
         });
         let entrance = Entrance {
             is_resumption: call.route.kind == RouteKind::Streaming && arrival.is_resumption(),
--- a/crates/relay/src/reduce/cap/mod.rs
+++ b/crates/relay/src/reduce/cap/mod.rs
@@ -14,6 +14,7 @@
     self, Account, Answer, Ask, Charge, Entrance, Failure, Part, Pending, Quota, Verdict, Want,
 };
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::event::{Effect, Ending};
 use crate::id;
 use crate::member::Status;
@@ -189,9 +190,7 @@
         };
         let time = self.cap_of(number).map(|(_, cap)| refill_time(cost, &cap));
         let jitter = self.state.rng.random_range(RETURN_JITTER);
-        time.unwrap_or_default()
-            .mul_f64(jitter)
-            .max(RETURN_AFTER_MIN)
+        time.unwrap_or_default().scale(jitter).max(RETURN_AFTER_MIN)
     }
 
     /// Handles a call whose granter does not answer in time.
@@ -394,7 +393,7 @@
         let logged = account.count_refusal(LOG_INTERVAL, now);
         self.count(&organisation).refused += 1;
         let jitter = self.state.rng.random_range(RETURN_JITTER);
-        let retry_after = return_after.mul_f64(jitter).max(RETURN_AFTER_MIN);
+        let retry_after = return_after.scale(jitter).max(RETURN_AFTER_MIN);
         let refusal = Refusal::not_run(Reason::OverCap, retry_after);
         self.count_refusal(refusal);
         if let Some(count) = logged {
--- a/crates/relay/src/reduce/choose.rs
+++ b/crates/relay/src/reduce/choose.rs
@@ -5,6 +5,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng as _;
 
+use crate::duration::Scale as _;
 use crate::id;
 use crate::placement::{self, Headroom, Purpose, Query};
 use crate::pool::{Load, Runner, Status};
@@ -44,7 +45,7 @@
             Headroom::Zero
         } else if call.progress.head_forwarded {
             Headroom::Normal
-        } else if elapsed > call.route.target_latency.mul_f64(ON_TIME_FRACTION) {
+        } else if elapsed > call.route.target_latency.scale(ON_TIME_FRACTION) {
             Headroom::Extra
         } else {
             Headroom::Normal
--- a/crates/relay/src/reduce/claim.rs
+++ b/crates/relay/src/reduce/claim.rs
@@ -6,6 +6,7 @@
 
 use crate::allocation::{self, Claim, Urgency};
 use crate::call::{Ask, Phase};
+use crate::duration::Scale as _;
 use crate::event::Effect;
 use crate::id;
 use crate::placement::{self, Headroom, Purpose};
@@ -243,7 +244,7 @@
             return Urgency::Late;
         }
         let elapsed = self.now.saturating_sub(call.arrived_at);
-        let limit = call.route.target_latency.mul_f64(ON_TIME_FRACTION);
+        let limit = call.route.target_latency.scale(ON_TIME_FRACTION);
         Urgency::InTime(limit.saturating_sub(elapsed))
     }
 }
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::call::{Call, Grant, Phase};
 use crate::crash::shared_parts;
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::event::{Dispatch, Effect, Operation};
 use crate::id;
 use crate::manifest::Kind as RouteKind;
@@ -361,5 +362,5 @@
         RouteKind::Streaming => STREAM_WAIT_FACTOR,
         _ => PLAIN_WAIT_FACTOR,
     };
-    call.route.target_latency.mul_f64(factor)
+    call.route.target_latency.scale(factor)
 }
--- a/crates/relay/src/reduce/finish.rs
+++ b/crates/relay/src/reduce/finish.rs
@@ -7,6 +7,7 @@
 use crate::arrivals::Arrival;
 use crate::call::{Execution, Phase};
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::event::{Effect, Ending, Sample};
 use crate::id;
 use crate::refusal::{Claim, Reason, Refusal};
@@ -93,7 +94,7 @@
             (None, Reason::Resting) => self.rest_return_after(number),
             (None, Reason::OverCap) => self.cap_return_after(number),
             (None, Reason::Overloaded) => self.overload_return_after(number),
-            _ => RETRY_AFTER_BASE.mul_f64(self.state.rng.random_range(0.8..1.4)),
+            _ => RETRY_AFTER_BASE.scale(self.state.rng.random_range(0.8..1.4)),
         };
         let Some(call) = self.state.calls.get_mut(&number) else {
             return;
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -4,6 +4,7 @@
 
 use crate::call::Call;
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::event::Effect;
 use crate::id;
 use crate::manifest::Kind as RouteKind;
@@ -88,7 +89,7 @@
     /// Records how long a complete stream took, from its request to its end.
     pub(super) fn record_stream_time(&mut self, took: Duration) {
         let expected = self.state.stream_time.unwrap_or(took);
-        let shorter = expected.saturating_sub(took).mul_f64(SHORTER_STREAM_WEIGHT);
+        let shorter = expected.saturating_sub(took).scale(SHORTER_STREAM_WEIGHT);
         self.state.stream_time = Some(took.max(expected - shorter));
     }
 }
--- a/crates/relay/src/reduce/limit.rs
+++ b/crates/relay/src/reduce/limit.rs
@@ -9,6 +9,7 @@
 use crate::backlog;
 use crate::call::{Call, Phase};
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::event::Effect;
 use crate::id;
 use crate::limit::{Asker, Rate, Record, Statement};
@@ -330,8 +331,8 @@
         let least_jitter = self.state.rng.random_range(1.0..RETURN_JITTER.end);
         // The least delay is spread out too: most callers get it where the excess is small.
         delay
-            .mul_f64(jitter)
-            .max(RETURN_AFTER_MIN.mul_f64(least_jitter))
+            .scale(jitter)
+            .max(RETURN_AFTER_MIN.scale(least_jitter))
     }
 
     /// Requests that each engine with a limit may get now, as far as this VM allocates it.
--- a/crates/relay/src/reduce/rest.rs
+++ b/crates/relay/src/reduce/rest.rs
@@ -5,6 +5,7 @@
 use rand::Rng as _;
 
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::id;
 use crate::placement::Purpose;
 use crate::pool::Runner;
@@ -71,6 +72,6 @@
         let endpoint = call.map(|call| call.endpoint.clone());
         let end = endpoint.and_then(|endpoint| self.rest_end(&endpoint));
         let left = end.unwrap_or(self.now).saturating_sub(self.now);
-        left.mul_f64(self.state.rng.random_range(RETURN_JITTER))
+        left.scale(self.state.rng.random_range(RETURN_JITTER))
     }
 }
--- a/crates/relay/src/reduce/speed.rs
+++ b/crates/relay/src/reduce/speed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::allocation::Claim;
+use crate::duration::Scale as _;
 use crate::id;
 use crate::placement::{self, Purpose};
 use crate::pool::{Report, Runner};
@@ -39,7 +40,7 @@
     pub(super) fn record_prefill_time(&mut self, ended: &EndedAttempt, tokens: u64) {
         let work = tokens + ended.in_flight.queued_tokens;
         if work > 0 {
-            let time = ended.took.div_f64(work as f64);
+            let time = ended.took.scale(1.0 / (work as f64));
             self.record_time(&ended.runner, time);
         }
     }
@@ -51,7 +52,7 @@
         });
         let call = self.state.calls.get(&ended.number);
         if call.is_some_and(|call| call.prompt.is_none()) {
-            self.record_time(&ended.runner, ended.took.div_f64(1.0 + queued));
+            self.record_time(&ended.runner, ended.took.scale(1.0 / (1.0 + queued)));
         }
     }
 
--- a/crates/relay/src/reduce/timeout.rs
+++ b/crates/relay/src/reduce/timeout.rs
@@ -5,6 +5,7 @@
 use crate::breaker::Observation;
 use crate::call::{Call, Phase};
 use crate::decision_log::{Entry, Kind};
+use crate::duration::Scale as _;
 use crate::id;
 use crate::placement::Purpose;
 use crate::pool::Runner;
@@ -266,7 +267,7 @@
         .latency()
         .unwrap_or(call.route.target_latency / 4);
     let timeout = latency
-        .mul_f64(RESPONSE_TIMEOUT_FACTOR)
+        .scale(RESPONSE_TIMEOUT_FACTOR)
         .max(RESPONSE_TIMEOUT_MIN);
     // Without a retry there is no hurry, and the response may be slow rather than missing.
     if call.can_retry_after_attempt() {
@@ -278,11 +279,11 @@
 
 /// Timeout of a prefill that is expected to take this long.
 pub(super) fn prefill_timeout(expected: Duration) -> Duration {
-    expected.mul_f64(PREFILL_TIMEOUT_FACTOR) + PREFILL_TIMEOUT_MARGIN
+    expected.scale(PREFILL_TIMEOUT_FACTOR) + PREFILL_TIMEOUT_MARGIN
 }
 
 /// Time between two events after which another runner is prepared for a stream. The stream is late
 /// already; a move serves only to keep its caller from leaving.
 pub(super) fn event_timeout(call: &Call) -> Duration {
-    call.route.event_patience.mul_f64(EVENT_TIMEOUT_FRACTION)
+    call.route.event_patience.scale(EVENT_TIMEOUT_FRACTION)
 }
--- a/crates/relay/src/speed.rs
+++ b/crates/relay/src/speed.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use crate::duration::{self, Scale as _};
 use crate::id;
 use crate::placement::Purpose;
 use crate::pool::{Pool, Runner};
@@ -144,7 +145,7 @@
         let mean = untold.seconds / f64::from(untold.samples.max(1));
         let reported_at = untold.slowdown.map_or(now, |(_, at)| at);
         Some(Reading {
-            unit_time: Duration::from_secs_f64(mean),
+            unit_time: duration::from_seconds(mean),
             samples: untold.samples,
             slowdown: untold.slowdown.map(|(slowdown, _)| slowdown),
             age: now.saturating_sub(reported_at),
@@ -253,13 +254,13 @@
         speed
             .unit_time
             .or(expected)
-            .map(|seconds| Duration::from_secs_f64(seconds.min(1e3)))
+            .map(|seconds| duration::from_seconds(seconds.min(1e3)))
     }
 
     /// Time of a unit of work at a runner now.
     pub fn current_time(&self, runner: &Runner, now: Duration) -> Option<Duration> {
         let usual = self.usual_time(runner)?;
-        Some(usual.mul_f64(self.moment(runner, now)))
+        Some(usual.scale(self.moment(runner, now)))
     }
 
     /// How much longer work takes at a runner than at the median one, by its usual time.
@@ -288,7 +289,7 @@
     /// Time of a unit of work at the median runner.
     pub fn median_time(&self) -> Option<Duration> {
         self.usual
-            .map(|seconds| Duration::from_secs_f64(seconds.min(1e3)))
+            .map(|seconds| duration::from_seconds(seconds.min(1e3)))
     }
 
     fn moment(&self, runner: &Runner, now: Duration) -> f64 {
--- a/crates/relay/tests/order.rs
+++ b/crates/relay/tests/order.rs
@@ -1,5 +1,10 @@
 //! The order of calls that wait: its bounds, and what callers get of it above capacity.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "the figures of tests are in range"
+)]
+
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/relay/tests/support/order.rs
+++ b/crates/relay/tests/support/order.rs
@@ -3,6 +3,11 @@
 //! The allocator's rules for memory, slots and prefill are modelled, so that orders can be compared which the router
 //! doesn't have; `Rule::Router` uses the order of the router itself.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "the figures of tests are in range"
+)]
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
--- a/crates/relay/tests/support/overload.rs
+++ b/crates/relay/tests/support/overload.rs
@@ -1,5 +1,10 @@
 //! A fleet in front of plain runners that get more requests than they can do.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "the figures of tests are in range"
+)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/relay/tests/support/uneven.rs
+++ b/crates/relay/tests/support/uneven.rs
@@ -1,6 +1,11 @@
 //! A fleet of reducers with a model of engines and plain runners whose speeds differ, and that slow down for
 //! moments.
 
+#![allow(
+    clippy::disallowed_methods,
+    reason = "the figures of tests are in range"
+)]
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
