http: only errors of the HTTP library are turned into refusals, never bytes of a body

Cause: each buffer that went out was looked at, whatever the connection was doing. Change: bytes pass as they are from the arrival of a request until all is flushed after the end of its response's body. Evidence: response_that_reads_like_errors_unchanged fails without the change and passes.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -102,6 +102,8 @@
     phase: Cell<Phase>,
     /// When the phase began.
     since: Cell<Instant>,
+    /// Whether bytes of a handler's response may still be written.
+    is_responding: Cell<bool>,
     /// Whether a part of a request head has come.
     has_head: Cell<bool>,
     last_read_at: Cell<Instant>,
@@ -126,6 +128,7 @@
             socket,
             phase: Cell::new(Phase::Head),
             has_head: Cell::new(false),
+            is_responding: Cell::new(false),
             since: Cell::new(now),
             last_read_at: Cell::new(now),
             blocked: Cell::new(None),
@@ -176,12 +179,19 @@
     /// Begins a request; returns how many in a row, this one included, were sent ahead of responses.
     pub(crate) fn begin_exchange(&self) -> u32 {
         self.enter(Phase::Exchange);
+        self.is_responding.set(true);
         let is_ahead = self.ended_in.get() == self.turn.get();
         let ahead = if is_ahead { self.ahead.get() + 1 } else { 0 };
         self.ahead.set(ahead);
         ahead
     }
 
+    /// Whether bytes of a handler's response may still be written: from the arrival of its request until all that there is
+    /// has been written after the end of its body.
+    pub(crate) fn is_responding(&self) -> bool {
+        self.is_responding.get()
+    }
+
     fn end_exchange(&self) {
         self.has_head.set(false);
         self.ended_in.set(self.turn.get());
@@ -352,6 +362,9 @@
     /// `hyper` flushes once it has written all that it has.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.inner).poll_flush(cx))?;
+        if self.control.phase.get() != Phase::Exchange {
+            self.control.is_responding.set(false);
+        }
         if self.control.blocked.take().is_some() {
             if let Some(waker) = self.control.reader.take() {
                 waker.wake();
--- a/crates/http/src/parse_refusal.rs
+++ b/crates/http/src/parse_refusal.rs
@@ -1,29 +1,35 @@
 //! JSON refusals for request heads that `hyper` itself rejects.
 //!
 //! `hyper` answers a head that it can't parse, or that exceeds its limits, with an error status and
-//! an empty body. The wrapper in this module replaces that response by a JSON refusal.
+//! an empty body. The wrapper in this module replaces that response by a JSON refusal. It does so only while no response of
+//! a handler is being written: whatever a body holds is passed on as it is.
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::connection::Control;
+
 /// Header of every response that a handler creates; responses that `hyper` creates lack it.
 pub const MARKER_HEADER: &str = "x-hornbeamtiller";
 
 /// A connection that replaces `hyper`'s own error responses by JSON refusals.
 pub struct Rewriter<T> {
     inner: T,
+    control: Rc<Control>,
     /// The bytes of a replacement response that are still to be written.
     pending: Vec<u8>,
 }
 
 impl<T> Rewriter<T> {
     /// Wraps a connection.
-    pub fn new(inner: T) -> Self {
+    pub(crate) fn new(inner: T, control: Rc<Control>) -> Self {
         Self {
             inner,
+            control,
             pending: Vec::new(),
         }
     }
@@ -95,7 +101,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         std::task::ready!(self.poll_pending(cx))?;
-        match rewrite(buf) {
+        let is_own = self.control.is_responding();
+        match Some(buf).filter(|_| !is_own).and_then(rewrite) {
             Some(replacement) => {
                 self.pending = replacement;
                 Poll::Ready(Ok(buf.len()))
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -362,7 +362,10 @@
         }
     });
     let control = registration.control.clone();
-    let io = Monitored::new(Rewriter::new(MonoioIo::new(stream)), control.clone());
+    let io = Monitored::new(
+        Rewriter::new(MonoioIo::new(stream), control.clone()),
+        control.clone(),
+    );
     let connection = hyper::server::conn::http1::Builder::new()
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -112,6 +112,80 @@
     .expect("a runtime");
 }
 
+/// A body whose lines read like error responses, and a part of a line at its start.
+fn misleading_body(offset: usize, lines: usize) -> Vec<u8> {
+    let line = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-len: 00\r\n\r\n";
+    let text = line.repeat(lines + 1);
+    text.as_bytes()[line.len() - offset..].to_vec()
+}
+
+/// Answers with a body that reads like error responses, of as many lines as the path says.
+#[derive(Clone)]
+struct Misleading;
+
+impl Handler for Misleading {
+    type Source = Never;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Outgoing<Never>> {
+        let (offset, lines) = request.uri().path()[1..]
+            .split_once('/')
+            .expect("two numbers");
+        let offset = offset.parse().expect("a number");
+        let lines = lines.parse().expect("a number");
+        Response::new(Outgoing::full(misleading_body(offset, lines)))
+    }
+}
+
+async fn read_until(stream: &mut TcpStream, is_end: impl Fn(&[u8]) -> bool) -> Vec<u8> {
+    let mut text = Vec::new();
+    while !is_end(&text) {
+        let (read, chunk) = stream.read(Vec::with_capacity(SLOW_READ_BYTES)).await;
+        if read.expect("no reset") == 0 {
+            return text;
+        }
+        text.extend_from_slice(&chunk);
+    }
+    text
+}
+
+/// Guards against a body that is changed where a buffer begins like an error response, at any place and on kept
+/// connections; and a head that can't be parsed is refused after it as before.
+#[test]
+fn response_that_reads_like_errors_unchanged() {
+    block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, Limits::default(), Misleading).expect("a listener");
+        let mut stream = TcpStream::connect_addr(server.address())
+            .await
+            .expect("connected");
+        for (offset, lines) in [(0, 0), (0, 1), (0, 128), (5, 130), (0, 2_000), (63, 1_999)] {
+            let request = format!("GET /{offset}/{lines} HTTP/1.1\r\nHost: h\r\n\r\n");
+            stream
+                .write_all(request.into_bytes())
+                .await
+                .0
+                .expect("written");
+            let expected = misleading_body(offset, lines);
+            let body_start = |text: &[u8]| memchr::memmem::find(text, b"\r\n\r\n").map(|at| at + 4);
+            let is_end = |text: &[u8]| {
+                body_start(text).is_some_and(|start| text.len() >= start + expected.len())
+            };
+            let text = read_until(&mut stream, is_end).await;
+            let start = body_start(&text).expect("a head");
+            assert!(text[start..] == expected[..], "{offset}, {lines}");
+        }
+        stream
+            .write_all(b"no request\r\n\r\n".to_vec())
+            .await
+            .0
+            .expect("written");
+        let refusal = read_until(&mut stream, |text| text.ends_with(b"}}")).await;
+        let refusal = String::from_utf8_lossy(&refusal);
+        assert!(refusal.contains("\"reason\":\"malformed\""), "{refusal}");
+    })
+    .expect("a runtime");
+}
+
 /// A connection without a request keeps nobody waiting.
 #[test]
 fn close_idle_connection_is_complete() {
