relay: routes are found by prefixes no longer than the longest of a route

Cause: each prefix of the path that ends with a slash was looked up and hashed. Change: only prefixes that are no longer than the longest one of a route.

--- a/crates/relay/src/manifest.rs
+++ b/crates/relay/src/manifest.rs
@@ -128,6 +128,8 @@
     /// Least target latency of the routes to each endpoint.
     target_latencies: HashMap<id::Endpoint, Duration>,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+    /// Length of the longest prefix of a route, in bytes.
+    prefix_bytes_max: usize,
 }
 
 impl Manifest {
@@ -150,6 +152,7 @@
                 *least = route.target_latency.min(*least);
             }
         }
+        let prefix_bytes_max = routes.iter().map(|route| route.prefix.len()).max();
         let mut index: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         for route in routes {
             let paths = index.entry(route.host.clone()).or_default();
@@ -164,13 +167,18 @@
             stream_timeout_max: stream_timeout_max.unwrap_or_default(),
             target_latencies,
             routes: index,
+            prefix_bytes_max: prefix_bytes_max.unwrap_or(0),
         }
     }
 
     /// Finds the route with the longest prefix that matches the path; `host` must be in lower case.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let paths = self.routes.get(host)?;
-        let mut end = path.len();
+        // A path may have thousands of slashes; no prefix is found beyond the longest one.
+        let mut end = path.len().min(self.prefix_bytes_max);
+        while !path.is_char_boundary(end) {
+            end -= 1;
+        }
         while let Some(slash) = path[..end].rfind('/') {
             if let Some(route) = paths.get(&path[..=slash]) {
                 return Some(route);
--- a/crates/relay/tests/extreme.rs
+++ b/crates/relay/tests/extreme.rs
@@ -36,6 +36,26 @@
     assert_eq!(Duration::MAX.scale(1.0), LONGEST);
 }
 
+/// Guards against a path of very many slashes that costs as many look-ups of prefixes of all lengths: so many are found
+/// in no time that a caller would notice.
+#[test]
+fn find_route_many_slashes() {
+    let manifest = support::manifest(3, support::routes());
+    let deep = format!("{STREAM}{}", "/".repeat(15_800));
+    let started_at = std::time::Instant::now();
+    for _ in 0..2_000 {
+        let route = manifest.find_route("pay.example", &deep);
+        assert_eq!(route.map(|route| &*route.prefix), Some("/stream/"));
+    }
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(5), "{elapsed:?}");
+    // The longest prefix may end within a character of the path.
+    for length in 0..40 {
+        let path = format!("/{}\u{e9}\u{1f600}/", "a".repeat(length));
+        assert!(manifest.find_route("pay.example", &path).is_none());
+    }
+}
+
 fn arrive_with_prompt(
     harness: &mut Harness,
     tokens: u64,
