relay: a version counts as lost only once all its engines are

Cause: each engine that had left spoke against all streams of other versions, and in a release engines leave all the time. Change: a version speaks against others only if all engines that it had are lost; while it is being replaced, the ones that are left hold most of its streams.

--- a/crates/relay/src/cache_index.rs
+++ b/crates/relay/src/cache_index.rs
@@ -5,8 +5,8 @@
 //! of the session, at its software version. Where no VM knows any more which software version began a stream, that is
 //! the evidence left. It counts only if no engine of another version can have begun the stream: engines of two
 //! versions that hold the part contradict each other, one that has not listed what it holds may hold it too, and so may
-//! one that has left, or has started anew, since the stream may have begun. A prefill engine proves nothing, as it
-//! begins no stream.
+//! the engines of a version that has lost all of them since the stream may have begun. A prefill engine proves nothing,
+//! as it begins no stream.
 //!
 //! Engines work more slowly while they list what they hold, so one VM asks them for all others, all of an endpoint at
 //! once and at most once per interval. What an engine has held still counts after it has dropped it, for as long as
--- a/crates/relay/src/pool/mod.rs
+++ b/crates/relay/src/pool/mod.rs
@@ -31,9 +31,8 @@
     peer_loads: HashMap<id::Runner, Load>,
     /// When a runner that could begin streams was last dropped, by endpoint and software version.
     departed_builds: BTreeMap<(id::Endpoint, id::Build), Duration>,
-    /// When it was last learnt that an engine which could begin streams is gone with all that it held, by endpoint and
-    /// software version.
-    lost_engines: BTreeMap<(id::Endpoint, id::Build), Duration>,
+    /// Engines that could begin streams and are gone with all that they held, and when that was learnt.
+    lost_engines: HashMap<Instance, (Descriptor, Duration)>,
     /// Revisions at which entries were removed, so that an older entry does not restore one.
     removed: HashMap<id::Runner, id::Revision>,
     /// Runners that have said that they leave.
@@ -336,18 +335,33 @@
     }
 
     fn record_lost(&mut self, descriptor: Descriptor, now: Duration) {
-        if descriptor.can_begin_streams() {
-            let key = (descriptor.endpoint, descriptor.build);
-            self.lost_engines.insert(key, now);
+        if descriptor.can_begin_streams() && self.lost_engines.len() < REMOVED_MAX {
+            let lost = (descriptor.clone(), now);
+            self.lost_engines.insert(descriptor.instance(), lost);
         }
     }
 
-    /// Whether an engine of the same endpoint, but of another software version, is known to have gone since with all that
-    /// it held.
+    /// Whether another software version of the same endpoint is known to have lost since all engines that it had, with what
+    /// they held. While a version is replaced, the engines that it still has hold most of its streams.
     pub fn has_lost_elsewhere(&self, origin: &Origin, since: Duration) -> bool {
-        let mut lost = self.lost_engines.iter();
-        lost.any(|((endpoint, build), at)| {
-            *endpoint == origin.endpoint && *build != origin.build && *at >= since
+        let lost = self.lost_engines.values();
+        let lost = lost.filter(|(engine, at)| {
+            engine.endpoint == origin.endpoint && engine.build != origin.build && *at >= since
+        });
+        let mut builds: BTreeSet<&id::Build> = lost.map(|(engine, _)| &engine.build).collect();
+        builds.retain(|build| !self.has_lasting_engine(&origin.endpoint, build));
+        !builds.is_empty()
+    }
+
+    /// Whether an engine of a software version is listed that is no new process of one that was lost.
+    fn has_lasting_engine(&self, endpoint: &id::Endpoint, build: &id::Build) -> bool {
+        let is_lost = |runner: &id::Runner| {
+            let mut lost = self.lost_engines.keys();
+            lost.any(|instance| instance.runner == *runner)
+        };
+        let mut engines = self.at_endpoint(endpoint).map(|engine| &engine.descriptor);
+        engines.any(|engine| {
+            engine.can_begin_streams() && engine.build == *build && !is_lost(&engine.runner)
         })
     }
 
@@ -371,6 +385,7 @@
     pub fn forget_builds(&mut self, before: Duration) {
         self.departed_builds
             .retain(|_, dropped_at| *dropped_at >= before);
-        self.lost_engines.retain(|_, lost_at| *lost_at >= before);
+        self.lost_engines
+            .retain(|_, (_, lost_at)| *lost_at >= before);
     }
 }
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -414,6 +414,7 @@
     let (mut taken_up, mut gone_on) = (0, 0);
     for seed in 0..6 {
         let mut fleet = Fleet::new(9, &["v1", "v1", "v2", "v2"], seed);
+        fleet.has_history = true;
         let mut streams = Vec::new();
         for number in 0..30 {
             streams.push(begin(&mut fleet, 1 + number % 9));
