relay: engines that list nothing speak for their version only if none of it lists

Cause, from its log: nine engines that were on their way out when all VMs came back were still listed, did not answer, and so spoke against all streams of other versions. Change: such engines count only if no engine of their version has listed what it holds.

--- a/crates/relay/src/cache_index.rs
+++ b/crates/relay/src/cache_index.rs
@@ -4,8 +4,8 @@
 //! belongs to the request or to its session, so an engine that holds it has been given the request, or an earlier one
 //! of the session, at its software version. Where no VM knows any more which software version began a stream, that is
 //! the evidence left. It counts only if no engine of another version can have begun the stream: engines of two
-//! versions that hold the part contradict each other, one that has not listed what it holds may hold it too, and so may
-//! the engines of a version that has lost all of them since the stream may have begun. A prefill engine proves nothing,
+//! versions that hold the part contradict each other; those of a version of which none has listed what it holds may hold it
+//! too, and so may those of a version that has lost all of them since the stream may have begun. A prefill engine proves nothing,
 //! as it begins no stream.
 //!
 //! Engines work more slowly while they list what they hold, so one VM asks them for all others, all of an endpoint at
@@ -44,6 +44,8 @@
     known: BTreeSet<Instance>,
     /// The engines that have not listed what they hold, with their software versions.
     unlisted: BTreeMap<Instance, id::Build>,
+    /// Software versions of which an engine has listed what it holds, now or before.
+    listed_builds: BTreeSet<id::Build>,
     held: HashMap<id::Runner, HashSet<id::Part>>,
 }
 
@@ -77,6 +79,7 @@
                 !last.known.contains(engine) || last.unlisted.contains_key(engine)
             })
         };
+        let listed_builds = last.map(|last| last.listed_builds.clone());
         let known = engines.keys().cloned().collect();
         let unlisted = engines
             .into_iter()
@@ -87,6 +90,7 @@
             awaited: asked,
             known,
             unlisted,
+            listed_builds: listed_builds.unwrap_or_default(),
             held: HashMap::new(),
         };
         self.listings.insert(endpoint.clone(), listing);
@@ -99,16 +103,18 @@
         };
         listing.awaited.remove(engine);
         if is_listed {
-            listing.unlisted.remove(engine);
+            let build = listing.unlisted.remove(engine);
+            listing.listed_builds.extend(build);
         }
     }
 
-    /// Whether an engine of another software version has not listed what it holds, so that it may hold any part.
+    /// Whether another software version has engines of which none has listed what it holds, so that they may hold any part.
+    /// One that has not, beside others of its version, may be on its way out.
     pub fn is_unlisted_elsewhere(&self, origin: &Origin) -> bool {
         let listing = self.listings.get(&origin.endpoint);
         listing.is_some_and(|listing| {
             let mut builds = listing.unlisted.values();
-            builds.any(|build| *build != origin.build)
+            builds.any(|build| *build != origin.build && !listing.listed_builds.contains(build))
         })
     }
 
--- a/crates/relay/tests/cache_index.rs
+++ b/crates/relay/tests/cache_index.rs
@@ -54,6 +54,23 @@
     assert!(!index.is_unlisted_elsewhere(&origin("v2")));
 }
 
+/// An engine that does not answer beside others of its version, as it is leaving, speaks against nothing.
+#[test]
+fn unlisted_elsewhere_beside_listed() {
+    let mut index = Index::default();
+    start(
+        &mut index,
+        BTreeSet::from([engine(1), engine(2)]),
+        seconds(10),
+    );
+    index.end(&endpoint(), &engine(1), false);
+    assert!(index.is_unlisted_elsewhere(&origin("v2")));
+    index.end(&endpoint(), &engine(2), true);
+    assert!(!index.is_unlisted_elsewhere(&origin("v2")));
+    start(&mut index, BTreeSet::from([engine(1)]), seconds(13));
+    assert!(!index.is_unlisted_elsewhere(&origin("v2")));
+}
+
 #[test]
 fn pending_until_all_answered() {
     let mut index = Index::default();
