--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -272,28 +272,29 @@
     /// Lets the system hold as much of the response as it may, so that the client can receive it after this process has
     /// ended.
     pub(crate) fn extend_send_buffer(&self) {
-        // SAFETY: The socket is closed only after the connection is no longer registered.
-        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
-        if let Err(error) = SockRef::from(&socket).set_send_buffer_size(LAST_SEND_BUFFER_BYTES) {
+        if let Err(error) =
+            SockRef::from(&self.socket()).set_send_buffer_size(LAST_SEND_BUFFER_BYTES)
+        {
             log::info!(error:% = error; "send_buffer_not_extended");
         }
     }
 
     /// Drops what the client has sent.
     pub(crate) fn discard_input(&self) {
-        // SAFETY: The socket is closed only after the connection is no longer registered.
-        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
         let mut buffer = [MaybeUninit::uninit(); DISCARD_BYTES];
         // The socket does not block; an error shows in what is written.
-        _ = SockRef::from(&socket).recv(&mut buffer);
+        _ = SockRef::from(&self.socket()).recv(&mut buffer);
+    }
+
+    fn socket(&self) -> BorrowedFd<'_> {
+        // SAFETY: The socket is closed only after the connection is no longer registered.
+        unsafe { BorrowedFd::borrow_raw(self.socket) }
     }
 
     /// Whether the system has received bytes that were not read. Then the process is slow, not the client.
     fn has_unread(&self) -> bool {
-        // SAFETY: The socket is closed only after the connection is no longer registered.
-        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
         let mut byte = [MaybeUninit::uninit()];
-        matches!(SockRef::from(&socket).peek(&mut byte), Ok(1..))
+        matches!(SockRef::from(&self.socket()).peek(&mut byte), Ok(1..))
     }
 
     /// The connection that should make room for another one; all are registered.
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -362,9 +362,10 @@
     /// Goes on with the searches that wait for the configuration service.
     pub(super) fn handle_list_check(&mut self, is_confirmed: bool) {
         let asked_at = self.state.list_asked_at.take();
-        if is_confirmed {
-            self.state.list_confirmed_at = asked_at.max(self.state.list_confirmed_at);
+        if !is_confirmed {
+            return;
         }
+        self.state.list_confirmed_at = asked_at.max(self.state.list_confirmed_at);
         let is_waiting = |call: &Call| {
             let search = call.search.as_ref();
             search.is_some_and(|search| matches!(search.stage, Stage::Source { .. }))
@@ -372,7 +373,7 @@
         let calls = self.state.calls.iter();
         let waiting = calls.filter(|(_, call)| is_waiting(call));
         let waiting: Vec<id::Call> = waiting.map(|(number, _)| *number).collect();
-        for number in waiting.into_iter().filter(|_| is_confirmed) {
+        for number in waiting {
             self.conclude(number);
         }
     }
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -61,11 +61,16 @@
     }
 }
 
+/// Streams that begin at all VMs in turn.
+fn begin_all(fleet: &mut Fleet, vms: usize) -> Vec<(String, id::Build)> {
+    (0..40)
+        .map(|number| begin(fleet, 1 + number % vms))
+        .collect()
+}
+
 /// Streams of a fleet whose VMs are all killed then, in two builds.
 fn begin_and_restart_all(fleet: &mut Fleet, vms: usize) -> Vec<(String, id::Build)> {
-    let streams = (0..40)
-        .map(|number| begin(fleet, 1 + number % vms))
-        .collect();
+    let streams = begin_all(fleet, vms);
     restart_all(fleet, vms);
     streams
 }
@@ -307,9 +312,7 @@
 fn resume_all_vms_killed_engine_left_session_at_other_build() {
     let mut fleet = Fleet::new(4, &TWO_BUILDS, 1);
     fleet.has_history = true;
-    let streams: Vec<_> = (0..40)
-        .map(|number| begin(&mut fleet, 1 + number % 4))
-        .collect();
+    let streams = begin_all(&mut fleet, 4);
     fleet.hold_sessions("make-1", &streams);
     fleet.unlist("make-0");
     restart_all(&mut fleet, 4);
@@ -321,9 +324,7 @@
 fn resume_all_vms_killed_engine_restarted_session_at_other_build() {
     let mut fleet = Fleet::new(4, &TWO_BUILDS, 1);
     fleet.has_history = true;
-    let streams: Vec<_> = (0..40)
-        .map(|number| begin(&mut fleet, 1 + number % 4))
-        .collect();
+    let streams = begin_all(&mut fleet, 4);
     fleet.hold_sessions("make-1", &streams);
     fleet.list("make-0", "v1", Role::Decode);
     restart_all(&mut fleet, 4);
@@ -335,9 +336,7 @@
 fn resume_all_vms_killed_engine_left_same_build_go_on() {
     let mut fleet = Fleet::new(4, &["v1", "v1"], 1);
     fleet.has_history = true;
-    let streams: Vec<_> = (0..40)
-        .map(|number| begin(&mut fleet, 1 + number % 4))
-        .collect();
+    let streams = begin_all(&mut fleet, 4);
     fleet.unlist("make-0");
     restart_all(&mut fleet, 4);
     assert!(resume_all(&mut fleet, &streams) >= 10);
