hornbeamtiller, http: the log says why the process ends and which responses were not received

What callers saw: streams around a SIGTERM ended without their end, and nobody could tell afterwards whether the process had left by itself, was interrupted, had run out of time or was killed: no line said so, and the last 50 ms of the log were lost with the process.

Cause: the process ended without waiting for the thread that writes the log, a second SIGINT ended it inside the signal handler, and servers did not know which request a connection serves.

Change: signals are counted and logged (stop_signal); before the process ends, each response that its client has not received is named with its request, its state, its age and the bytes that were not taken (response_not_received), and closed says why it ends: all_received, grace_period_over or interrupted. A third SIGINT still ends a process that does not notice the second.

No decision on a request changes.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -154,6 +154,9 @@
                 return Err(refusal);
             }
         };
+        if let Some(connection) = &connection {
+            connection.set_request(metadata.id.clone());
+        }
         if !self.has_route(&metadata, head.uri.path()) {
             // The reducer refuses it, whatever its body is. It decides before anything is awaited, so by the same manifest.
             let answer = self.answer(head, Bytes::new(), metadata, connection, guard);
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -1,11 +1,13 @@
 //! The process of one entry VM: serves this project's own callers with the flags below, or runs on
 //! the operators' platform as `gateway`.
 //!
-//! Exit codes: 0 after a graceful leave, 2 for invalid flags, 3 for settings that fail validation,
-//! 4 if the process can't start.
+//! Exit codes: 0 after a graceful leave, 1 if a second signal ended it, 2 for invalid flags, 3 for settings that fail
+//! validation, 4 if the process can't start.
 
 mod logging;
+mod stop;
 
+use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,7 +20,8 @@
 use hornbeamtiller_node::{Flags, Node, Settings};
 use hornbeamtiller_platform::Process;
 use hornbeamtiller_relay::policy::{self, Policy};
-use logging::Output;
+use logging::{Output, Writer};
+use stop::{Ending, Grace, Signals};
 
 /// Exit code for settings that fail validation.
 const EXIT_INVALID_SETTINGS: u8 = 3;
@@ -28,12 +31,8 @@
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is polled, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
-/// Least time after all work has ended, in which the last messages to peers are written.
-const FLUSH_DELAY: Duration = Duration::from_millis(300);
 /// How long before the end of the grace period the process ends, whatever clients have still to receive.
 const KILL_MARGIN: Duration = Duration::from_millis(150);
-/// Interval at which it is checked whether clients have received their responses.
-const CLOSING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Routes model requests between prefill and decode pools, and calls to plain services.
 ///
@@ -44,8 +43,8 @@
     version,
     args_conflicts_with_subcommands = true,
     subcommand_negates_reqs = true,
-    after_help = "Exit codes: 0 after a graceful leave, 2 invalid flags, 3 invalid settings, \
-                                 4 can't start."
+    after_help = "Exit codes: 0 after a graceful leave, 1 ended by a second signal, 2 invalid flags, \
+                  3 invalid settings, 4 can't start."
 )]
 struct Cli {
     #[command(subcommand)]
@@ -147,7 +146,8 @@
         }
     };
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(Ending::Interrupted) => ExitCode::from(stop::EXIT_INTERRUPTED),
+        Ok(Ending::AllReceived | Ending::GracePeriodOver) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("hornbeamtiller: {report:#}");
             ExitCode::from(EXIT_START_FAILED)
@@ -179,41 +179,49 @@
     ExitCode::from(EXIT_INVALID_SETTINGS)
 }
 
-fn run_node(settings: Settings) -> Result<(), Report<Error>> {
-    logging::init(Output::Stderr).change_context(Error::Logging)?;
-    let stop_requested = install_signal_handlers().change_context(Error::Signals)?;
-    hornbeamtiller_http::runtime::block_on(serve_node(settings, stop_requested))
-        .change_context(Error::Runtime)?
+fn run_node(settings: Settings) -> Result<Ending, Report<Error>> {
+    let log = logging::init(Output::Stderr).change_context(Error::Logging)?;
+    let signals = Signals::install().change_context(Error::Signals)?;
+    run(serve_node(settings, signals), log)
 }
 
-fn run_gateway(settings: &Path, policy: Policy, key: &str) -> Result<(), Report<Error>> {
-    logging::init(Output::Stdout).change_context(Error::Logging)?;
-    let stop_requested = install_signal_handlers().change_context(Error::Signals)?;
+fn run_gateway(settings: &Path, policy: Policy, key: &str) -> Result<Ending, Report<Error>> {
+    let log = logging::init(Output::Stdout).change_context(Error::Logging)?;
+    let signals = Signals::install().change_context(Error::Signals)?;
     let reload_requested = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGHUP, reload_requested.clone())
         .change_context(Error::Signals)?;
-    hornbeamtiller_http::runtime::block_on(serve_gateway(
-        settings,
-        policy,
-        key,
-        stop_requested,
-        reload_requested,
-    ))
-    .change_context(Error::Runtime)?
+    let serving = serve_gateway(settings, policy, key, signals, reload_requested);
+    run(serving, log)
+}
+
+/// Runs the process, and has its log written before it ends.
+fn run(
+    serving: impl Future<Output = Result<Ending, Report<Error>>>,
+    log: Writer,
+) -> Result<Ending, Report<Error>> {
+    let result = hornbeamtiller_http::runtime::block_on(serving)
+        .change_context(Error::Runtime)
+        .and_then(|result| result);
+    if let Err(report) = &result {
+        log::error!(target: stop::LOG_TARGET, error:? = report; "start_failed");
+    }
+    log.close();
+    result
 }
 
 async fn serve_gateway(
     settings: &Path,
     policy: Policy,
     key: &str,
-    stop_requested: Arc<AtomicBool>,
+    signals: Signals,
     reload_requested: Arc<AtomicBool>,
-) -> Result<(), Report<Error>> {
+) -> Result<Ending, Report<Error>> {
     let process = Process::open(settings, policy, key).change_context(Error::Start)?;
     log::info!("started");
     let mut last_poll = Instant::now();
     let mut last_collect = Instant::now();
-    while !stop_requested.load(Ordering::Relaxed) {
+    while !signals.is_stop_requested() {
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
         if last_collect.elapsed() >= COLLECT_INTERVAL {
             last_collect = Instant::now();
@@ -227,28 +235,18 @@
             process.reload();
         }
     }
-    let last_moment = Instant::now() + process.grace_period().saturating_sub(KILL_MARGIN);
+    let began_at = Instant::now();
+    let grace = Grace {
+        began_at,
+        last_moment: began_at + process.grace_period().saturating_sub(KILL_MARGIN),
+    };
     process.leave();
-    while !process.has_left() {
+    while !process.has_left() && !signals.is_interrupted() {
+        signals.log_received();
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
     }
     let closing = process.close();
-    wait_for_clients(|| closing.is_complete(), last_moment).await;
-    Ok(())
-}
-
-/// Waits until all clients have received their responses, but no longer than until a time.
-async fn wait_for_clients(is_complete: impl Fn() -> bool, last_moment: Instant) {
-    monoio::time::sleep(FLUSH_DELAY).await;
-    while !is_complete() && Instant::now() < last_moment {
-        monoio::time::sleep(CLOSING_POLL_INTERVAL).await;
-    }
-    let outcome = if is_complete() {
-        "all responses received"
-    } else {
-        "responses not received"
-    };
-    log::info!(outcome; "closed");
+    Ok(stop::wait_for_clients(&closing, grace, &signals).await)
 }
 
 /// Gives unused memory back to the system.
@@ -257,22 +255,7 @@
     unsafe { libmimalloc_sys::mi_collect(false) };
 }
 
-/// Handles SIGTERM and SIGINT: they set a flag, and a second SIGINT ends the process. A supervisor may send SIGTERM again
-/// while responses are being completed; to end them it sends SIGKILL.
-fn install_signal_handlers() -> std::io::Result<Arc<AtomicBool>> {
-    let stop_requested = Arc::new(AtomicBool::new(false));
-    let interrupt = signal_hook::consts::SIGINT;
-    signal_hook::flag::register_conditional_shutdown(interrupt, 1, stop_requested.clone())?;
-    for signal in [signal_hook::consts::SIGTERM, interrupt] {
-        signal_hook::flag::register(signal, stop_requested.clone())?;
-    }
-    Ok(stop_requested)
-}
-
-async fn serve_node(
-    settings: Settings,
-    stop_requested: Arc<AtomicBool>,
-) -> Result<(), Report<Error>> {
+async fn serve_node(settings: Settings, signals: Signals) -> Result<Ending, Report<Error>> {
     let node = Node::open(settings).change_context(Error::Start)?;
     log::info!(
         "serving callers at {}, peers at {}, operators at {}",
@@ -280,14 +263,21 @@
         node.peer_address(),
         node.operator_address()
     );
-    while !stop_requested.load(Ordering::Relaxed) && !node.has_left() {
+    while !signals.is_stop_requested() && !node.has_left() {
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
     }
+    let began_at = Instant::now();
     node.leave();
-    node.wait_until_left().await;
+    while !node.has_left() && !signals.is_interrupted() {
+        signals.log_received();
+        monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
+    }
     let closing = node.close();
-    let last_moment = Instant::now() + UNREAD_TIMEOUT;
-    wait_for_clients(|| closing.is_complete(), last_moment).await;
+    let grace = Grace {
+        began_at,
+        last_moment: Instant::now() + UNREAD_TIMEOUT,
+    };
+    let ending = stop::wait_for_clients(&closing, grace, &signals).await;
     log::info!("left");
-    Ok(())
+    Ok(ending)
 }
--- /dev/null
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -0,0 +1,174 @@
+//! The end of the process: the signals that ask for it, how long clients are waited for, and what the log says of it.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hornbeamtiller_http::server::{self, Unreceived};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::low_level;
+
+/// Target of the lines of this module, which the rate limit of the log does not leave out.
+pub const LOG_TARGET: &str = "stop";
+/// Exit code after a second SIGINT.
+pub const EXIT_INTERRUPTED: u8 = 1;
+/// Least time after all work has ended, in which the last messages to peers are written.
+const FLUSH_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which it is checked whether clients have received their responses.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Responses that are named in the log, those first whose requests are oldest.
+const UNRECEIVED_LINES_MAX: usize = 256;
+
+/// Why the process ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Ending {
+    /// All clients have received their responses.
+    AllReceived,
+    /// Clients have not received all responses, and no time is left.
+    GracePeriodOver,
+    /// A second signal, SIGINT, asked for the end.
+    Interrupted,
+}
+
+/// The signals that ask the process to end. The first one starts a graceful leave. A supervisor may send SIGTERM again
+/// while responses are being completed, which changes nothing; SIGINT after another signal ends the process.
+#[derive(Debug)]
+pub struct Signals(Arc<Received>);
+
+#[derive(Debug, Default)]
+struct Received {
+    is_stop_requested: AtomicBool,
+    is_interrupted: AtomicBool,
+    /// Signals that came, and how many of them are in the log.
+    count: AtomicU32,
+    logged: AtomicU32,
+}
+
+impl Signals {
+    /// Handles SIGTERM and SIGINT from now on.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn install() -> io::Result<Self> {
+        let received = Arc::<Received>::default();
+        let on_term = received.clone();
+        let on_interrupt = received.clone();
+        // SAFETY: The handlers only access atomics and call `_exit`, which are safe in signal handlers.
+        unsafe {
+            low_level::register(SIGTERM, move || on_term.terminate())?;
+            low_level::register(SIGINT, move || on_interrupt.interrupt())?;
+        }
+        Ok(Self(received))
+    }
+
+    /// Whether the process is to leave.
+    pub fn is_stop_requested(&self) -> bool {
+        self.0.is_stop_requested.load(Ordering::Relaxed)
+    }
+
+    /// Whether the process is to end at once.
+    pub fn is_interrupted(&self) -> bool {
+        self.0.is_interrupted.load(Ordering::Relaxed)
+    }
+
+    /// Logs the signals that came since it was called last.
+    pub fn log_received(&self) {
+        let count = self.0.count.load(Ordering::Relaxed);
+        if self.0.logged.swap(count, Ordering::Relaxed) != count {
+            log::info!(target: LOG_TARGET, count; "stop_signal");
+        }
+    }
+}
+
+impl Received {
+    fn terminate(&self) {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        self.is_stop_requested.store(true, Ordering::Relaxed);
+    }
+
+    fn interrupt(&self) {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        let is_second = self.is_stop_requested.swap(true, Ordering::Relaxed);
+        // A process that does not notice is ended by the third.
+        if is_second && self.is_interrupted.swap(true, Ordering::Relaxed) {
+            low_level::exit(EXIT_INTERRUPTED.into());
+        }
+    }
+}
+
+/// Servers that are shutting down.
+pub trait Closing {
+    /// Whether all clients have received their responses.
+    fn is_complete(&self) -> bool;
+
+    /// The responses that clients have not received.
+    fn unreceived(&self) -> Vec<Unreceived>;
+}
+
+impl Closing for server::Closing {
+    fn is_complete(&self) -> bool {
+        self.is_complete()
+    }
+
+    fn unreceived(&self) -> Vec<Unreceived> {
+        self.unreceived()
+    }
+}
+
+impl Closing for hornbeamtiller_platform::Closing {
+    fn is_complete(&self) -> bool {
+        self.is_complete()
+    }
+
+    fn unreceived(&self) -> Vec<Unreceived> {
+        self.unreceived()
+    }
+}
+
+/// The time that a process has to end.
+#[derive(Debug, Clone, Copy)]
+pub struct Grace {
+    /// When it was told to leave.
+    pub began_at: Instant,
+    /// When it ends, whatever clients have still to receive.
+    pub last_moment: Instant,
+}
+
+/// Waits until all clients have received their responses, but no longer than the grace period, and logs why the process
+/// ends and which responses were not received.
+pub async fn wait_for_clients(closing: &impl Closing, grace: Grace, signals: &Signals) -> Ending {
+    let flushed_at = Instant::now() + FLUSH_DELAY;
+    let ending = loop {
+        signals.log_received();
+        let now = Instant::now();
+        if signals.is_interrupted() {
+            break Ending::Interrupted;
+        }
+        if now >= flushed_at && closing.is_complete() {
+            break Ending::AllReceived;
+        }
+        if now >= grace.last_moment {
+            break Ending::GracePeriodOver;
+        }
+        monoio::time::sleep(POLL_INTERVAL).await;
+    };
+    log_ending(ending, grace.began_at.elapsed(), closing.unreceived());
+    ending
+}
+
+fn log_ending(ending: Ending, elapsed: Duration, mut unreceived: Vec<Unreceived>) {
+    unreceived.sort_by_key(|response| std::cmp::Reverse(response.age));
+    for response in unreceived.iter().take(UNRECEIVED_LINES_MAX) {
+        let request = response.request.as_deref();
+        let outcome: &str = response.state.into();
+        let ms = response.age.as_millis() as u64;
+        let bytes = response.bytes;
+        log::info!(target: LOG_TARGET, request, outcome, ms, bytes; "response_not_received");
+    }
+    let outcome: &str = ending.into();
+    let (count, ms) = (unreceived.len(), elapsed.as_millis() as u64);
+    log::info!(target: LOG_TARGET, outcome, count, ms; "closed");
+}
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
@@ -45,6 +45,31 @@
     Idle,
 }
 
+/// What the response to a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// The rest of the request's head.
+    Receiving,
+    /// The handler, or the source of the response's body.
+    Serving,
+    /// The client, which has not taken all bytes.
+    Sending,
+}
+
+/// A response that a client has not received completely.
+#[derive(Debug, Clone)]
+pub struct Unreceived {
+    /// The id of the request, if its handler has named it.
+    pub request: Option<Arc<str>>,
+    /// What the response waits for.
+    pub state: State,
+    /// Time since the request was read; of one whose head is incomplete, since its first byte.
+    pub age: Duration,
+    /// Bytes that the client's system has not acknowledged, or that wait in this process to be written.
+    pub bytes: u64,
+}
+
 /// How urgently a connection is closed to make room for another one; a greater one first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Claim {
@@ -67,6 +92,8 @@
     is_cut: AtomicBool,
     /// Whether the body of a request is being received.
     is_receiving: AtomicBool,
+    /// The id of the request that is served, or was served last.
+    request: Mutex<Option<Arc<str>>>,
     waker: AtomicWaker,
 }
 
@@ -81,6 +108,18 @@
     pub fn set_receiving(&self, is_receiving: bool) {
         self.0.is_receiving.store(is_receiving, Ordering::Relaxed);
     }
+
+    /// Names the request that is served, for [`Unreceived`].
+    pub fn set_request(&self, id: Arc<str>) {
+        *self.request() = Some(id);
+    }
+
+    fn request(&self) -> MutexGuard<'_, Option<Arc<str>>> {
+        self.0
+            .request
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// The longest that a client may let the server wait.
@@ -109,6 +148,10 @@
     last_read_at: Cell<Instant>,
     /// When the client began to let the server wait with its response, and the bytes that it has taken since then.
     blocked: Cell<Option<(Instant, u64)>>,
+    /// Bytes that `hyper` wanted to write when it wrote last, and that the system did not take.
+    unwritten: Cell<usize>,
+    /// When the last request was read.
+    exchange_began_at: Cell<Instant>,
     /// Wakes the reader once the response is written.
     reader: RefCell<Option<Waker>>,
     /// Number of this turn of the connection's task.
@@ -132,6 +175,8 @@
             since: Cell::new(now),
             last_read_at: Cell::new(now),
             blocked: Cell::new(None),
+            unwritten: Cell::new(0),
+            exchange_began_at: Cell::new(now),
             reader: RefCell::default(),
             turn: Cell::new(1),
             ended_in: Cell::new(0),
@@ -179,6 +224,8 @@
     /// Begins a request; returns how many in a row, this one included, were sent ahead of responses.
     pub(crate) fn begin_exchange(&self) -> u32 {
         self.enter(Phase::Exchange);
+        self.exchange_began_at.set(self.since.get());
+        self.handle.request().take();
         self.is_responding.set(true);
         let is_ahead = self.ended_in.get() == self.turn.get();
         let ahead = if is_ahead { self.ahead.get() + 1 } else { 0 };
@@ -254,19 +301,43 @@
         (unread >= SLOW_AFTER && self.cut_reason().is_none()).then_some(unread)
     }
 
-    /// Whether a request is being received or served, or the client has not received all of a response.
-    pub(crate) fn is_busy(&self) -> bool {
-        let is_receiving = self.phase.get() == Phase::Head && self.has_head.get();
-        let is_serving = self.phase.get() == Phase::Exchange || self.blocked.get().is_some();
-        is_receiving || is_serving || self.has_undelivered()
+    /// What the client has not received, if a request is being received or served, or the client has not received all of
+    /// a response.
+    pub(crate) fn unreceived(&self) -> Option<Unreceived> {
+        let bytes = self.undelivered() + self.unwritten.get() as u64;
+        let (state, since) = match self.phase.get() {
+            Phase::Head if self.has_head.get() => (State::Receiving, &self.since),
+            _ if bytes > 0 || self.blocked.get().is_some() => {
+                (State::Sending, &self.exchange_began_at)
+            }
+            Phase::Exchange => (State::Serving, &self.exchange_began_at),
+            Phase::Head | Phase::Idle => return None,
+        };
+        let request = match state {
+            State::Receiving => None,
+            State::Serving | State::Sending => self.handle.request().clone(),
+        };
+        let age = since.get().elapsed();
+        Some(Unreceived {
+            request,
+            state,
+            age,
+            bytes,
+        })
     }
 
     /// Whether the client's system has not acknowledged all bytes that were written.
     pub(crate) fn has_undelivered(&self) -> bool {
+        self.undelivered() > 0
+    }
+
+    /// Bytes that were written and that the client's system has not acknowledged; none of a connection that is lost.
+    fn undelivered(&self) -> u64 {
         let mut bytes: libc::c_int = 0;
         // SAFETY: The socket is closed only after the connection is no longer registered, and the call writes one `c_int`.
         let failed = unsafe { libc::ioctl(self.socket, libc::TIOCOUTQ, &mut bytes) } != 0;
-        !failed && bytes > 0
+        let bytes = if failed { 0 } else { bytes };
+        u64::try_from(bytes).unwrap_or(0)
     }
 
     /// Lets the system hold as much of the response as it may, so that the client can receive it after this process has
@@ -349,6 +420,11 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        let taken = match &written {
+            Poll::Ready(Ok(bytes)) => *bytes,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
+        self.control.unwritten.set(buf.len() - taken);
         let blocked = &self.control.blocked;
         match (&written, blocked.get()) {
             (Poll::Pending, None) => blocked.set(Some((Instant::now(), 0))),
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -29,7 +29,7 @@
 use crate::pulse::Pulse;
 use crate::socket::{self, Listener};
 
-pub use crate::connection::{Handle, Timeouts};
+pub use crate::connection::{Handle, State, Timeouts, Unreceived};
 
 /// Delay after an error of `accept`, such as running out of file descriptors, and between checks of
 /// the connection limit.
@@ -188,7 +188,16 @@
     /// Whether all clients have received the responses to the requests that the server has begun to read.
     pub fn is_complete(&self) -> bool {
         let open = self.0.open.borrow();
-        !open.values().any(|control| control.is_busy())
+        !open.values().any(|control| control.unreceived().is_some())
+    }
+
+    /// The responses that clients have not received.
+    pub fn unreceived(&self) -> Vec<Unreceived> {
+        let open = self.0.open.borrow();
+        let controls = open.values();
+        controls
+            .filter_map(|control| control.unreceived())
+            .collect()
     }
 }
 
