relay: a planned stop cuts responses in progress only when its time is over

A stream could be cut 0.9 s before the end of the grace period although its runner had ended and its last events were on their way to a process that lagged behind.

Class: a limit for starting work that is also used to end it.

Measured: leave_completes_stream_that_arrives_late failed before and holds; leave_exits_within_grace_period holds.

--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -55,7 +55,7 @@
         if call.search.is_some() {
             return self.advance_search(number);
         }
-        if !call.progress.head_forwarded && !self.can_end_before_exit(call) {
+        if !self.may_start_attempt(call) {
             return self.fall_back(number, Reason::Leaving);
         }
         if self.is_build_gone(number) {
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -1,8 +1,12 @@
 //! Graceful shutdown: no new callers, and requests in progress are completed.
+//!
+//! Attempts start only if they are expected to end [`EXIT_MARGIN`] before the grace period does. Those that have started and
+//! take longer, or whose responses arrive late since this process or a link lags behind, have until [`CUT_MARGIN`] before its
+//! end.
 
 use std::time::Duration;
 
-use crate::call::Call;
+use crate::call::{Call, Phase};
 use crate::decision_log::{Entry, Kind};
 use crate::duration::Scale as _;
 use crate::event::Effect;
@@ -16,8 +20,11 @@
 const DIRECTORY_TTL_FACTOR: u32 = 3;
 /// Time for requests still arriving after the last cached response has expired.
 const LATE_ARRIVAL_TIME: Duration = Duration::from_millis(500);
-/// How long before it would be killed the process exits by itself.
+/// How long before the end of the grace period the work ends that is accepted; what waits then is refused.
 const EXIT_MARGIN: Duration = Duration::from_millis(900);
+/// How long before the end of the grace period responses in progress are cut. The rest is for what clients have still to
+/// receive, and for the exit.
+const CUT_MARGIN: Duration = Duration::from_millis(500);
 
 /// How long after the signal calls arrive that are accepted if they are only expected to end in time. Callers that come
 /// later have been told to go elsewhere.
@@ -26,6 +33,11 @@
 /// Weight of a stream that took less time than expected in the expected time of the next.
 const SHORTER_STREAM_WEIGHT: f64 = 0.02;
 
+/// Whether a runner may still complete the response, with no further attempt.
+fn has_response_in_progress(call: &Call) -> bool {
+    matches!(call.phase, Phase::Run { .. }) || call.standby.is_some()
+}
+
 impl Reducer<'_> {
     pub(super) fn start_leaving(&mut self) {
         if self.state.leaving_since.is_some() {
@@ -41,19 +53,22 @@
         let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
             return;
         };
+        let grace_period = self.state.settings.grace_period;
+        let cut_at = started_at + grace_period.saturating_sub(CUT_MARGIN);
         let directory_ttl = self.state.settings.directory_ttl;
         let directory_expiry = directory_ttl * DIRECTORY_TTL_FACTOR + LATE_ARRIVAL_TIME;
         let elapsed = self.now.saturating_sub(started_at);
-        let is_idle = self.state.calls.is_empty() && elapsed >= directory_expiry;
-        if !is_idle && self.now < exit_at {
+        if self.now >= exit_at {
+            self.refuse_calls(|call| !has_response_in_progress(call));
+        }
+        let is_idle = self.state.calls.is_empty();
+        let may_exit = elapsed >= directory_expiry || self.now >= exit_at;
+        if !(is_idle && may_exit) && self.now < cut_at {
             return;
         }
         self.state.exited = true;
         let calls = self.state.calls.len();
-        let numbers: Vec<id::Call> = self.state.calls.keys().copied().collect();
-        for number in numbers {
-            self.fail_call(number, Reason::Leaving);
-        }
+        self.refuse_calls(|_| true);
         self.log(
             Entry::new(Kind::Left)
                 .outcome(format!("{calls} calls under way"))
@@ -62,16 +77,33 @@
         self.emit(Effect::Exit);
     }
 
-    /// When this process exits at the latest, if it is shutting down.
+    /// Ends calls with a refusal, or by aborting their streams.
+    fn refuse_calls(&mut self, is_refused: impl Fn(&Call) -> bool) {
+        let calls = self.state.calls.iter();
+        let refused = calls.filter(|(_, call)| is_refused(call));
+        let numbers: Vec<id::Call> = refused.map(|(number, _)| *number).collect();
+        for number in numbers {
+            self.fail_call(number, Reason::Leaving);
+        }
+    }
+
+    /// When accepted work has ended, if this process is shutting down.
     fn exit_at(&self) -> Option<Duration> {
         let grace_period = self.state.settings.grace_period;
         let started_at = self.state.leaving_since?;
         Some(started_at + grace_period.saturating_sub(EXIT_MARGIN))
     }
 
+    /// Whether a call may start its next attempt now: that of a stream that has begun, until the accepted work has ended; any
+    /// other only if it is expected to end before this process exits.
+    pub(super) fn may_start_attempt(&self, call: &Call) -> bool {
+        let is_over = self.exit_at().is_some_and(|exit_at| self.now >= exit_at);
+        !is_over && (call.progress.head_forwarded || self.can_end_before_exit(call))
+    }
+
     /// Whether a call that starts its next attempt now is expected to end before this process exits; for a call that
     /// arrives late, whether it ends by then at the latest.
-    pub(super) fn can_end_before_exit(&self, call: &Call) -> bool {
+    fn can_end_before_exit(&self, call: &Call) -> bool {
         let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
             return true;
         };
--- a/crates/relay/src/reduce/timeout.rs
+++ b/crates/relay/src/reduce/timeout.rs
@@ -157,8 +157,7 @@
             return false;
         };
         let has_arrivals = call.arrivals.counted() + 1 < ARRIVALS_MAX;
-        let can_end = call.progress.head_forwarded || self.can_end_before_exit(call);
-        has_arrivals && can_end && self.can_retry_elsewhere(number)
+        has_arrivals && self.may_start_attempt(call) && self.can_retry_elsewhere(number)
     }
 
     /// Whether a prefill can move to another runner now, and the run after it has its capacity: that
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -135,7 +135,6 @@
 
 /// Guards against a stream that is cut although its runner has ended, since its last events reach this process late.
 #[test]
-#[ignore = "known red: issue 61"]
 fn leave_completes_stream_that_arrives_late() {
     let mut harness = Harness::new(1);
     let stream = harness.start_stream(STREAM);
