http, gateway: a planned stop knows which last responses were not received

From SIGTERM on each response closes its connection; one whose bytes the system still held was forgotten at once, so the process took all responses for received, and a client that had sent more meanwhile lost the rest, as its connection was reset.

Cause: connections were kept until their client had received all only once the listeners were closed, seconds after SIGTERM. Class: a process that ends while responses are in progress.

Change: they are kept from SIGTERM on. A response whose request's body still arrives is logged as receiving, not as serving; a connection that is cut names its request (response_cut).

Measured: leave_keeps_last_responses and unreceived_names_body_that_is_received hold; both name what did not exist before, so they do not build on the code before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -149,6 +149,7 @@
 
     /// Starts to leave the fleet gracefully.
     pub fn leave(&self) {
+        self.callers.leave();
         self.driver.apply(Event::Leave);
     }
 
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -49,7 +49,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum State {
-    /// The rest of the request's head.
+    /// The rest of the request.
     Receiving,
     /// The handler, or the source of the response's body.
     Serving,
@@ -307,15 +307,18 @@
         let bytes = self.undelivered() + self.unwritten.get() as u64;
         let (state, since) = match self.phase.get() {
             Phase::Head if self.has_head.get() => (State::Receiving, &self.since),
+            Phase::Exchange if self.handle.0.is_receiving.load(Ordering::Relaxed) => {
+                (State::Receiving, &self.exchange_began_at)
+            }
             _ if bytes > 0 || self.blocked.get().is_some() => {
                 (State::Sending, &self.exchange_began_at)
             }
             Phase::Exchange => (State::Serving, &self.exchange_began_at),
             Phase::Head | Phase::Idle => return None,
         };
-        let request = match state {
-            State::Receiving => None,
-            State::Serving | State::Sending => self.handle.request().clone(),
+        let request = match self.phase.get() {
+            Phase::Head => None,
+            Phase::Exchange | Phase::Idle => self.handle.request().clone(),
         };
         let age = since.get().elapsed();
         Some(Unreceived {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -117,6 +117,8 @@
 /// How a server shuts down.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Shutdown {
+    /// Requests are served as before, and connections that end are kept until their clients have received all.
+    Leaving,
     /// Exchanges in progress are completed.
     Graceful,
     /// All connections are closed immediately.
@@ -167,6 +169,12 @@
         self.connections.open.borrow().len()
     }
 
+    /// Prepares for [`Server::close`]: a connection that ends from now on stays open until its client has received the last
+    /// response, so that [`Closing`] tells of it. Requests are served as before.
+    pub fn leave(&self) {
+        self.connections.shut_down(Shutdown::Leaving);
+    }
+
     /// Shuts down gracefully: stops listening and closes each connection once its exchange, if any,
     /// is complete and the client has received the response. Returns a handle by which to wait for that.
     pub fn close(self) -> Closing {
@@ -380,33 +388,51 @@
         .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    let mut shutdown_started = false;
+    let mut shutdown = None;
     let mut pulse = Pulse::default();
     let drive = |cx: &mut Context<'_>| {
         ready!(pulse.poll_beat(cx));
         control.register(cx.waker());
         if let Some(cut) = control.cut_reason() {
             limits.budget.count_cut(cut);
+            log_cut(&control, cut);
             return Poll::Ready(());
         }
-        match registration.connections.shutdown.get() {
-            Some(Shutdown::Abort) => return Poll::Ready(()),
-            Some(Shutdown::Graceful) if !shutdown_started => {
-                shutdown_started = true;
-                control.extend_send_buffer();
-                connection.as_mut().graceful_shutdown();
+        let requested = registration.connections.shutdown.get();
+        if shutdown != requested {
+            shutdown = requested;
+            match requested {
+                None | Some(Shutdown::Leaving) => {}
+                Some(Shutdown::Graceful) => {
+                    control.extend_send_buffer();
+                    connection.as_mut().graceful_shutdown();
+                }
+                Some(Shutdown::Abort) => return Poll::Ready(()),
             }
-            _ => {}
         }
         control.begin_turn();
         connection.as_mut().poll(cx).map(|_| ())
     };
     poll_fn(drive).await;
-    if registration.connections.shutdown.get() == Some(Shutdown::Graceful) {
+    let shutdown = registration.connections.shutdown.get();
+    if matches!(shutdown, Some(Shutdown::Leaving | Shutdown::Graceful)) {
         linger(&registration.control).await;
     }
 }
 
+/// Logs the request whose response is cut, if it has an id.
+fn log_cut(control: &Control, cut: Cut) {
+    let Some(unreceived) = control.unreceived() else {
+        return;
+    };
+    let Some(request) = unreceived.request.as_deref() else {
+        return;
+    };
+    let outcome: &str = cut.into();
+    let (ms, bytes) = (unreceived.age.as_millis() as u64, unreceived.bytes);
+    log::info!(request, outcome, ms, bytes; "response_cut");
+}
+
 /// Keeps a connection whose last response is written until its client has received all of it. What the client sends
 /// meanwhile is dropped: a socket that is closed with unread bytes is reset, and what was not received yet is lost.
 async fn linger(control: &Control) {
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -12,7 +12,7 @@
 
 use hornbeamtiller_http::body::{Never, Outgoing};
 use hornbeamtiller_http::runtime::block_on;
-use hornbeamtiller_http::server::{Handler, Limits, Server, Timeouts};
+use hornbeamtiller_http::server::{Handle, Handler, Limits, Server, State, Timeouts};
 use hornbeamtiller_http::socket::Listener;
 
 /// Longer than the interval at which a server at its connection limit looks for a free place.
@@ -112,6 +112,111 @@
     .expect("a runtime");
 }
 
+/// Answers at once, with many bytes, and closes the connection then.
+#[derive(Clone)]
+struct Last;
+
+impl Handler for Last {
+    type Source = Never;
+
+    async fn handle(&self, _request: Request<Incoming>) -> Response<Outgoing<Never>> {
+        let mut response = Response::new(Outgoing::full(vec![b'x'; HELD_BYTES]));
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert("connection", close);
+        response
+    }
+}
+
+/// Bytes of a response that the system holds for a client that does not read.
+const HELD_BYTES: usize = 40 << 10;
+/// Less than that.
+const SMALL_BUFFER_BYTES: usize = 4 << 10;
+
+/// Connects with a small receive buffer, sends a request and reads nothing.
+async fn send_unread(address: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
+        .expect("a small buffer");
+    socket.connect(&address.into()).expect("connected");
+    socket.set_nonblocking(true).expect("a socket");
+    let mut stream = TcpStream::from_std(socket.into()).expect("a stream");
+    let request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n".to_vec();
+    stream.write_all(request).await.0.expect("written");
+    monoio::time::sleep(SETTLE_TIME).await;
+    stream
+}
+
+/// Guards against a process that takes a response for received, since its connection was the last of its client and nothing
+/// is left to be written to it. What the client sends meanwhile must not reset the connection, either.
+#[test]
+fn leave_keeps_last_responses() {
+    block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, Limits::default(), Last).expect("a listener");
+        server.leave();
+        let mut stream = send_unread(server.address()).await;
+        for _ in 0..3 {
+            let more = b"GET / HTTP/1.1\r\n".to_vec();
+            stream.write_all(more).await.0.expect("written");
+            monoio::time::sleep(SETTLE_TIME).await;
+        }
+        let closing = server.close();
+        let unreceived = closing.unreceived();
+        assert_eq!(unreceived.len(), 1, "{unreceived:?}");
+        assert!(unreceived[0].bytes > 0, "{unreceived:?}");
+        let mut received = 0;
+        loop {
+            let (read, _) = stream.read(vec![0; SLOW_READ_BYTES]).await;
+            match read.expect("no reset") {
+                0 => break,
+                bytes => received += bytes,
+            }
+        }
+        assert!(received > HELD_BYTES, "{received}");
+        monoio::time::sleep(SETTLE_TIME).await;
+        assert!(closing.is_complete());
+    })
+    .expect("a runtime");
+}
+
+/// Guards against a body that is still being received and looks in the log like a response that a runner works on.
+#[test]
+fn unreceived_names_body_that_is_received() {
+    block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, Limits::default(), Receiving).expect("a listener");
+        let mut stream = TcpStream::connect_addr(server.address())
+            .await
+            .expect("connected");
+        let request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf".to_vec();
+        stream.write_all(request).await.0.expect("written");
+        monoio::time::sleep(SETTLE_TIME).await;
+        let unreceived = server.close().unreceived();
+        assert_eq!(unreceived.len(), 1, "{unreceived:?}");
+        assert_eq!(unreceived[0].state, State::Receiving);
+        assert_eq!(unreceived[0].request.as_deref(), Some("r1"));
+    })
+    .expect("a runtime");
+}
+
+/// Says that it receives a body, and takes long.
+#[derive(Clone)]
+struct Receiving;
+
+impl Handler for Receiving {
+    type Source = Never;
+
+    async fn handle(&self, mut request: Request<Incoming>) -> Response<Outgoing<Never>> {
+        let connection: Handle = request.extensions_mut().remove().expect("a handle");
+        connection.set_request("r1".into());
+        connection.set_receiving(true);
+        monoio::time::sleep(HANDLER_TIME).await;
+        Response::new(Outgoing::full(bytes::Bytes::new()))
+    }
+}
+
 /// A body whose lines read like error responses, and a part of a line at its start.
 fn misleading_body(offset: usize, lines: usize) -> Vec<u8> {
     let line = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-len: 00\r\n\r\n";
