gateway, http: timers fire until the process ends

Cause: connections wait for a timer of the process, so that clients which send without pause don't keep timers from firing; that timer ended with the last call, and what ends the process needs timers, too.

Change: it beats until the process ends.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -178,5 +178,10 @@
         pulse::beat();
         driver.apply(Event::Tick);
     }
-    pulse::stop();
+    // What ends the process needs timers, too.
+    drop(driver);
+    loop {
+        monoio::time::sleep(TICK_INTERVAL).await;
+        pulse::beat();
+    }
 }
--- a/crates/http/src/pulse.rs
+++ b/crates/http/src/pulse.rs
@@ -21,19 +21,9 @@
 }
 
 /// Tells that timers fire. To be called by a timer of this thread each 15 ms or so, from the first call on until
-/// [`stop`].
+/// the process ends.
 pub fn beat() {
     LAST_BEAT.set(Some(Instant::now()));
-    wake_all();
-}
-
-/// Tells that the timer which beats has ended.
-pub fn stop() {
-    LAST_BEAT.set(None);
-    wake_all();
-}
-
-fn wake_all() {
     let waiting = WAITING.with(|waiting| waiting.take());
     waiting.into_iter().for_each(Waker::wake);
 }
