hornbeamtiller: the last log lines of a stop are true and are not left out

After a cut at the end of the grace period, closed said grace_period_over with no response left, as the last time for it had come before the least time for last writes; leaving, left and stream_cut were subject to the rate limit; 0.15 s were left for the log and the exit, which take up to 0.17 s.

Change: closed goes by what clients have still to receive; these lines are exempt; the process ends 0.25 s before its grace period does, counted from when the signal came.

--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_relay::decision_log::Entry;
+use hornbeamtiller_relay::decision_log::{Entry, Kind};
 use log::kv::{Error, Key, Source, Value, VisitSource};
 
+/// Target of lines that are needed to examine a planned stop; the rate limit of the log does not leave them out.
+const STOP_TARGET: &str = "stop";
+/// Target of the other lines.
+const TARGET: &str = "relay";
+
 /// The fields of an entry that are set, as key-value pairs.
 struct Fields<'a>(&'a Entry);
 
@@ -62,11 +67,15 @@
         return;
     }
     let kind: &'static str = entry.kind.into();
+    let target = match entry.kind {
+        Kind::Leaving | Kind::Left | Kind::StreamCut => STOP_TARGET,
+        _ => TARGET,
+    };
     let fields = Fields(entry);
     log::logger().log(
         &log::Record::builder()
             .level(log::Level::Info)
-            .target("relay")
+            .target(target)
             .args(format_args!("{kind}"))
             .key_values(&fields)
             .build(),
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -31,8 +31,8 @@
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is polled, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
-/// How long before the end of the grace period the process ends, whatever clients have still to receive.
-const KILL_MARGIN: Duration = Duration::from_millis(150);
+/// How long before the end of the grace period the last clients are waited for. The rest is for the log and the exit.
+const KILL_MARGIN: Duration = Duration::from_millis(250);
 
 /// Routes model requests between prefill and decode pools, and calls to plain services.
 ///
@@ -235,7 +235,7 @@
             process.reload();
         }
     }
-    let began_at = Instant::now();
+    let began_at = signals.stop_requested_at();
     let grace = Grace {
         began_at,
         last_moment: began_at + process.grace_period().saturating_sub(KILL_MARGIN),
--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -1,7 +1,7 @@
 //! The end of the process: the signals that ask for it, how long clients are waited for, and what the log says of it.
 
 use std::io;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,13 +37,16 @@
 #[derive(Debug)]
 pub struct Signals(Arc<Received>);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Received {
     is_stop_requested: AtomicBool,
     is_interrupted: AtomicBool,
     /// Signals that came, and how many of them are in the log.
     count: AtomicU32,
     logged: AtomicU32,
+    installed_at: Instant,
+    /// When the first one came, in microseconds after `installed_at`.
+    first_after_us: AtomicU64,
 }
 
 impl Signals {
@@ -53,10 +56,17 @@
     ///
     /// The error of the operating system.
     pub fn install() -> io::Result<Self> {
-        let received = Arc::<Received>::default();
+        let received = Arc::new(Received {
+            is_stop_requested: AtomicBool::new(false),
+            is_interrupted: AtomicBool::new(false),
+            count: AtomicU32::new(0),
+            logged: AtomicU32::new(0),
+            installed_at: Instant::now(),
+            first_after_us: AtomicU64::new(0),
+        });
         let on_term = received.clone();
         let on_interrupt = received.clone();
-        // SAFETY: The handlers only access atomics and call `_exit`, which are safe in signal handlers.
+        // SAFETY: The handlers only access atomics, read a clock and call `_exit`, which are safe in signal handlers.
         unsafe {
             low_level::register(SIGTERM, move || on_term.terminate())?;
             low_level::register(SIGINT, move || on_interrupt.interrupt())?;
@@ -66,7 +76,13 @@
 
     /// Whether the process is to leave.
     pub fn is_stop_requested(&self) -> bool {
-        self.0.is_stop_requested.load(Ordering::Relaxed)
+        self.0.is_stop_requested.load(Ordering::Acquire)
+    }
+
+    /// When the first signal came, which may be earlier than it is noticed.
+    pub fn stop_requested_at(&self) -> Instant {
+        let after = Duration::from_micros(self.0.first_after_us.load(Ordering::Relaxed));
+        self.0.installed_at + after
     }
 
     /// Whether the process is to end at once.
@@ -85,13 +101,20 @@
 
 impl Received {
     fn terminate(&self) {
-        self.count.fetch_add(1, Ordering::Relaxed);
-        self.is_stop_requested.store(true, Ordering::Relaxed);
+        self.count();
+        self.is_stop_requested.store(true, Ordering::Release);
+    }
+
+    fn count(&self) {
+        if self.count.fetch_add(1, Ordering::Relaxed) == 0 {
+            let after = self.installed_at.elapsed().as_micros();
+            self.first_after_us.store(after as u64, Ordering::Relaxed);
+        }
     }
 
     fn interrupt(&self) {
-        self.count.fetch_add(1, Ordering::Relaxed);
-        let is_second = self.is_stop_requested.swap(true, Ordering::Relaxed);
+        self.count();
+        let is_second = self.is_stop_requested.swap(true, Ordering::AcqRel);
         // A process that does not notice is ended by the third.
         if is_second && self.is_interrupted.swap(true, Ordering::Relaxed) {
             low_level::exit(EXIT_INTERRUPTED.into());
@@ -140,7 +163,7 @@
 /// Waits until all clients have received their responses, but no longer than the grace period, and logs why the process
 /// ends and which responses were not received.
 pub async fn wait_for_clients(closing: &impl Closing, grace: Grace, signals: &Signals) -> Ending {
-    let flushed_at = Instant::now() + FLUSH_DELAY;
+    let flushed_at = grace.last_moment.min(Instant::now() + FLUSH_DELAY);
     let ending = loop {
         signals.log_received();
         let now = Instant::now();
