--- a/crates/relay/tests/delegate.rs
+++ b/crates/relay/tests/delegate.rs
@@ -7,6 +7,7 @@
     Arrival, Decline, Dispatch, Effect, Event, Operation, Outcome, Presence,
 };
 use hornbeamtiller_relay::member::Status;
+use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
 use support::{
     dispatch, dispatches, has, member, ms, refusal, stream_arrival, view, Harness, IDEMPOTENT,
@@ -287,3 +288,58 @@
     let is_probe = |effect: &Effect| matches!(effect, Effect::CheckRunner { .. });
     assert!(!has(&effects, is_probe));
 }
+
+fn leave(harness: &mut Harness, runners: &[&str]) {
+    for runner in runners {
+        let instance = Instance {
+            runner: (*runner).into(),
+            started_at_ms: 1,
+        };
+        harness.apply(Event::DepartureTold { instance });
+    }
+}
+
+/// Guards against callers that are refused at a VM that reaches no runner, as it has been told that all of them leave:
+/// they still serve whom nobody else can, and another VM reaches them.
+#[test]
+fn call_without_reach_runners_leaving_is_delegated() {
+    for (path, leaving) in [
+        (NON_IDEMPOTENT, &["pay-1", "pay-2", "pay-3"][..]),
+        (IDEMPOTENT, &["pay-1", "pay-2", "pay-3"]),
+        (STREAM, &["make-1", "make-2", "read-1", "read-2"]),
+    ] {
+        let mut harness = fleet(2);
+        harness.state.policy.allocators = false;
+        leave(&mut harness, leaving);
+        let attempt = delegate(&mut harness, path).attempt;
+        harness.end_attempt(attempt, Outcome::Answered { status: 200 });
+        // The next one is not tried here at all.
+        assert!(is_delegated(&dispatch(&harness.arrive(path))), "{path}");
+    }
+}
+
+/// A runner that leaves gets no request from any VM once its drain timeout has passed, so none is asked then.
+#[test]
+fn call_without_reach_runners_left_is_not_delegated() {
+    let mut harness = fleet(2);
+    leave(&mut harness, &["pay-1", "pay-2", "pay-3"]);
+    let first = delegate(&mut harness, NON_IDEMPOTENT);
+    harness.end_attempt(first.attempt, Outcome::Answered { status: 200 });
+    harness.now += harness.state.settings.drain_timeout;
+    assert!(dispatches(&harness.arrive(NON_IDEMPOTENT)).is_empty());
+}
+
+/// Guards against a VM that refuses a delegated call at the first runner that has ended, while it reaches another one
+/// that leaves too.
+#[test]
+fn delegated_call_runners_leaving_tries_next() {
+    let mut harness = Harness::new(1);
+    leave(&mut harness, &["pay-1", "pay-2", "pay-3"]);
+    let reached = dispatch(&harness.arrive(NON_IDEMPOTENT));
+    harness.now += ms(10);
+    harness.end_attempt(reached.attempt, Outcome::Answered { status: 200 });
+    let first = dispatch(&arrive_delegated(&mut harness, NON_IDEMPOTENT));
+    let effects = harness.end_attempt(first.attempt, Outcome::Unwritten);
+    assert!(refusal(&effects).is_none(), "{effects:?}");
+    assert_eq!(dispatches(&effects).len(), 1);
+}
