relay: a VM that reaches no runner delegates calls whose runners all leave

A caller of a VM that reached no runner got 503 (full) after 0.56 s, although another VM reached the runners and would have run the request. The VM had been told a moment before that both runners leave: only ready runners counted when it asked itself whether it reaches any, and with none left it took itself to reach all.

A stage with no ready runner is now judged by those that leave and still get requests. The same for a VM that runs a call for another one: it gives up after a failed connection only if it has reached no runner, leaving ones included.

--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -268,7 +268,8 @@
     bound.scale(rng.random())
 }
 
-fn is_usable(runner: &Runner, drain_timeout: Duration, now: Duration) -> bool {
+/// Whether a runner may get requests: one that leaves may until the end of its drain timeout.
+pub fn is_usable(runner: &Runner, drain_timeout: Duration, now: Duration) -> bool {
     match runner.status {
         Status::Ready => true,
         Status::Leaving { started_at } => started_at + drain_timeout > now,
--- a/crates/relay/src/reduce/choose.rs
+++ b/crates/relay/src/reduce/choose.rs
@@ -104,13 +104,19 @@
             build: self.required_build(number),
             zone: &settings.zone,
             tried: &call.tried,
-            drain_timeout: settings.drain_timeout.saturating_sub(DRAIN_MARGIN),
+            drain_timeout: self.drain_timeout(),
             load: self.estimate_load(number, purpose),
             headroom: self.headroom(number),
             engine: endpoint.and_then(|endpoint| endpoint.engine),
         })
     }
 
+    /// How long a leaving runner gets requests that no other one can run.
+    pub(super) fn drain_timeout(&self) -> Duration {
+        let drain_timeout = self.state.settings.drain_timeout;
+        drain_timeout.saturating_sub(DRAIN_MARGIN)
+    }
+
     /// Picks a prefill runner; none if all are cooling down.
     pub(super) fn pick_prefill(&mut self, number: id::Call) -> Option<Runner> {
         let runner = self.pick(number, Purpose::Prefill)?;
--- a/crates/relay/src/reduce/reach.rs
+++ b/crates/relay/src/reduce/reach.rs
@@ -4,7 +4,8 @@
 //! another VM is known not to reach them, unless it has reached one a moment ago.
 //!
 //! A runner that other VMs reach may be out of reach here. Which calls are delegated then is decided for each, by
-//! the runners that it needs; see [`super::delegate`].
+//! the runners that it needs; see [`super::delegate`]. Runners that leave still run what no other one can, so they are
+//! looked at where no other runner is left.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 use crate::decision_log::{Entry, Kind};
 use crate::event::{Effect, Presence};
 use crate::id;
-use crate::placement::Purpose;
+use crate::placement::{self, Purpose};
 use crate::pool::{Instance, Runner, Status};
 
 use super::Reducer;
@@ -45,7 +46,34 @@
         } else {
             failures >= CALL_FAILURES_MAX && self.is_reached_elsewhere(&call.endpoint)
         };
-        is_doubtful || self.is_unreached(&call.endpoint, &call.unreached)
+        is_doubtful
+            || self.is_unreached(&call.endpoint, &call.unreached)
+            || self.is_left_unreached(&call.endpoint, &call.unreached)
+    }
+
+    /// Whether a stage of an endpoint has only runners that leave, and none of these is reached; `failed` are some that
+    /// are known not to be.
+    fn is_left_unreached(&self, endpoint: &id::Endpoint, failed: &[id::Runner]) -> bool {
+        let mut needed = self.needed_stages(endpoint).iter();
+        needed.any(|purpose| {
+            let mut leaving = self.last_runners(endpoint, *purpose).peekable();
+            leaving.peek().is_some() && leaving.all(|runner| has_failed(runner, failed))
+        })
+    }
+
+    /// The runners of a stage that leave and still get requests, if it has no others.
+    fn last_runners<'a>(
+        &'a self,
+        endpoint: &id::Endpoint,
+        purpose: Purpose,
+    ) -> impl Iterator<Item = &'a Runner> + 'a {
+        let is_last = self.ready_runners(endpoint, purpose).next().is_none();
+        let (now, drain_timeout) = (self.now, self.drain_timeout());
+        let runners = self.state.pool.at_endpoint(endpoint);
+        runners.filter(move |runner| {
+            let is_candidate = purpose.accepts(runner.descriptor.role) && !runner.displaced;
+            is_last && is_candidate && placement::is_usable(runner, drain_timeout, now)
+        })
     }
 
     /// Whether no runner of an endpoint, or of a stage of it, is reached; `failed` are some that are known not to be.
@@ -72,8 +100,9 @@
     }
 
     fn has_reached_stage(&self, endpoint: &id::Endpoint, purpose: Purpose) -> bool {
-        let reached_at = self.ready_runners(endpoint, purpose);
-        let last = reached_at.filter_map(Runner::reached_at).max();
+        let runners = self.ready_runners(endpoint, purpose);
+        let runners = runners.chain(self.last_runners(endpoint, purpose));
+        let last = runners.filter_map(Runner::reached_at).max();
         last.is_some_and(|at| at + EVIDENCE_TIME > self.now)
     }
 
@@ -84,11 +113,7 @@
         failed: &[id::Runner],
     ) -> bool {
         let ready: Vec<&Runner> = self.ready_runners(endpoint, purpose).collect();
-        let has_failed = |runner: &Runner| {
-            let name = &runner.descriptor.runner;
-            runner.unreached_since().is_some() || failed.contains(name)
-        };
-        if ready.is_empty() || ready.iter().all(|runner| has_failed(runner)) {
+        if ready.is_empty() || ready.iter().all(|runner| has_failed(runner, failed)) {
             return !ready.is_empty();
         }
         let mut failures: Vec<Duration> = ready
@@ -269,3 +294,9 @@
         }
     }
 }
+
+/// Whether a runner is known not to be reached; `failed` are some that are.
+fn has_failed(runner: &Runner, failed: &[id::Runner]) -> bool {
+    let name = &runner.descriptor.runner;
+    runner.unreached_since().is_some() || failed.contains(name)
+}
