--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -285,6 +285,101 @@
     .expect("a runtime");
 }
 
+/// Places of a server that gets more connections at once.
+const PLACES: usize = 4;
+/// Connections that come at once.
+const BURST: usize = 3 * PLACES;
+/// Time until a server has accepted a connection.
+const ACCEPT_TIME: Duration = Duration::from_millis(2);
+/// Below the time after which a client that sends nothing is slow, and may be displaced.
+const ATTEMPT_TIME_MAX: Duration = Duration::from_millis(250);
+
+async fn open_burst(server: &Server, bytes: &[u8]) -> Vec<TcpStream> {
+    let mut open = Vec::new();
+    for _ in 0..BURST {
+        open.push(connect(server, bytes.to_vec()).await);
+        monoio::time::sleep(ACCEPT_TIME).await;
+    }
+    open
+}
+
+/// Opens a connection, then many others at once, then sends the rest of a request on the first one; returns the number
+/// of bytes of the response. Repeats that until it has taken so little time that the first one was not slow.
+async fn request_beside_burst<H: Handler>(
+    handler: H,
+    [first, rest]: [&[u8]; 2],
+    others: &[u8],
+) -> usize {
+    loop {
+        let limits = Limits {
+            connections: PLACES,
+            ..Limits::default()
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, limits, handler.clone()).expect("a listener");
+        let started_at = Instant::now();
+        let mut stream = connect(&server, first.to_vec()).await;
+        monoio::time::sleep(ACCEPT_TIME).await;
+        let open = open_burst(&server, others).await;
+        let is_slow = started_at.elapsed() > ATTEMPT_TIME_MAX;
+        // The connection may have been closed.
+        _ = stream.write_all(rest.to_vec()).await;
+        let received = count_received(&mut stream).await;
+        assert!(server.connection_count() <= PLACES);
+        drop(open);
+        if !is_slow {
+            return received;
+        }
+    }
+}
+
+/// Counts what is received until nothing more comes.
+async fn count_received(stream: &mut TcpStream) -> usize {
+    let mut received = 0;
+    loop {
+        let reading = stream.read(vec![0; SLOW_READ_BYTES]);
+        match monoio::time::timeout(SETTLE_TIME, reading).await {
+            Ok((Ok(bytes @ 1..), _)) => received += bytes,
+            _ => return received,
+        }
+    }
+}
+
+/// Guards against a connection that is displaced before its request has come, by a burst of heads that never end.
+#[test]
+fn accept_keeps_new_beside_partial_heads() {
+    block_on(async {
+        let handler = Fast::new(60_000, 60_000, 60_000);
+        let parts: [&[u8]; 2] = [b"", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"];
+        let received = request_beside_burst(handler, parts, b"GET / HTTP/1.1\r\nHo").await;
+        assert!(received > 0);
+    })
+    .expect("a runtime");
+}
+
+/// The same, of a head in two parts beside connections without a request.
+#[test]
+fn accept_keeps_partial_head_beside_new() {
+    block_on(async {
+        let handler = Fast::new(60_000, 60_000, 60_000);
+        let parts: [&[u8]; 2] = [b"GET / HTTP/1.1\r\nHo", b"st: h\r\n\r\n"];
+        let received = request_beside_burst(handler, parts, b"").await;
+        assert!(received > 0);
+    })
+    .expect("a runtime");
+}
+
+/// Guards against a response that is cut while its client is at work, as others come that have sent no request.
+#[test]
+fn accept_keeps_response_beside_new() {
+    block_on(async {
+        let parts: [&[u8]; 2] = [b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", b""];
+        let received = request_beside_burst(Large, parts, b"").await;
+        assert!(received >= LARGE_BYTES, "{received} bytes");
+    })
+    .expect("a runtime");
+}
+
 /// Guards against responses that pile up for a client that sends requests ahead and reads none, and against such a
 /// connection being kept.
 #[test]
