http: answers whose framing hides their end are no answers

Callers got a coded body as a plain one (Transfer-Encoding: gzip, chunked), a part of a body as whole (an unknown transfer coding, and the runner had ended), a runner's 101, or, over HTTP/1.0, a stream that broke off as a complete one. Cause: the codec takes an unknown coding for a body that ends with the connection, which was asked only where there was no such header; a 101 counts as final; a body without length or chunks ends with the connection, closed alike after its end and before it. Change: a response with another transfer coding than chunked, or a 101, is malformed and its request lost; a connection whose body ends with it is reset on close until that body is written.

--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -23,6 +23,9 @@
     /// The connection was lost after the request was, or may have been, written.
     #[error("connection lost: {0}")]
     Lost(#[from] hyper::Error),
+    /// The response has a transfer coding other than chunks, or switches protocols; neither was asked for.
+    #[error("response in a form that was not asked for")]
+    Unexpected,
     /// Nothing was received within the timeout.
     #[error("nothing received for {0:?}")]
     TimedOut(Duration),
@@ -48,7 +51,7 @@
     Unacknowledged,
     /// The server closed or reset the connection.
     Closed,
-    /// The bytes received are no HTTP response.
+    /// The bytes received are no HTTP response, or one in a form that was not asked for.
     Malformed,
     /// Nothing was received within the timeout of the client.
     TimedOut,
@@ -74,6 +77,7 @@
             Self::Unwritten => Cause::Unwritten,
             Self::Lost(error) if is_system_timeout(error) => Cause::Unacknowledged,
             Self::Lost(error) if error.is_parse() => Cause::Malformed,
+            Self::Unexpected => Cause::Malformed,
             Self::Lost(_) => Cause::Closed,
             Self::TimedOut(_) => Cause::TimedOut,
             Self::TooLarge(_) => Cause::TooLarge,
--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::Request;
+use http::{Request, StatusCode};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -245,7 +245,7 @@
             match result.map_err(|_| Error::TimedOut(timeout))? {
                 Ok(response) => {
                     let mut response =
-                        self.wrap_response(address, connection, response, idle_timer);
+                        self.wrap_response(address, connection, response, idle_timer)?;
                     if is_large {
                         response.pool_timeout = Duration::ZERO;
                     }
@@ -300,7 +300,7 @@
             .wait(connection.sender.send_request(request))
             .await;
         let response = result.map_err(|_| Error::TimedOut(timeout))??;
-        Ok(self.wrap_response(address, connection, response, idle_timer))
+        self.wrap_response(address, connection, response, idle_timer)
     }
 
     fn wrap_response(
@@ -309,15 +309,18 @@
         connection: Connection,
         response: http::Response<Incoming>,
         idle_timer: idle_timeout::Timer,
-    ) -> Response {
+    ) -> Result<Response, Error> {
         let (head, body) = response.into_parts();
+        if !is_expected(&head) {
+            return Err(Error::Unexpected);
+        }
         let pool_timeout =
             parse_keep_alive(&head).map_or(self.settings.idle_timeout, |advertised| {
                 advertised
                     .saturating_sub(KEEP_ALIVE_MARGIN)
                     .min(self.settings.idle_timeout)
             });
-        Response {
+        Ok(Response {
             head,
             body,
             idle_timer,
@@ -325,7 +328,7 @@
             pool_timeout,
             address,
             client: self.clone(),
-        }
+        })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
@@ -457,6 +460,18 @@
     }
 }
 
+/// Whether a response has a form that requests ask for: no other protocol, and no transfer coding but chunks. Another
+/// coding is lost on the way to the client, and `hyper` takes an unknown one for a body that ends with its connection.
+fn is_expected(head: &http::response::Parts) -> bool {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).into_iter();
+    let is_plain = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        (Some(_), Some(_)) => false,
+    };
+    is_plain && head.status != StatusCode::SWITCHING_PROTOCOLS
+}
+
 /// Parses the keep-alive timeout that the server advertises: zero if it is about to close the
 /// connection, `None` if it states no timeout.
 fn parse_keep_alive(head: &http::response::Parts) -> Option<Duration> {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use futures::task::AtomicWaker;
+use http::Version;
 use http_body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -148,6 +149,8 @@
     last_read_at: Cell<Instant>,
     /// When the client began to let the server wait with its response, and the bytes that it has taken since then.
     blocked: Cell<Option<(Instant, u64)>>,
+    /// Whether a body that ends with the connection has come to its end, which is not written yet.
+    ends_after_flush: Cell<bool>,
     /// Bytes that `hyper` wanted to write when it wrote last, and that the system did not take.
     unwritten: Cell<usize>,
     /// When the last request was read.
@@ -175,6 +178,7 @@
             since: Cell::new(now),
             last_read_at: Cell::new(now),
             blocked: Cell::new(None),
+            ends_after_flush: Cell::new(false),
             unwritten: Cell::new(0),
             exchange_began_at: Cell::new(now),
             reader: RefCell::default(),
@@ -350,6 +354,14 @@
         }
     }
 
+    /// Lets the close of the connection reset it, whoever closes it, or not any more.
+    fn set_reset_on_close(&self, is_reset: bool) {
+        let linger = is_reset.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.socket()).set_linger(linger) {
+            log::info!(error:% = error; "linger_not_set");
+        }
+    }
+
     /// Drops what the client has sent.
     pub(crate) fn discard_input(&self) {
         let mut buffer = [MaybeUninit::uninit(); DISCARD_BYTES];
@@ -439,6 +451,9 @@
     /// `hyper` flushes once it has written all that it has.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.inner).poll_flush(cx))?;
+        if self.control.ends_after_flush.take() {
+            self.control.set_reset_on_close(false);
+        }
         if self.control.phase.get() != Phase::Exchange {
             self.control.is_responding.set(false);
         }
@@ -459,11 +474,22 @@
 pub(crate) struct Tracked<B> {
     body: B,
     control: Rc<Control>,
+    /// Whether the body has neither a length nor chunks and ends with the connection.
+    ends_with_connection: bool,
 }
 
-impl<B> Tracked<B> {
-    pub(crate) fn new(body: B, control: Rc<Control>) -> Self {
-        Self { body, control }
+impl<B: Body> Tracked<B> {
+    /// Has the connection reset if it ends before a body whose end is its own, as the client could not tell that.
+    pub(crate) fn new(body: B, control: Rc<Control>, version: Version) -> Self {
+        let ends_with_connection = version < Version::HTTP_11 && body.size_hint().exact().is_none();
+        if ends_with_connection {
+            control.set_reset_on_close(true);
+        }
+        Self {
+            body,
+            control,
+            ends_with_connection,
+        }
     }
 }
 
@@ -481,7 +507,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if next.is_none() && self.ends_with_connection {
+            self.control.ends_after_flush.set(true);
+        }
+        Poll::Ready(next)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -362,12 +362,13 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         let (handler, control) = (handler.clone(), control.clone());
         let ahead = control.begin_exchange();
+        let version = request.version();
         let open = connections.count();
         request.extensions_mut().insert(control.handle().clone());
         async move {
             wait_for_turn(ahead, open).await;
             let response = add_marker(handler.handle(request).await);
-            Ok::<_, Infallible>(response.map(|body| Tracked::new(body, control)))
+            Ok::<_, Infallible>(response.map(|body| Tracked::new(body, control, version)))
         }
     });
     let control = registration.control.clone();
