--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -5,6 +5,7 @@
 use std::future::{poll_fn, Future as _};
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::{AsRawFd as _, BorrowedFd, RawFd};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -12,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::Request;
+use http::{Request, StatusCode};
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -86,12 +87,30 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Its socket, open for as long as `sender` is not closed.
+    socket: RawFd,
     /// Whether the last exchange has its complete response.
     is_answered: Rc<Cell<bool>>,
     /// Closes the socket immediately when dropped, even with an exchange in progress.
     _guard: cancel::Guard,
 }
 
+impl Connection {
+    /// Whether a request can be written to the connection, as far as is known here: the task that drives it may not have
+    /// run since its end, or bytes that nobody asked for, arrived.
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && !self.has_arrived()
+    }
+
+    /// Whether the end of the connection, or anything else, is in its socket. Only for a connection that is not closed.
+    fn has_arrived(&self) -> bool {
+        // SAFETY: The task that drives the connection drops the socket and its half of `sender` in one step, all on one
+        // thread, and `sender` is not closed.
+        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
+        socket::has_arrived(&socket)
+    }
+}
+
 /// The side of a connection that hyper drives.
 type Driven = http1::Connection<Bounded<MonoioIo<TcpStreamPoll>>, Full<Bytes>>;
 
@@ -226,7 +245,7 @@
             match result.map_err(|_| Error::TimedOut(timeout))? {
                 Ok(response) => {
                     let mut response =
-                        self.wrap_response(address, connection, response, idle_timer);
+                        self.wrap_response(address, connection, response, idle_timer)?;
                     if is_large {
                         response.pool_timeout = Duration::ZERO;
                     }
@@ -249,6 +268,7 @@
             Err(_) => return Err(connect_error(io::ErrorKind::TimedOut.into())),
         };
         socket::configure(&stream, self.settings.user_timeout).map_err(connect_error)?;
+        let socket = stream.as_raw_fd();
         let turn = Turn::default();
         let io = MonoioIo::new(stream.into_poll_io().map_err(connect_error)?);
         let io = Bounded::new(io, turn.clone());
@@ -262,6 +282,7 @@
         monoio::spawn(run_connection(connection, turn, token, is_answered.clone()));
         Ok(Connection {
             sender,
+            socket,
             is_answered,
             _guard: guard,
         })
@@ -279,7 +300,7 @@
             .wait(connection.sender.send_request(request))
             .await;
         let response = result.map_err(|_| Error::TimedOut(timeout))??;
-        Ok(self.wrap_response(address, connection, response, idle_timer))
+        self.wrap_response(address, connection, response, idle_timer)
     }
 
     fn wrap_response(
@@ -288,15 +309,18 @@
         connection: Connection,
         response: http::Response<Incoming>,
         idle_timer: idle_timeout::Timer,
-    ) -> Response {
+    ) -> Result<Response, Error> {
         let (head, body) = response.into_parts();
+        if !is_expected(&head) {
+            return Err(Error::Unexpected);
+        }
         let pool_timeout =
             parse_keep_alive(&head).map_or(self.settings.idle_timeout, |advertised| {
                 advertised
                     .saturating_sub(KEEP_ALIVE_MARGIN)
                     .min(self.settings.idle_timeout)
             });
-        Response {
+        Ok(Response {
             head,
             body,
             idle_timer,
@@ -304,7 +328,7 @@
             pool_timeout,
             address,
             client: self.clone(),
-        }
+        })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
@@ -436,6 +460,18 @@
     }
 }
 
+/// Whether a response has a form that requests ask for: no other protocol, and no transfer coding but chunks. Another
+/// coding is lost on the way to the client, and `hyper` takes an unknown one for a body that ends with its connection.
+fn is_expected(head: &http::response::Parts) -> bool {
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).into_iter();
+    let is_plain = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        (Some(_), Some(_)) => false,
+    };
+    is_plain && head.status != StatusCode::SWITCHING_PROTOCOLS
+}
+
 /// Parses the keep-alive timeout that the server advertises: zero if it is about to close the
 /// connection, `None` if it states no timeout.
 fn parse_keep_alive(head: &http::response::Parts) -> Option<Duration> {
