relay, hornbeamtiller: late calls are told from early ones by when SIGTERM may have come

What callers saw: a stream that was sent 3.1 s after SIGTERM was accepted and cut without its end 7.99 s after the signal, at a process that did not run for 0.88 s when the signal came.

Cause: whether a call comes late, and whether it can end in time, was counted from when the process noticed the signal; the supervisor counts from when it sent it, and kills the process before a grace period that begins late has ended.

Change: the process remembers when it last knew that it was not asked to leave. Calls are accepted as if the signal had come right after that. When it cuts what is in progress does not change: the signal may as well have come last.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -147,9 +147,9 @@
         self.peers.address()
     }
 
-    /// Starts to leave the fleet gracefully.
-    pub fn leave(&self) {
-        self.driver.apply(Event::Leave);
+    /// Starts to leave the fleet gracefully, as was asked so long ago at most.
+    pub fn leave(&self, noticed_after: Duration) {
+        self.driver.apply(Event::Leave { noticed_after });
     }
 
     /// Returns whether the process has left the fleet and may exit, since all calls have ended or the
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -221,7 +221,8 @@
     log::info!("started");
     let mut last_poll = Instant::now();
     let mut last_collect = Instant::now();
-    while !signals.is_stop_requested() {
+    let mut unasked_at = Instant::now();
+    while !signals.look_for_stop(&mut unasked_at) {
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
         if last_collect.elapsed() >= COLLECT_INTERVAL {
             last_collect = Instant::now();
@@ -240,7 +241,7 @@
         began_at,
         last_moment: began_at + process.grace_period().saturating_sub(KILL_MARGIN),
     };
-    process.leave();
+    process.leave(unasked_at.elapsed());
     while !process.has_left() && !signals.is_interrupted() {
         signals.log_received();
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -69,6 +69,17 @@
         self.0.is_stop_requested.load(Ordering::Relaxed)
     }
 
+    /// Whether the process is to leave; if not, sets when that was last known.
+    pub fn look_for_stop(&self, unasked_at: &mut Instant) -> bool {
+        // The time is taken first: a signal may come between the two.
+        let now = Instant::now();
+        let is_requested = self.is_stop_requested();
+        if !is_requested {
+            *unasked_at = now;
+        }
+        is_requested
+    }
+
     /// Whether the process is to end at once.
     pub fn is_interrupted(&self) -> bool {
         self.0.is_interrupted.load(Ordering::Relaxed)
--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -406,5 +406,8 @@
         endpoint: id::Endpoint,
     },
     /// The process was asked to shut down.
-    Leave,
+    Leave {
+        /// How long ago that was at most: a process that did not run for a while notices it late.
+        noticed_after: Duration,
+    },
 }
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -27,11 +27,12 @@
 const SHORTER_STREAM_WEIGHT: f64 = 0.02;
 
 impl Reducer<'_> {
-    pub(super) fn start_leaving(&mut self) {
+    pub(super) fn start_leaving(&mut self, noticed_after: Duration) {
         if self.state.leaving_since.is_some() {
             return;
         }
         self.state.leaving_since = Some(self.now);
+        self.state.leave_asked_at = Some(self.now.saturating_sub(noticed_after));
         self.hand_over_origins();
         let calls = self.state.calls.len();
         self.log(Entry::new(Kind::Leaving).outcome(format!("{calls} calls under way")));
@@ -64,18 +65,24 @@
 
     /// When this process exits at the latest, if it is shutting down.
     fn exit_at(&self) -> Option<Duration> {
+        Some(self.state.leaving_since? + self.leave_time())
+    }
+
+    /// How long after it was asked to shut down this process exits at the latest.
+    fn leave_time(&self) -> Duration {
         let grace_period = self.state.settings.grace_period;
-        let started_at = self.state.leaving_since?;
-        Some(started_at + grace_period.saturating_sub(EXIT_MARGIN))
+        grace_period.saturating_sub(EXIT_MARGIN)
     }
 
     /// Whether a call that starts its next attempt now is expected to end before this process exits; for a call that
-    /// arrives late, whether it ends by then at the latest.
+    /// arrives late, whether it ends by then at the latest. A process that noticed late that it was asked to leave may be
+    /// killed before it exits by itself, so this counts from the earliest time at which it may have been asked.
     pub(super) fn can_end_before_exit(&self, call: &Call) -> bool {
-        let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
+        let Some(asked_at) = self.state.leave_asked_at else {
             return true;
         };
-        if call.arrived_at > started_at + ARRIVAL_TIME {
+        let exit_at = asked_at + self.leave_time();
+        if call.arrived_at > asked_at + ARRIVAL_TIME {
             return call.deadline <= exit_at && !self.state.exited;
         }
         let expected = match call.route.kind {
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -126,7 +126,7 @@
         Event::MonitorUnresponsive { address, endpoint } => {
             reducer.handle_unresponsive_monitor(address, &endpoint)
         }
-        Event::Leave => reducer.start_leaving(),
+        Event::Leave { noticed_after } => reducer.start_leaving(noticed_after),
     }
     reducer.publish_status();
     if reducer.state.policy.allocators {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -297,6 +297,8 @@
     pub budgets: HashMap<id::Endpoint, Budget>,
     /// When this process began to shut down.
     pub leaving_since: Option<Duration>,
+    /// The earliest time at which it may have been asked to; before that it was known not to be.
+    pub leave_asked_at: Option<Duration>,
     /// How long a stream is expected to take, from its request to its end; none until one has ended.
     pub stream_time: Option<Duration>,
     /// Whether this process has finished shutting down.
@@ -368,6 +370,7 @@
             stream_timeout_max: Duration::ZERO,
             budgets: HashMap::new(),
             leaving_since: None,
+            leave_asked_at: None,
             stream_time: None,
             exited: false,
             last_attempt: 0,
--- a/crates/relay/tests/cap.rs
+++ b/crates/relay/tests/cap.rs
@@ -296,7 +296,9 @@
 fn leave_while_asked() {
     let mut harness = harness();
     ask(&arrive(&mut harness, COST));
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     let grace = harness.state.settings.grace_period;
     let effects = harness.advance(grace);
     assert!(has(&effects, |effect| matches!(
@@ -580,7 +582,7 @@
         // A VM that leaves is never the granter itself, whose own requests cause no messages.
         harness.state.settings.grace_period = ms(1_000_000);
         harness.state.settings.directory_ttl = ms(1_000_000);
-        harness.apply(Event::Leave);
+        harness.apply(Event::Leave { noticed_after: ms(0) });
         let mut ledger = Ledger::default();
         for step in steps {
             let effects = match step {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -49,7 +49,9 @@
 fn leave_publishes_immediately() {
     let mut harness = Harness::new(1);
     harness.receive_view(member("vm-2", 2, 7), false);
-    let effects = harness.apply(Event::Leave);
+    let effects = harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     let status: Vec<Status> = published_views(&effects)
         .iter()
         .map(|view| view.sender.status)
@@ -63,7 +65,9 @@
 #[test]
 fn leave_serves_late_arrivals() {
     let mut harness = Harness::new(1);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     harness.now += ms(2_000);
     dispatch(&harness.arrive(NON_IDEMPOTENT));
 }
@@ -78,7 +82,9 @@
     });
     harness.now += ms(3_000);
     harness.end_attempt(run.attempt, Outcome::Ended);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     harness.now += ms(6_000);
     let refused = refusal(&harness.arrive(STREAM)).expect("a refusal");
     assert_eq!(
@@ -98,7 +104,9 @@
     });
     harness.now += ms(100);
     harness.end_attempt(run.attempt, Outcome::Ended);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     harness.now += ms(2_000);
     assert!(refusal(&harness.arrive(STREAM)).is_none());
     harness.now += ms(1_000);
@@ -109,11 +117,37 @@
     );
 }
 
+/// Guards against a stream that is taken for an early one, and cut by a kill, since the process noticed SIGTERM late.
+#[test]
+fn leave_noticed_late_refuses_late_stream() {
+    let mut harness = Harness::new(1);
+    let run = harness.start_stream(STREAM);
+    harness.apply(Event::StreamStarted {
+        attempt: run.attempt,
+    });
+    harness.now += ms(100);
+    harness.end_attempt(run.attempt, Outcome::Ended);
+    harness.now += ms(1_000);
+    harness.apply(Event::Leave {
+        noticed_after: ms(880),
+    });
+    harness.now += ms(1_500);
+    assert!(refusal(&harness.arrive(STREAM)).is_none());
+    harness.now += ms(500);
+    let refused = refusal(&harness.arrive(STREAM)).expect("a refusal");
+    assert_eq!(
+        (refused.claim, refused.reason),
+        (Claim::NotRun, Reason::Leaving)
+    );
+}
+
 /// Guards against a request that has been read and gets no answer, since it was completed after the process had left.
 #[test]
 fn leave_refuses_arrival_after_exit() {
     let mut harness = Harness::new(1);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     harness.advance(ms(5_000));
     assert!(harness.state.exited);
     // A caller that goes on with a stream would have to wait until it is known where that began.
@@ -137,7 +171,9 @@
 #[test]
 fn leave_answers_all_calls_before_exit() {
     let mut harness = Harness::new(1);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     let mut answered = 0;
     let mut count_answers = |effects: &[Effect]| {
         let is_answer = |effect: &&Effect| matches!(effect, Effect::Refuse { .. });
@@ -157,7 +193,9 @@
 #[test]
 fn leave_exits_when_idle() {
     let mut harness = Harness::new(1);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     let exits = |effects: &[Effect]| effects.iter().any(|effect| matches!(effect, Effect::Exit));
     assert!(!exits(&harness.advance(ms(3_000))));
     assert!(exits(&harness.advance(ms(1_000))));
@@ -166,7 +204,9 @@
 #[test]
 fn leave_exits_within_grace_period() {
     let mut harness = Harness::new(1);
-    harness.apply(Event::Leave);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
     let mut exited_at = None;
     while harness.elapsed() < ms(9_000) && exited_at.is_none() {
         // A caller that keeps sending requests.
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -911,7 +911,12 @@
 
     /// Asks a VM to leave.
     pub fn leave(&mut self, vm: usize) {
-        self.apply(vm, Event::Leave);
+        self.apply(
+            vm,
+            Event::Leave {
+                noticed_after: Duration::ZERO,
+            },
+        );
     }
 
     /// Delivers a request whose prompt has these parts.
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -272,7 +272,12 @@
 
     /// Lets a VM shut down gracefully.
     pub fn leave(&mut self, vm: usize) {
-        self.apply(vm, Event::Leave);
+        self.apply(
+            vm,
+            Event::Leave {
+                noticed_after: Duration::ZERO,
+            },
+        );
         self.advance(ms(500));
         self.kill(vm);
     }
