--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -147,10 +147,10 @@
         self.peers.address()
     }
 
-    /// Starts to leave the fleet gracefully.
-    pub fn leave(&self) {
+    /// Starts to leave the fleet gracefully, as was asked so long ago at most.
+    pub fn leave(&self, noticed_after: Duration) {
         self.callers.leave();
-        self.driver.apply(Event::Leave);
+        self.driver.apply(Event::Leave { noticed_after });
     }
 
     /// Returns whether the process has left the fleet and may exit, since all calls have ended or the
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -39,11 +39,12 @@
 }
 
 impl Reducer<'_> {
-    pub(super) fn start_leaving(&mut self) {
+    pub(super) fn start_leaving(&mut self, noticed_after: Duration) {
         if self.state.leaving_since.is_some() {
             return;
         }
         self.state.leaving_since = Some(self.now);
+        self.state.leave_asked_at = Some(self.now.saturating_sub(noticed_after));
         self.hand_over_origins();
         let calls = self.state.calls.len();
         self.log(Entry::new(Kind::Leaving).outcome(format!("{calls} calls under way")));
@@ -87,11 +88,11 @@
         }
     }
 
-    /// When accepted work has ended, if this process is shutting down.
+    /// When accepted work has ended, if this process is shutting down. A process that noticed late that it was asked to
+    /// leave may be killed before it exits by itself, so this counts from the earliest time at which it may have been asked.
     fn exit_at(&self) -> Option<Duration> {
         let grace_period = self.state.settings.grace_period;
-        let started_at = self.state.leaving_since?;
-        Some(started_at + grace_period.saturating_sub(EXIT_MARGIN))
+        Some(self.state.leave_asked_at? + grace_period.saturating_sub(EXIT_MARGIN))
     }
 
     /// Whether a call may start its next attempt now: that of a stream that has begun, until the accepted work has ended; any
@@ -104,10 +105,10 @@
     /// Whether a call that starts its next attempt now is expected to end before this process exits; for a call that
     /// arrives late, whether it ends by then at the latest.
     fn can_end_before_exit(&self, call: &Call) -> bool {
-        let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
+        let (Some(asked_at), Some(exit_at)) = (self.state.leave_asked_at, self.exit_at()) else {
             return true;
         };
-        if call.arrived_at > started_at + ARRIVAL_TIME {
+        if call.arrived_at > asked_at + ARRIVAL_TIME {
             return call.deadline <= exit_at && !self.state.exited;
         }
         let expected = match call.route.kind {
