core: a process that has left answers every request at once

Callers of the project's own path saw a connection closed without an answer some 5 s after the exit of a process, if the body of their request ended after it and the VM that owns its id was lost, or if they came back for a parked call. Cause: forwarding, recovery, seals and the queue rely on ticks and on the process staying up; only the admission of new calls looked at the lifecycle. Change: after the exit, an id of another owner and a call that is parked here are refused at once as unknown, leaving, with the addresses of other VMs; nothing is forwarded or dispatched any more. The claim is unknown, as the owner may have run the call, and a parked call in part. New ids of this process are refused as not_run as before. A forward can't fail after the exit: the process exits only when none is open, and none begins after it.

--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -162,6 +162,9 @@
                 self.refuse(arrival.exchange, Some(key), refusal)
             }
             Phase::Done(Outcome::Answered { .. }) => self.replay_answer(call, arrival),
+            Phase::Parked if self.state.lifecycle == Lifecycle::Ended => {
+                self.refuse_after_exit(arrival.exchange, key);
+            }
             Phase::Parked => {
                 self.attach_exchange(call, arrival);
                 self.unpark(call);
--- a/crates/core/src/reduce/recover.rs
+++ b/crates/core/src/reduce/recover.rs
@@ -11,7 +11,7 @@
 use crate::id::{Call, Exchange, Key, Vm};
 use crate::message::{Message, Status, StreamRecord};
 use crate::refusal::{Claim, Reason, Refusal};
-use crate::state::{Recovery, RemoteRequest, StreamRelease, WitnessedStream};
+use crate::state::{Lifecycle, Recovery, RemoteRequest, StreamRelease, WitnessedStream};
 use crate::ticket::RunnerItem;
 use crate::timeline::{Draft, Kind};
 use crate::token::Instance;
@@ -31,8 +31,12 @@
 
 impl Reducer<'_> {
     /// Forwards a request to the process that owns its id, or starts the recovery if that process
-    /// can't be reached.
+    /// can't be reached. After the exit, nothing would end a recovery or await a forwarded request.
     pub(super) fn route_to_owner(&mut self, remote: RemoteRequest) {
+        if self.state.lifecycle == Lifecycle::Ended {
+            self.refuse_after_exit(remote.arrival.exchange, remote.key);
+            return;
+        }
         match self.reachable_address(remote.token.owner) {
             Some((vm, address)) if !remote.arrival.forwarded => {
                 self.forward_to_owner(remote, vm, address)
@@ -65,6 +69,12 @@
         }
     }
 
+    /// Refuses a request that may have run at its owner, or in part at this process. The caller is
+    /// directed to other processes.
+    pub(super) fn refuse_after_exit(&mut self, exchange: Exchange, key: Key) {
+        self.refuse(exchange, Some(key), Refusal::unknown(Reason::Leaving));
+    }
+
     fn start_recovery(&mut self, remote: RemoteRequest) {
         if !self.can_take_over(&remote) {
             self.request_seal(&remote);
--- a/crates/core/tests/leave.rs
+++ b/crates/core/tests/leave.rs
@@ -39,6 +39,7 @@
     resume_after: u64,
 ) -> Refusal {
     let index = world.call(vm, Some(id), work, resume_after).expect("open");
+    assert_eq!(world.exchanges[index].responses.len(), 1, "at once");
     lose_forwards(world);
     let end = world.now + CLOSED_AFTER;
     while world.now < end {
@@ -71,7 +72,6 @@
 
 /// Guards against a connection that is closed without an answer since the recovery of a stream waits for a tick.
 #[test]
-#[ignore = "known red: issue 61"]
 fn leave_refuses_stream_of_lost_owner_after_exit() {
     let (mut world, token) = world_with_lost_owner(1);
     let refusal = refusal_after_exit(&mut world, 2, format!("{token}.a"), model_call(), 5);
@@ -79,7 +79,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 61"]
 fn leave_refuses_repeatable_call_of_lost_owner_after_exit() {
     let (mut world, token) = world_with_lost_owner(2);
     let refusal = refusal_after_exit(&mut world, 2, format!("{token}.a"), repeatable_call(), 0);
@@ -88,7 +87,6 @@
 
 /// The witness is lost too, so that nothing answers the request to seal the id.
 #[test]
-#[ignore = "known red: issue 61"]
 fn leave_refuses_call_of_lost_owner_and_witness_after_exit() {
     let (mut world, token) = world_with_lost_owner(3);
     world.crash(3);
@@ -116,7 +114,6 @@
 
 /// Guards against work that is dispatched after the exit, and a caller that waits for a runner without ticks.
 #[test]
-#[ignore = "known red: issue 61"]
 fn leave_refuses_parked_call_after_exit() {
     let mut world = World::converged(1, 5);
     let token = world.owned_token(1).expect("token");
