node: a process that ends waits for responses to operators too

Operators of the project's own path could lose a response to /metrics or /admin/v1/status that was in progress when the process ended. Cause: Node::close dropped the handle of the operators' server, so that the end waited for callers alone. The wait is bounded as before.

--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hornbeamtiller_http::server::{self, Unreceived};
+use hornbeamtiller_http::server::Unreceived;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::low_level;
 
@@ -108,7 +108,7 @@
     fn unreceived(&self) -> Vec<Unreceived>;
 }
 
-impl Closing for server::Closing {
+impl Closing for hornbeamtiller_node::Closing {
     fn is_complete(&self) -> bool {
         self.is_complete()
     }
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -9,9 +9,11 @@
 use hornbeamtiller_standin::fault::Fault;
 use http::{Method, Request};
 use http_body_util::Full;
+use monoio::io::AsyncWriteRentExt as _;
+use monoio::net::TcpStream;
 use serde_json::{json, Value};
 
-use support::{with_fleet, Fleet, OPERATOR_TOKEN};
+use support::{read_to_end, with_fleet, Fleet, OPERATOR_TOKEN};
 
 const APPS: [&str; 3] = ["app-1", "app-2", "app-3"];
 const DECODES: [&str; 6] = [
@@ -391,6 +393,33 @@
     });
 }
 
+/// Guards against a process that ends while an operator waits for a response.
+#[test]
+fn close_waits_for_operator() {
+    with_fleet(1, |mut fleet| async move {
+        let address = fleet.operator(0);
+        let mut operator = TcpStream::connect_addr(address).await.expect("connected");
+        let head = b"GET /admin/v1/status HTTP/1.1\r\nHost: x\r\n".to_vec();
+        operator.write_all(head).await.0.expect("written");
+        let node = fleet.nodes.remove(0);
+        node.leave();
+        node.wait_until_left().await;
+        let closing = node.close();
+        assert!(!closing.is_complete());
+        assert_eq!(closing.unreceived().len(), 1);
+        operator
+            .write_all(b"\r\n".to_vec())
+            .await
+            .0
+            .expect("written");
+        let response = read_to_end(&mut operator).await;
+        assert!(response.contains("\"lifecycle\":\"ended\""), "{response}");
+        fleet
+            .eventually("the close to end", || async { closing.is_complete() })
+            .await;
+    });
+}
+
 /// The VMs do not allow io_uring, so the runtime must use epoll.
 #[test]
 fn no_io_uring() {
