relay: streams unknown since all VMs of a small fleet but one were lost, red

Cause: a stream is told to three VMs, so the one that is left knows fewer than half, and engines prove nothing while a version that has just gone may have begun it. Test: resume_all_vms_but_one_killed_build_gone_go_on, ignored as known red.

--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -331,6 +331,28 @@
     assert_eq!(resume_all(&mut fleet, &streams), 0);
 }
 
+/// Guards against streams of a small fleet that are refused because all VMs but one were killed while the engines of another
+/// version left. The engines prove nothing then: their prompts may be of earlier requests of the sessions.
+#[test]
+#[ignore = "known red: issue 57"]
+fn resume_all_vms_but_one_killed_build_gone_go_on() {
+    let mut fleet = Fleet::new(8, &["v1", "v2", "v2"], 1);
+    fleet.has_history = true;
+    let streams = begin_all(&mut fleet, 8);
+    fleet.hold_sessions("make-1", &streams);
+    for vm in 2..=8 {
+        fleet.kill(vm);
+    }
+    fleet.unlist("make-0");
+    for vm in 2..=8 {
+        fleet.start(vm);
+    }
+    let of_v2 = |stream: &&(String, id::Build)| &*stream.1 == "v2";
+    let of_v2 = streams.iter().filter(of_v2).count();
+    assert!(of_v2 >= 20, "{of_v2}");
+    assert!(resume_all(&mut fleet, &streams) >= of_v2);
+}
+
 /// An engine that has left proves nothing against streams of its own version.
 #[test]
 fn resume_all_vms_killed_engine_left_same_build_go_on() {
