http: the end of a connection that arrives before a request is written, red

The check of a pooled connection when it is taken leaves the time until its task writes the request, in which other tasks run. The test fails: Lost, connection closed.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -172,10 +172,9 @@
     }
 }
 
-/// Guards against a request that is written to a connection whose end has arrived already, but was not seen yet, and
-/// that counts as one that may have run.
-#[test]
-fn send_once_end_arrived_unseen() {
+/// Sends a request on a connection that is kept from an earlier one and whose server closes it meanwhile. No task runs
+/// between the close and the write. The first `polls` turns of the request come before the close.
+fn send_to_closing(polls: usize) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = listener.local_addr().expect("an address");
     let (close, asked) = mpsc::channel();
@@ -187,13 +186,30 @@
             let client = client();
             get(&client, address).await;
             monoio::time::sleep(SETTLE_TIME).await;
+            let mut second = std::pin::pin!(get(&client, address));
+            for _ in 0..polls {
+                assert!(futures::poll!(&mut second).is_pending(), "answered");
+            }
             close.send(()).expect("a server");
             closed.recv_timeout(STEP_TIMEOUT).expect("closed");
-            // The end is in the socket, and no task has run since it came.
-            get(&client, address).await;
+            second.await;
         });
         task.await;
     })
     .expect("a runtime");
     serving.join().expect("a server");
 }
+
+/// Guards against a request that is written to a connection whose end has arrived already, but was not seen yet, and
+/// that counts as one that may have run.
+#[test]
+fn send_once_end_arrived_unseen() {
+    send_to_closing(0);
+}
+
+/// The same, where the end arrives after the connection was taken and before the request is written.
+#[test]
+#[ignore = "known red: issue 61"]
+fn send_once_end_arrived_before_write() {
+    send_to_closing(1);
+}
