http: a request is written only if its kept connection has not ended

Callers of requests that may run once got 502 beside runners that close kept connections a few ms after an answer, though their request had not run. Cause: a kept connection's end is seen by its task after the next look at the sockets; until then a request is written to it. Change: hyper reads before it writes a request; the first read after idleness asks the system and not the driver, so the end is found before a byte is written, and the request goes to another connection. It replaces the check when a connection is taken; one system call for each reuse as before.

--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -5,7 +5,7 @@
 use std::future::{poll_fn, Future as _};
 use std::io;
 use std::net::SocketAddr;
-use std::os::fd::{AsRawFd as _, BorrowedFd, RawFd};
+use std::os::fd::AsRawFd as _;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -87,30 +87,13 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// Its socket, open for as long as `sender` is not closed.
-    socket: RawFd,
+    turn: Turn,
     /// Whether the last exchange has its complete response.
     is_answered: Rc<Cell<bool>>,
     /// Closes the socket immediately when dropped, even with an exchange in progress.
     _guard: cancel::Guard,
 }
 
-impl Connection {
-    /// Whether a request can be written to the connection, as far as is known here: the task that drives it may not have
-    /// run since its end, or bytes that nobody asked for, arrived.
-    fn is_usable(&self) -> bool {
-        self.sender.is_ready() && !self.has_arrived()
-    }
-
-    /// Whether the end of the connection, or anything else, is in its socket. Only for a connection that is not closed.
-    fn has_arrived(&self) -> bool {
-        // SAFETY: The task that drives the connection drops the socket and its half of `sender` in one step, all on one
-        // thread, and `sender` is not closed.
-        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
-        socket::has_arrived(&socket)
-    }
-}
-
 /// The side of a connection that hyper drives.
 type Driven = http1::Connection<Bounded<MonoioIo<TcpStreamPoll>>, Full<Bytes>>;
 
@@ -271,7 +254,7 @@
         let socket = stream.as_raw_fd();
         let turn = Turn::default();
         let io = MonoioIo::new(stream.into_poll_io().map_err(connect_error)?);
-        let io = Bounded::new(io, turn.clone());
+        let io = Bounded::new(io, turn.clone(), socket);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(io)
@@ -279,10 +262,15 @@
             .map_err(|error| connect_error(io::Error::other(error)))?;
         let (guard, token) = cancel::Guard::new();
         let is_answered = Rc::<Cell<bool>>::default();
-        monoio::spawn(run_connection(connection, turn, token, is_answered.clone()));
+        monoio::spawn(run_connection(
+            connection,
+            turn.clone(),
+            token,
+            is_answered.clone(),
+        ));
         Ok(Connection {
             sender,
-            socket,
+            turn,
             is_answered,
             _guard: guard,
         })
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -41,8 +41,9 @@
         self.sweep(now);
         let connections = self.idle.get_mut(&address)?;
         while let Some(last) = connections.pop() {
-            if last.expires_at > now && last.connection.is_usable() {
+            if last.expires_at > now && last.connection.sender.is_ready() {
                 last.connection.is_answered.set(false);
+                last.connection.turn.end_idleness();
                 return Some(last.connection);
             }
         }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -1,7 +1,6 @@
 //! Listeners, and the socket options of connections: `TCP_NODELAY` and dead peer detection.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsRawFd, BorrowedFd};
 use std::time::Duration;
@@ -124,14 +123,3 @@
     let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
     SockRef::from(&fd).set_linger(Some(Duration::ZERO))
 }
-
-/// Whether bytes, the end of the connection or an error have arrived that were not read yet. The socket must not block.
-pub(crate) fn has_arrived(stream: &impl AsRawFd) -> bool {
-    // SAFETY: The descriptor is open as long as `stream` is borrowed, which is longer than `fd`.
-    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
-    let mut byte = [MaybeUninit::uninit()];
-    match SockRef::from(&fd).peek(&mut byte) {
-        Ok(_) => true,
-        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-    }
-}
--- a/crates/http/src/turn.rs
+++ b/crates/http/src/turn.rs
@@ -2,24 +2,39 @@
 //! its share of the only thread.
 
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Read as _};
+use std::os::fd::{BorrowedFd, RawFd};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
 
 /// Reads of a connection in one turn, each of at most the size of its buffer.
 const READS_MAX: usize = 8;
 
+/// Most bytes that are read of what nobody asked for; more than none close the connection.
+const UNASKED_BYTES_MAX: usize = 64;
+
 /// Counts the reads of the present turn.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Turn(Rc<Cell<usize>>);
+pub(crate) struct Turn {
+    reads: Rc<Cell<usize>>,
+    /// Whether the connection was idle until a moment ago.
+    was_idle: Rc<Cell<bool>>,
+}
 
 impl Turn {
     /// Begins a turn of the connection's task.
     pub(crate) fn begin(&self) {
-        self.0.set(0);
+        self.reads.set(0);
+    }
+
+    /// Has the next read ask the system whether the connection has ended, which the driver may not know yet: `hyper` reads
+    /// before it writes a request.
+    pub(crate) fn end_idleness(&self) {
+        self.was_idle.set(true);
     }
 }
 
@@ -28,31 +43,59 @@
 pub(crate) struct Bounded<T> {
     inner: T,
     turn: Turn,
+    /// The socket of `inner`.
+    socket: RawFd,
 }
 
 impl<T> Bounded<T> {
-    pub(crate) fn new(inner: T, turn: Turn) -> Self {
-        Self { inner, turn }
+    pub(crate) fn new(inner: T, turn: Turn, socket: RawFd) -> Self {
+        Self {
+            inner,
+            turn,
+            socket,
+        }
     }
 
     pub(crate) fn into_inner(self) -> T {
         self.inner
     }
+
+    /// Reads what has arrived, without the driver.
+    fn read_arrived(&self, buf: &mut ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        // SAFETY: The socket is open as long as `inner`.
+        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
+        let mut bytes = [0; UNASKED_BYTES_MAX];
+        let length = bytes.len().min(buf.remaining());
+        match (&*SockRef::from(&socket)).read(&mut bytes[..length]) {
+            Ok(count) => {
+                buf.put_slice(&bytes[..count]);
+                Poll::Ready(Ok(()))
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
 }
 
 impl<T: Read + Unpin> Read for Bounded<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let reads = self.turn.0.get();
+        let reads = self.turn.reads.get();
         if reads >= READS_MAX {
             // The task goes on after the others have had their turns.
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        self.turn.0.set(reads + 1);
+        self.turn.reads.set(reads + 1);
+        if self.turn.was_idle.take() {
+            let arrived = self.read_arrived(&mut buf);
+            if arrived.is_ready() {
+                return arrived;
+            }
+        }
         Pin::new(&mut self.inner).poll_read(cx, buf)
     }
 }
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -209,7 +209,6 @@
 
 /// The same, where the end arrives after the connection was taken and before the request is written.
 #[test]
-#[ignore = "known red: issue 61"]
 fn send_once_end_arrived_before_write() {
     send_to_closing(1);
 }
