relay: a planned stop reads what has arrived before it cuts responses

Cause: the process had not read their events; when it ran again, the timer that ends the stop came before the sockets.

Change: responses are cut at the second tick after their time is over, so sockets are read in between.

Measured: leave_reads_what_has_arrived_before_cut fails without the change and holds.

--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -64,7 +64,7 @@
         }
         let is_idle = self.state.calls.is_empty();
         let may_exit = elapsed >= directory_expiry || self.now >= exit_at;
-        if !(is_idle && may_exit) && self.now < cut_at {
+        if !(is_idle && may_exit) && !self.is_cut_due(cut_at) {
             return;
         }
         self.state.exited = true;
@@ -78,6 +78,14 @@
         self.emit(Effect::Exit);
     }
 
+    /// Whether the time of responses in progress is over, and this process has run since: one that did not run for a while has
+    /// not read yet what its runners have sent.
+    fn is_cut_due(&mut self, cut_at: Duration) -> bool {
+        let is_over = self.now >= cut_at;
+        let was_over = std::mem::replace(&mut self.state.leave_time_over, is_over);
+        is_over && was_over
+    }
+
     /// Ends calls with a refusal, or by aborting their streams.
     fn refuse_calls(&mut self, is_refused: impl Fn(&Call) -> bool) {
         let calls = self.state.calls.iter();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -299,6 +299,8 @@
     pub leaving_since: Option<Duration>,
     /// The earliest time at which it may have been asked to; before that it was known not to be.
     pub leave_asked_at: Option<Duration>,
+    /// Whether the time for responses in progress was over at the last tick.
+    pub leave_time_over: bool,
     /// How long a stream is expected to take, from its request to its end; none until one has ended.
     pub stream_time: Option<Duration>,
     /// Whether this process has finished shutting down.
@@ -371,6 +373,7 @@
             budgets: HashMap::new(),
             leaving_since: None,
             leave_asked_at: None,
+            leave_time_over: false,
             stream_time: None,
             exited: false,
             last_attempt: 0,
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -190,6 +190,30 @@
     assert!(harness.state.exited);
 }
 
+/// Guards against streams that are cut although their runners have ended, since the process did not run and has not read
+/// their last events.
+#[test]
+fn leave_reads_what_has_arrived_before_cut() {
+    let mut harness = Harness::new(1);
+    let stream = harness.start_stream(STREAM);
+    harness.apply(Event::StreamStarted {
+        attempt: stream.attempt,
+    });
+    harness.stream_event(stream.attempt, 1);
+    harness.apply(Event::Leave {
+        noticed_after: ms(0),
+    });
+    harness.advance(ms(7_700));
+    assert!(!harness.state.exited);
+    let ended = harness.end_attempt(stream.attempt, Outcome::Ended);
+    assert!(has(&ended, |effect| matches!(
+        effect,
+        Effect::EndStream { .. }
+    )));
+    harness.advance(ms(15));
+    assert!(harness.state.exited);
+}
+
 /// Guards against a connection that is closed without an answer because the process exits.
 #[test]
 fn leave_answers_all_calls_before_exit() {
