--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -62,9 +62,9 @@
         if self.now >= exit_at {
             self.refuse_calls(|call| !has_response_in_progress(call));
         }
-        let is_idle = self.state.calls.is_empty();
         let may_exit = elapsed >= directory_expiry || self.now >= exit_at;
-        if !(is_idle && may_exit) && !self.is_cut_due(cut_at) {
+        let is_done = self.state.calls.is_empty() && may_exit;
+        if !self.is_cut_due(cut_at) && !is_done {
             return;
         }
         self.state.exited = true;
