http: a connection that sends requests ahead makes room for a new one

What callers saw: at the connection limit, a new connection got no answer for as long as all the others had sent requests ahead of responses.

Cause: a request that was sent ahead waits for its turn, some milliseconds for each, and counted as one that is served. No connection whose request is served is displaced, so a full server of such clients displaced nobody: the new connection stayed in the backlog.

Change: while its request waits for its turn a connection makes room, after those that are idle and before those that are receiving; if its client has not all of an earlier response, then as late as one whose response is being written. No handler has seen the request.

Measured: accept_displaces_ahead and accept_displaces_ahead_unread fail before and hold now.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -83,6 +83,8 @@
     InUse,
     /// A request is being received.
     Receiving(Part),
+    /// A request that was sent ahead waits for its turn.
+    Ahead,
     /// No request has come for a while.
     Idle,
     /// The client lets the server wait.
@@ -210,6 +212,8 @@
     ended_in: Cell<u64>,
     /// Requests in a row that the client sent before it can have seen the response to the one before.
     ahead: Cell<u32>,
+    /// Whether a request that was sent ahead waits for its turn.
+    is_delayed: Cell<bool>,
     cut: Cell<Option<Cut>>,
     handle: Handle,
 }
@@ -234,6 +238,7 @@
             turn: Cell::new(1),
             ended_in: Cell::new(0),
             ahead: Cell::new(0),
+            is_delayed: Cell::new(false),
             cut: Cell::new(None),
             handle: Handle(Arc::default()),
         })
@@ -286,6 +291,11 @@
         ahead
     }
 
+    /// Marks whether a request that was sent ahead waits for its turn.
+    pub(crate) fn set_delayed(&self, is_delayed: bool) {
+        self.is_delayed.set(is_delayed);
+    }
+
     /// Whether bytes of a handler's response may still be written: from the arrival of its request until all that there is
     /// has been written after the end of its body.
     pub(crate) fn is_responding(&self) -> bool {
@@ -350,6 +360,15 @@
                 let part = if has_head { Part::Head } else { Part::Nothing };
                 (Claim::Receiving(part), elapsed(self.since.get()))
             }
+            (None, Phase::Exchange) if self.is_delayed.get() => {
+                let is_received = !self.has_undelivered();
+                let claim = if is_received {
+                    Claim::Ahead
+                } else {
+                    Claim::Responding
+                };
+                return Some((claim, elapsed(self.since.get())));
+            }
             (None, Phase::Exchange) => {
                 if !self.handle.0.is_receiving.load(Ordering::Relaxed) {
                     return None;
@@ -449,6 +468,11 @@
         matches!(SockRef::from(&self.socket()).peek(&mut byte), Ok(1..))
     }
 
+    /// Whether the process leaves unread what the client sends, until the client has taken a response or waited its turn.
+    fn keeps_unread(&self) -> bool {
+        self.blocked.get().is_some() || self.is_delayed.get()
+    }
+
     /// The connection that should make room for another one; all are registered. Of those that are receiving requests,
     /// the most common kind makes room, so that a burst of one kind displaces no other.
     pub(crate) fn pick<'a>(controls: impl Iterator<Item = &'a Rc<Self>>) -> Option<&'a Rc<Self>> {
@@ -459,7 +483,7 @@
         claims.sort_by_key(|((claim, waited), _)| (crowd.rank(*claim), *waited));
         let candidates = claims.into_iter().rev().map(|(_, control)| control);
         let mut candidates = candidates.take(CANDIDATES_MAX);
-        candidates.find(|control| control.blocked.get().is_some() || !control.has_unread())
+        candidates.find(|control| control.keeps_unread() || !control.has_unread())
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -391,7 +391,7 @@
         let open = connections.count();
         request.extensions_mut().insert(control.handle().clone());
         async move {
-            wait_for_turn(ahead, open).await;
+            wait_for_turn(&control, ahead, open).await;
             let response = add_marker(handler.handle(request).await);
             Ok::<_, Infallible>(response.map(|body| Tracked::new(body, control, version)))
         }
@@ -461,14 +461,16 @@
 }
 
 /// Keeps requests that were sent ahead of responses from taking the turns of others: after a few, all connections
-/// together get through some 1,000 a second.
-async fn wait_for_turn(ahead: u32, open_connections: usize) {
+/// together get through some 1,000 a second. A connection that waits here can make room for another one.
+async fn wait_for_turn(control: &Control, ahead: u32, open_connections: usize) {
     match ahead {
         0 => {}
         1..=AHEAD_MAX => yield_now().await,
         _ => {
             let connections = u32::try_from(open_connections).unwrap_or(u32::MAX);
+            control.set_delayed(true);
             monoio::time::sleep(AHEAD_DELAY * connections.max(AHEAD_CONNECTIONS_MIN)).await;
+            control.set_delayed(false);
         }
     }
 }
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -485,6 +485,67 @@
     .expect("a runtime");
 }
 
+/// Requests that take a server long, as it delays those that are sent ahead.
+const REQUESTS_AHEAD: usize = 3_000;
+/// How long the platform waits for an answer of readiness.
+const READINESS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Answers at once, with few bytes.
+#[derive(Clone)]
+struct Small;
+
+impl Handler for Small {
+    type Source = Never;
+
+    async fn handle(&self, _request: Request<Incoming>) -> Response<Outgoing<Never>> {
+        Response::new(Outgoing::full(""))
+    }
+}
+
+/// Takes all places with connections that send requests ahead, then sends a request on a further one; returns whether its
+/// response came in time.
+async fn request_beside_ahead<H: Handler>(handler: H) -> bool {
+    let limits = Limits {
+        connections: PLACES,
+        ..Limits::default()
+    };
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any, limits, handler).expect("a listener");
+    let request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    let ahead = request.repeat(REQUESTS_AHEAD);
+    let mut open = Vec::new();
+    for _ in 0..PLACES {
+        open.push(connect(&server, ahead.clone()).await);
+    }
+    monoio::time::sleep(SETTLE_TIME).await;
+    let started_at = Instant::now();
+    let mut stream = connect(&server, request.to_vec()).await;
+    let reading = stream.read(vec![0; SLOW_READ_BYTES]);
+    let read = monoio::time::timeout(READINESS_TIMEOUT, reading).await;
+    println!("{:?}", started_at.elapsed());
+    drop(open);
+    matches!(read, Ok((Ok(1..), _)))
+}
+
+/// Guards against a new connection that waits for those that send requests ahead of responses.
+#[test]
+fn accept_displaces_ahead() {
+    block_on(async {
+        assert!(request_beside_ahead(Small).await);
+    })
+    .expect("a runtime");
+}
+
+/// The same, of connections whose clients have not received all responses.
+#[test]
+fn accept_displaces_ahead_unread() {
+    block_on(async {
+        let handler = Fast::new(60_000, 60_000, 60_000);
+        assert!(request_beside_ahead(handler).await);
+    })
+    .expect("a runtime");
+}
+
 /// Guards against responses that pile up for a client that sends requests ahead and reads none, and against such a
 /// connection being kept.
 #[test]
