http: one handle of servers that shut down; what a connection is and which one makes room apart

Readability; nothing changes for callers. `server::Closing` holds several servers, so that the two of the same kind (gateway's path, own path) and the trait that joined them are gone. The target of the lines about a stop is one constant. Whether a client has received all no longer clones the request's id at each look. connection.rs (620 lines) is three modules: what a server knows of a connection, which connection makes room, and the socket as hyper sees it.

--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
+use hornbeamtiller_http::server::STOP_LOG_TARGET;
 use hornbeamtiller_relay::decision_log::{Entry, Kind};
 use log::kv::{Error, Key, Source, Value, VisitSource};
 
-/// Target of lines that are needed to examine a planned stop; the rate limit of the log does not leave them out.
-const STOP_TARGET: &str = "stop";
-/// Target of the other lines.
+/// Target of lines that are not needed to examine a stop.
 const TARGET: &str = "relay";
 
 /// The fields of an entry that are set, as key-value pairs.
@@ -68,7 +67,7 @@
     }
     let kind: &'static str = entry.kind.into();
     let target = match entry.kind {
-        Kind::Leaving | Kind::Left | Kind::StreamCut => STOP_TARGET,
+        Kind::Leaving | Kind::Left | Kind::StreamCut => STOP_LOG_TARGET,
         _ => TARGET,
     };
     let fields = Fields(entry);
--- a/crates/hornbeamtiller/src/logging.rs
+++ b/crates/hornbeamtiller/src/logging.rs
@@ -12,6 +12,7 @@
 use std::thread::Thread;
 use std::time::{Duration, Instant};
 
+use hornbeamtiller_http::server::STOP_LOG_TARGET;
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
 use log4rs::config::{Appender, Config, Root};
@@ -19,8 +20,6 @@
 use log4rs::encode::writer::simple::SimpleWriter;
 use log4rs::encode::Encode as _;
 
-use crate::stop;
-
 /// Capacity of the queue to the writer thread, in lines.
 const QUEUE_LINES_MAX: usize = 4_096;
 /// Rate limit, in lines per second.
@@ -124,7 +123,7 @@
     std::panic::set_hook(Box::new(move |info| {
         report(info);
         let place = info.location().map(ToString::to_string);
-        log::error!(target: stop::LOG_TARGET, place:? = place; "panicked");
+        log::error!(target: STOP_LOG_TARGET, place:? = place; "panicked");
         writer.clone().close();
     }));
 }
@@ -155,7 +154,7 @@
 
 impl Append for Queue {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        if record.target() != stop::LOG_TARGET && !self.is_allowed() {
+        if record.target() != STOP_LOG_TARGET && !self.is_allowed() {
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -16,7 +16,7 @@
 
 use clap::{Parser, Subcommand};
 use error_stack::{Report, ResultExt as _};
-use hornbeamtiller_http::server::UNREAD_TIMEOUT;
+use hornbeamtiller_http::server::{STOP_LOG_TARGET, UNREAD_TIMEOUT};
 use hornbeamtiller_node::{Flags, Node, Settings};
 use hornbeamtiller_platform::Process;
 use hornbeamtiller_relay::policy::{self, Policy};
@@ -204,7 +204,7 @@
         .change_context(Error::Runtime)
         .and_then(|result| result);
     if let Err(report) = &result {
-        log::error!(target: stop::LOG_TARGET, error:? = report; "start_failed");
+        log::error!(target: STOP_LOG_TARGET, error:? = report; "start_failed");
     }
     log.close();
     result
--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -5,12 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hornbeamtiller_http::server::Unreceived;
+use hornbeamtiller_http::server::{Closing, Unreceived, STOP_LOG_TARGET};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::low_level;
 
-/// Target of the lines of this module, which the rate limit of the log does not leave out.
-pub const LOG_TARGET: &str = "stop";
 /// Exit code after a second SIGINT.
 pub const EXIT_INTERRUPTED: u8 = 1;
 /// Least time after all work has ended, in which the last messages to peers are written.
@@ -105,7 +103,7 @@
     pub fn log_received(&self) {
         let count = self.0.count.load(Ordering::Relaxed);
         if self.0.logged.swap(count, Ordering::Relaxed) != count {
-            log::info!(target: LOG_TARGET, count; "stop_signal");
+            log::info!(target: STOP_LOG_TARGET, count; "stop_signal");
         }
     }
 }
@@ -133,35 +131,6 @@
     }
 }
 
-/// Servers that are shutting down.
-pub trait Closing {
-    /// Whether all clients have received their responses.
-    fn is_complete(&self) -> bool;
-
-    /// The responses that clients have not received.
-    fn unreceived(&self) -> Vec<Unreceived>;
-}
-
-impl Closing for hornbeamtiller_node::Closing {
-    fn is_complete(&self) -> bool {
-        self.is_complete()
-    }
-
-    fn unreceived(&self) -> Vec<Unreceived> {
-        self.unreceived()
-    }
-}
-
-impl Closing for hornbeamtiller_platform::Closing {
-    fn is_complete(&self) -> bool {
-        self.is_complete()
-    }
-
-    fn unreceived(&self) -> Vec<Unreceived> {
-        self.unreceived()
-    }
-}
-
 /// The time that a process has to end.
 #[derive(Debug, Clone, Copy)]
 pub struct Grace {
@@ -173,7 +142,7 @@
 
 /// Waits until all clients have received their responses, but no longer than the grace period, and logs why the process
 /// ends and which responses were not received.
-pub async fn wait_for_clients(closing: &impl Closing, grace: Grace, signals: &Signals) -> Ending {
+pub async fn wait_for_clients(closing: &Closing, grace: Grace, signals: &Signals) -> Ending {
     let flushed_at = grace.last_moment.min(Instant::now() + FLUSH_DELAY);
     let ending = loop {
         signals.log_received();
@@ -200,9 +169,9 @@
         let outcome: &str = response.state.into();
         let ms = response.age.as_millis() as u64;
         let bytes = response.bytes;
-        log::info!(target: LOG_TARGET, request, outcome, ms, bytes; "response_not_received");
+        log::info!(target: STOP_LOG_TARGET, request, outcome, ms, bytes; "response_not_received");
     }
     let outcome: &str = ending.into();
     let (count, ms) = (unreceived.len(), elapsed.as_millis() as u64);
-    log::info!(target: LOG_TARGET, outcome, count, ms; "closed");
+    log::info!(target: STOP_LOG_TARGET, outcome, count, ms; "closed");
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection/mod.rs
@@ -1,26 +1,24 @@
-//! What a server knows of one connection, and the socket as `hyper` sees it.
+//! What a server knows of one connection.
+
+mod claim;
+mod monitored;
 
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, RawFd};
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{ready, Context, Poll, Waker};
+use std::task::Waker;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures::task::AtomicWaker;
-use http::Version;
-use http_body::{Body, Frame, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 
-use crate::body::Truncated;
 use crate::memory::Cut;
 
+pub(crate) use monitored::{Monitored, Tracked};
+
 /// Bytes a second that a client has to take of a response for which it lets the server wait.
 const READ_RATE_MIN: u64 = 4 << 10;
 /// A client that has sent nothing for this time, within a request, is slow: one that is at work sends on at once, and a
@@ -35,9 +33,6 @@
 /// Bytes of input that are dropped at a time.
 const DISCARD_BYTES: usize = 4 << 10;
 
-/// Connections that are looked at to find one that can make room.
-const CANDIDATES_MAX: usize = 16;
-
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -74,61 +69,6 @@
     pub bytes: u64,
 }
 
-/// How urgently a connection is closed to make room for another one; a greater one first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Claim {
-    /// A response is being written.
-    Responding,
-    /// A request was served a moment ago; the next one may be on its way.
-    InUse,
-    /// A request is being received.
-    Receiving(Part),
-    /// A request that was sent ahead waits for its turn.
-    Ahead,
-    /// No request has come for a while.
-    Idle,
-    /// The client lets the server wait.
-    Slow,
-}
-
-/// What has come of a request that is being received.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Part {
-    /// Nothing yet: the connection is new.
-    Nothing,
-    /// A part of the head.
-    Head,
-    /// The head, and perhaps a part of the body.
-    Body,
-}
-
-/// Number of connections whose requests have come as far, by [`Part`].
-#[derive(Debug, Default)]
-struct Crowd([usize; 3]);
-
-impl Crowd {
-    fn count(claims: impl Iterator<Item = Claim>) -> Self {
-        let mut crowd = Self::default();
-        for claim in claims {
-            if let Claim::Receiving(part) = claim {
-                crowd.0[part as usize] += 1;
-            }
-        }
-        crowd
-    }
-
-    /// How many connections claim the same as one that is receiving a request, and what it is.
-    fn rank(&self, claim: Claim) -> (Claim, usize, Claim) {
-        match claim {
-            Claim::Receiving(part) => {
-                let count = self.0[part as usize];
-                (Claim::Receiving(Part::Nothing), count, claim)
-            }
-            claim => (claim, 0, claim),
-        }
-    }
-}
-
 /// Closes a connection from anywhere in the process.
 #[derive(Debug, Clone)]
 pub struct Handle(Arc<Remote>);
@@ -341,48 +281,6 @@
         now.saturating_duration_since(since) >= UNACKNOWLEDGED_TIMEOUT
     }
 
-    /// How urgently, and for how long already, the connection should make room for another one; none while its request
-    /// is served.
-    fn claim(&self, now: Instant) -> Option<(Claim, Duration)> {
-        if self.cut_reason().is_some() {
-            return None;
-        }
-        let elapsed = |since: Instant| now.saturating_duration_since(since);
-        let (claim, waited) = match (self.blocked.get(), self.phase.get()) {
-            (Some((since, _)), _) => (Claim::Responding, elapsed(since)),
-            (None, Phase::Idle) => {
-                let waited = elapsed(self.since.get());
-                let is_idle = waited >= SLOW_AFTER;
-                return Some((if is_idle { Claim::Idle } else { Claim::InUse }, waited));
-            }
-            (None, Phase::Head) => {
-                let has_head = self.has_head.get();
-                let part = if has_head { Part::Head } else { Part::Nothing };
-                (Claim::Receiving(part), elapsed(self.since.get()))
-            }
-            (None, Phase::Exchange) if self.is_delayed.get() => {
-                let is_received = !self.has_undelivered();
-                let claim = if is_received {
-                    Claim::Ahead
-                } else {
-                    Claim::Responding
-                };
-                return Some((claim, elapsed(self.since.get())));
-            }
-            (None, Phase::Exchange) => {
-                if !self.handle.0.is_receiving.load(Ordering::Relaxed) {
-                    return None;
-                }
-                let waited = elapsed(self.last_read_at.get());
-                (Claim::Receiving(Part::Body), waited)
-            }
-        };
-        if waited >= SLOW_AFTER {
-            return Some((Claim::Slow, waited));
-        }
-        Some((claim, waited))
-    }
-
     /// For how long the client has left its response unread, if that is longer than a client at work does.
     pub(crate) fn unread_for(&self, now: Instant) -> Option<Duration> {
         let (since, _) = self.blocked.get()?;
@@ -390,26 +288,17 @@
         (unread >= SLOW_AFTER && self.cut_reason().is_none()).then_some(unread)
     }
 
-    /// What the client has not received, if a request is being received or served, or the client has not received all of
-    /// a response.
+    /// What the client has not received, if it has not received all.
     pub(crate) fn unreceived(&self) -> Option<Unreceived> {
-        let bytes = self.undelivered() + self.unwritten.get() as u64;
-        let (state, since) = match self.phase.get() {
-            Phase::Head if self.has_head.get() => (State::Receiving, &self.since),
-            Phase::Exchange if self.handle.0.is_receiving.load(Ordering::Relaxed) => {
-                (State::Receiving, &self.exchange_began_at)
-            }
-            _ if bytes > 0 || self.blocked.get().is_some() => {
-                (State::Sending, &self.exchange_began_at)
+        let bytes = self.unreceived_bytes();
+        let state = self.unreceived_state(bytes)?;
+        let (request, since) = match self.phase.get() {
+            Phase::Head => (None, self.since.get()),
+            Phase::Exchange | Phase::Idle => {
+                (self.handle.request().clone(), self.exchange_began_at.get())
             }
-            Phase::Exchange => (State::Serving, &self.exchange_began_at),
-            Phase::Head | Phase::Idle => return None,
-        };
-        let request = match self.phase.get() {
-            Phase::Head => None,
-            Phase::Exchange | Phase::Idle => self.handle.request().clone(),
         };
-        let age = since.get().elapsed();
+        let age = since.elapsed();
         Some(Unreceived {
             request,
             state,
@@ -418,6 +307,28 @@
         })
     }
 
+    /// Whether a request is being received or served, or the client has not received all of a response.
+    pub(crate) fn has_unreceived(&self) -> bool {
+        self.unreceived_state(self.unreceived_bytes()).is_some()
+    }
+
+    /// Bytes that the client's system has not acknowledged, or that wait to be written.
+    fn unreceived_bytes(&self) -> u64 {
+        self.undelivered() + self.unwritten.get() as u64
+    }
+
+    /// What a response waits for, if there is one of which so many bytes are not received.
+    fn unreceived_state(&self, bytes: u64) -> Option<State> {
+        let is_receiving = || self.handle.0.is_receiving.load(Ordering::Relaxed);
+        match self.phase.get() {
+            Phase::Head if self.has_head.get() => Some(State::Receiving),
+            Phase::Exchange if is_receiving() => Some(State::Receiving),
+            _ if bytes > 0 || self.blocked.get().is_some() => Some(State::Sending),
+            Phase::Exchange => Some(State::Serving),
+            Phase::Head | Phase::Idle => None,
+        }
+    }
+
     /// Whether the client's system has not acknowledged all bytes that were written.
     pub(crate) fn has_undelivered(&self) -> bool {
         self.undelivered() > 0
@@ -467,155 +378,4 @@
         let mut byte = [MaybeUninit::uninit()];
         matches!(SockRef::from(&self.socket()).peek(&mut byte), Ok(1..))
     }
-
-    /// Whether the process leaves unread what the client sends, until the client has taken a response or waited its turn.
-    fn keeps_unread(&self) -> bool {
-        self.blocked.get().is_some() || self.is_delayed.get()
-    }
-
-    /// The connection that should make room for another one; all are registered. Of those that are receiving requests,
-    /// the most common kind makes room, so that a burst of one kind displaces no other.
-    pub(crate) fn pick<'a>(controls: impl Iterator<Item = &'a Rc<Self>>) -> Option<&'a Rc<Self>> {
-        let now = Instant::now();
-        let claims = controls.filter_map(|control| Some((control.claim(now)?, control)));
-        let mut claims: Vec<_> = claims.collect();
-        let crowd = Crowd::count(claims.iter().map(|((claim, _), _)| *claim));
-        claims.sort_by_key(|((claim, waited), _)| (crowd.rank(*claim), *waited));
-        let candidates = claims.into_iter().rev().map(|(_, control)| control);
-        let mut candidates = candidates.take(CANDIDATES_MAX);
-        candidates.find(|control| control.keeps_unread() || !control.has_unread())
-    }
-}
-
-/// A socket that tells its [`Control`] what happens, and from which nothing is read while a response is left unread.
-pub(crate) struct Monitored<T> {
-    inner: T,
-    control: Rc<Control>,
-}
-
-impl<T> Monitored<T> {
-    pub(crate) fn new(inner: T, control: Rc<Control>) -> Self {
-        Self { inner, control }
-    }
-}
-
-impl<T: Read + Unpin> Read for Monitored<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.control.blocked.get().is_some() {
-            self.control.reader.replace(Some(cx.waker().clone()));
-            return Poll::Pending;
-        }
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
-        let control = &self.control;
-        control.last_read_at.set(Instant::now());
-        control.has_head.set(true);
-        if control.phase.get() == Phase::Idle {
-            control.enter(Phase::Head);
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<T: Write + Unpin> Write for Monitored<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        let taken = match &written {
-            Poll::Ready(Ok(bytes)) => *bytes,
-            Poll::Ready(Err(_)) | Poll::Pending => 0,
-        };
-        self.control.unwritten.set(buf.len() - taken);
-        let before = self.control.written.get();
-        self.control.written.set(before + taken as u64);
-        let blocked = &self.control.blocked;
-        match (&written, blocked.get()) {
-            (Poll::Pending, None) => blocked.set(Some((Instant::now(), 0))),
-            (Poll::Ready(Ok(bytes)), Some((since, taken))) => {
-                blocked.set(Some((since, taken + *bytes as u64)));
-            }
-            _ => {}
-        }
-        written
-    }
-
-    /// `hyper` flushes once it has written all that it has.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.inner).poll_flush(cx))?;
-        if self.control.ends_after_flush.take() {
-            self.control.set_reset_on_close(false);
-        }
-        if self.control.phase.get() != Phase::Exchange {
-            self.control.is_responding.set(false);
-        }
-        if self.control.blocked.take().is_some() {
-            if let Some(waker) = self.control.reader.take() {
-                waker.wake();
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
-
-/// The body of a response, whose end is the end of its exchange.
-pub(crate) struct Tracked<B> {
-    body: B,
-    control: Rc<Control>,
-    /// Whether the body has neither a length nor chunks and ends with the connection.
-    ends_with_connection: bool,
-}
-
-impl<B: Body> Tracked<B> {
-    /// Has the connection reset if it ends before a body whose end is its own, as the client could not tell that.
-    pub(crate) fn new(body: B, control: Rc<Control>, version: Version) -> Self {
-        let ends_with_connection = version < Version::HTTP_11 && body.size_hint().exact().is_none();
-        if ends_with_connection {
-            control.set_reset_on_close(true);
-        }
-        Self {
-            body,
-            control,
-            ends_with_connection,
-        }
-    }
-}
-
-impl<B> Drop for Tracked<B> {
-    fn drop(&mut self) {
-        self.control.end_exchange();
-    }
-}
-
-impl<B: Body<Data = Bytes, Error = Truncated> + Unpin> Body for Tracked<B> {
-    type Data = Bytes;
-    type Error = Truncated;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if next.is_none() && self.ends_with_connection {
-            self.control.ends_after_flush.set(true);
-        }
-        Poll::Ready(next)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -31,6 +31,9 @@
 
 pub use crate::connection::{Handle, State, Timeouts, Unreceived};
 
+/// Target of log lines that are needed to examine the stop of a process. No rate limit of the log may leave one out.
+pub const STOP_LOG_TARGET: &str = "stop";
+
 /// Delay after an error of `accept`, such as running out of file descriptors, and between checks of
 /// the connection limit.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -181,7 +184,7 @@
     /// is complete and the client has received the response. Returns a handle by which to wait for that.
     pub fn close(self) -> Closing {
         self.connections.shut_down(Shutdown::Graceful);
-        Closing(self.connections)
+        Closing(vec![self.connections])
     }
 
     /// Stops listening and closes all connections immediately, as the exit of the process would.
@@ -190,27 +193,31 @@
     }
 }
 
-/// A server that is shutting down.
+/// Servers that are shutting down.
 #[derive(Debug)]
-pub struct Closing(Rc<Connections>);
+pub struct Closing(Vec<Rc<Connections>>);
 
 impl Closing {
-    /// Whether all clients have received the responses to the requests that the server has begun to read.
+    /// Whether all clients have received the responses to the requests that the servers have begun to read.
     pub fn is_complete(&self) -> bool {
-        let open = self.0.open.borrow();
-        !open.values().any(|control| control.unreceived().is_some())
+        !self.0.iter().any(|server| server.has_unreceived())
     }
 
     /// The responses that clients have not received.
     pub fn unreceived(&self) -> Vec<Unreceived> {
-        let open = self.0.open.borrow();
-        let controls = open.values();
-        controls
-            .filter_map(|control| control.unreceived())
+        self.0
+            .iter()
+            .flat_map(|server| server.unreceived())
             .collect()
     }
 }
 
+impl FromIterator<Closing> for Closing {
+    fn from_iter<T: IntoIterator<Item = Closing>>(servers: T) -> Self {
+        Self(servers.into_iter().flat_map(|closing| closing.0).collect())
+    }
+}
+
 /// The open connections of a server, and their shutdown signal.
 #[derive(Debug, Default)]
 struct Connections {
@@ -232,6 +239,18 @@
         self.open.borrow().len()
     }
 
+    fn has_unreceived(&self) -> bool {
+        let open = self.open.borrow();
+        open.values().any(|control| control.has_unreceived())
+    }
+
+    fn unreceived(&self) -> Vec<Unreceived> {
+        let open = self.open.borrow();
+        open.values()
+            .filter_map(|control| control.unreceived())
+            .collect()
+    }
+
     /// Closes a connection to make room for another one; returns whether there was one to close.
     fn displace(&self) -> bool {
         let open = self.open.borrow();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,5 +15,5 @@
 mod settings;
 mod stream;
 
-pub use node::{Closing, Error, Node};
+pub use node::{Error, Node};
 pub use settings::{Fault, Flags, Settings};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use hornbeamtiller_core::token::Instance;
 use hornbeamtiller_http::accept::Acceptor;
 use hornbeamtiller_http::client::{self, Client};
-use hornbeamtiller_http::server::{self, Limits, Server, Unreceived};
+use hornbeamtiller_http::server::{Closing, Limits, Server};
 use hornbeamtiller_http::socket::Listener;
 
 use crate::caller;
@@ -145,26 +145,8 @@
     /// received.
     pub fn close(self) -> Closing {
         self.peers.close();
-        Closing([self.callers.close(), self.operators.close()])
-    }
-}
-
-/// A process whose listeners are closed.
-#[derive(Debug)]
-pub struct Closing([server::Closing; 2]);
-
-impl Closing {
-    /// Returns whether all callers and operators have received their responses.
-    pub fn is_complete(&self) -> bool {
-        self.0.iter().all(server::Closing::is_complete)
-    }
-
-    /// Returns the responses that callers and operators have not received.
-    pub fn unreceived(&self) -> Vec<Unreceived> {
-        self.0
-            .iter()
-            .flat_map(server::Closing::unreceived)
-            .collect()
+        let servers = [self.callers, self.operators];
+        servers.into_iter().map(Server::close).collect()
     }
 }
 
