relay: the shutdown of a process is one value of its state

Readability; nothing changes for callers. When the leave was asked for, when it was noticed, and whether its time was over at the last tick were three fields; they are one, set once the shutdown has begun.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -109,10 +109,7 @@
                 self.build_refusal(&refusal)
             }
         };
-        if self
-            .driver
-            .with_state(|state| state.leaving_since.is_some())
-        {
+        if self.driver.with_state(|state| state.leave.is_some()) {
             let headers = response.headers_mut();
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod duration;
 pub mod event;
 pub mod id;
+pub mod leave;
 pub mod limit;
 pub mod manifest;
 pub mod member;
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -406,7 +406,7 @@
     pub(super) fn publish_status(&mut self) {
         let status = if self.state.exited {
             Status::Down
-        } else if self.state.leaving_since.is_some() {
+        } else if self.state.leave.is_some() {
             Status::Leaving
         } else if self.state.is_ready() {
             Status::Ready
--- a/crates/relay/src/reduce/leave.rs
+++ b/crates/relay/src/reduce/leave.rs
@@ -11,6 +11,7 @@
 use crate::duration::Scale as _;
 use crate::event::Effect;
 use crate::id;
+use crate::leave::Leave;
 use crate::manifest::Kind as RouteKind;
 use crate::refusal::Reason;
 
@@ -40,31 +41,42 @@
 
 impl Reducer<'_> {
     pub(super) fn start_leaving(&mut self, noticed_after: Duration) {
-        if self.state.leaving_since.is_some() {
+        if self.state.leave.is_some() {
             return;
         }
-        self.state.leaving_since = Some(self.now);
-        self.state.leave_asked_at = Some(self.now.saturating_sub(noticed_after));
+        self.state.leave = Some(Leave {
+            asked_at: self.now.saturating_sub(noticed_after),
+            noticed_at: self.now,
+            is_time_over: false,
+        });
         self.hand_over_origins();
         let calls = self.state.calls.len();
         self.log(Entry::new(Kind::Leaving).outcome(format!("{calls} calls under way")));
     }
 
     pub(super) fn tick_leave(&mut self) {
-        let (Some(started_at), Some(exit_at)) = (self.state.leaving_since, self.exit_at()) else {
+        let Some(leave) = self.state.leave else {
             return;
         };
+        let work_end = self.work_end(&leave);
         let grace_period = self.state.settings.grace_period;
-        let cut_at = started_at + grace_period.saturating_sub(CUT_MARGIN);
+        let cut_at = leave.noticed_at + grace_period.saturating_sub(CUT_MARGIN);
         let directory_ttl = self.state.settings.directory_ttl;
         let directory_expiry = directory_ttl * DIRECTORY_TTL_FACTOR + LATE_ARRIVAL_TIME;
-        let elapsed = self.now.saturating_sub(started_at);
-        if self.now >= exit_at {
+        let elapsed = self.now.saturating_sub(leave.noticed_at);
+        if self.now >= work_end {
             self.refuse_calls(|call| !has_response_in_progress(call));
         }
-        let may_exit = elapsed >= directory_expiry || self.now >= exit_at;
+        let may_exit = elapsed >= directory_expiry || self.now >= work_end;
         let is_done = self.state.calls.is_empty() && may_exit;
-        if !self.is_cut_due(cut_at) && !is_done {
+        // A process that did not run for a while has not read yet what its runners have sent.
+        let is_time_over = self.now >= cut_at;
+        let is_cut_due = is_time_over && leave.is_time_over;
+        self.state.leave = Some(Leave {
+            is_time_over,
+            ..leave
+        });
+        if !is_cut_due && !is_done {
             return;
         }
         self.state.exited = true;
@@ -78,14 +90,6 @@
         self.emit(Effect::Exit);
     }
 
-    /// Whether the time of responses in progress is over, and this process has run since: one that did not run for a while has
-    /// not read yet what its runners have sent.
-    fn is_cut_due(&mut self, cut_at: Duration) -> bool {
-        let is_over = self.now >= cut_at;
-        let was_over = std::mem::replace(&mut self.state.leave_time_over, is_over);
-        is_over && was_over
-    }
-
     /// Ends calls with a refusal, or by aborting their streams.
     fn refuse_calls(&mut self, is_refused: impl Fn(&Call) -> bool) {
         let calls = self.state.calls.iter();
@@ -96,34 +100,35 @@
         }
     }
 
-    /// When accepted work has ended, if this process is shutting down. A process that noticed late that it was asked to
-    /// leave may be killed before it exits by itself, so this counts from the earliest time at which it may have been asked.
-    fn exit_at(&self) -> Option<Duration> {
-        let grace_period = self.state.settings.grace_period;
-        Some(self.state.leave_asked_at? + grace_period.saturating_sub(EXIT_MARGIN))
+    /// When accepted work has ended. A process that noticed late that it was asked to leave may be killed before it exits by
+    /// itself, so this counts from the earliest time at which it may have been asked.
+    fn work_end(&self, leave: &Leave) -> Duration {
+        leave.asked_at + self.state.settings.grace_period.saturating_sub(EXIT_MARGIN)
     }
 
     /// Whether a call may start its next attempt now: that of a stream that has begun, until the accepted work has ended; any
     /// other only if it is expected to end before this process exits.
     pub(super) fn may_start_attempt(&self, call: &Call) -> bool {
-        let is_over = self.exit_at().is_some_and(|exit_at| self.now >= exit_at);
+        let leave = self.state.leave;
+        let is_over = leave.is_some_and(|leave| self.now >= self.work_end(&leave));
         !is_over && (call.progress.head_forwarded || self.can_end_before_exit(call))
     }
 
     /// Whether a call that starts its next attempt now is expected to end before this process exits; for a call that
     /// arrives late, whether it ends by then at the latest.
     fn can_end_before_exit(&self, call: &Call) -> bool {
-        let (Some(asked_at), Some(exit_at)) = (self.state.leave_asked_at, self.exit_at()) else {
+        let Some(leave) = self.state.leave else {
             return true;
         };
-        if call.arrived_at > asked_at + ARRIVAL_TIME {
-            return call.deadline <= exit_at && !self.state.exited;
+        let work_end = self.work_end(&leave);
+        if call.arrived_at > leave.asked_at + ARRIVAL_TIME {
+            return call.deadline <= work_end && !self.state.exited;
         }
         let expected = match call.route.kind {
             RouteKind::Streaming => self.state.stream_time,
             RouteKind::Idempotent | RouteKind::NonIdempotent => Some(call.route.target_latency),
         };
-        let can_end = expected.is_some_and(|expected| self.now + expected <= exit_at);
+        let can_end = expected.is_some_and(|expected| self.now + expected <= work_end);
         can_end && !self.state.exited
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,7 @@
 use crate::crash::{Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
 use crate::event::Directory;
 use crate::id;
+use crate::leave::Leave;
 use crate::limit;
 use crate::manifest::Manifest;
 use crate::member::{Descriptor, Table};
@@ -295,12 +296,8 @@
     pub stream_timeout_max: Duration,
     /// Retry budgets by endpoint.
     pub budgets: HashMap<id::Endpoint, Budget>,
-    /// When this process began to shut down.
-    pub leaving_since: Option<Duration>,
-    /// The earliest time at which it may have been asked to; before that it was known not to be.
-    pub leave_asked_at: Option<Duration>,
-    /// Whether the time for responses in progress was over at the last tick.
-    pub leave_time_over: bool,
+    /// The shutdown of this process, once it has begun.
+    pub leave: Option<Leave>,
     /// How long a stream is expected to take, from its request to its end; none until one has ended.
     pub stream_time: Option<Duration>,
     /// Whether this process has finished shutting down.
@@ -371,9 +368,7 @@
             list_asked_at: None,
             stream_timeout_max: Duration::ZERO,
             budgets: HashMap::new(),
-            leaving_since: None,
-            leave_asked_at: None,
-            leave_time_over: false,
+            leave: None,
             stream_time: None,
             exited: false,
             last_attempt: 0,
@@ -383,7 +378,7 @@
 
     /// Whether this process accepts callers.
     pub fn is_ready(&self) -> bool {
-        self.leaving_since.is_none() && self.manifest.is_some() && self.pool_loaded
+        self.leave.is_none() && self.manifest.is_some() && self.pool_loaded
     }
 
     /// This VM's share of the retry slack; nothing while it has met none of the VMs that it shares the
