core: a VM that leaves does not claim not_run of what others may take over

What callers saw: a VM that leaves refused a repeatable call, or model work, under an id of its own as not_run, which is final for the id's life by docs/CALLERS.md. It exited, the caller asked another VM under the same id, and that one took the id over from the dead owner and ran it.

Cause: the record of the refusal (tombstone, or the ended call) ends with the process. Calls that may not be repeated hold, as the witness seals their ids; a take-over of work that may be repeated asks no witness, and nobody waits at the exit until one has acknowledged.

Change: from the begin of its leave a process refuses such work under a caller's id as unknown, for the same reason, with the same status, Retry-After and other addresses, and keeps no tombstone for it. That holds for refusals at admission, for accepted calls that no runner took, and for repeats of earlier refusals. Non-repeatable calls and requests without an id are refused as not_run as before. No message between VMs changes.

Left: a claim given while the process runs normally is lost with the process, too, if it crashes or leaves later.

--- a/crates/core/src/reduce/arrival.rs
+++ b/crates/core/src/reduce/arrival.rs
@@ -4,7 +4,7 @@
 
 use crate::event::{Arrival, Effect, Work};
 use crate::id::{Call, Exchange, Key};
-use crate::refusal::{Reason, Refusal};
+use crate::refusal::{Claim, Reason, Refusal};
 use crate::state::{Lifecycle, Outcome, Phase, RemoteRequest, Request, Tombstone};
 use crate::ticket::Kind as EndpointKind;
 use crate::timeline::{Detail, Draft, Kind};
@@ -83,7 +83,7 @@
         }
         if let Some(tombstone) = self.state.tombstones.get(&key).copied() {
             let refusal = if tombstone.fingerprint == arrival.fingerprint {
-                tombstone.refusal
+                self.weaken_if_leaving(tombstone.refusal, &arrival.endpoint, &arrival.work)
             } else {
                 Refusal::unknown(Reason::IdReused)
             };
@@ -135,9 +135,9 @@
             let is_running = request.is_active();
             let refusal = Refusal {
                 claim: if is_running {
-                    crate::refusal::Claim::InProgress
+                    Claim::InProgress
                 } else {
-                    crate::refusal::Claim::Unknown
+                    Claim::Unknown
                 },
                 reason: Reason::IdReused,
                 retry_after: None,
@@ -159,6 +159,7 @@
         self.record_event(Draft::new(Kind::Repeated).request(key));
         match phase {
             Phase::Done(Outcome::Refused(refusal)) => {
+                let refusal = self.weaken_if_leaving(refusal, &arrival.endpoint, &arrival.work);
                 self.refuse(arrival.exchange, Some(key), refusal)
             }
             Phase::Done(Outcome::Answered { .. }) => self.replay_answer(call, arrival),
@@ -234,7 +235,8 @@
     }
 
     /// Stores a refusal that claims "not run", so that it holds until the id expires. If there is
-    /// no capacity to store it, the refusal is changed to one that claims nothing.
+    /// no capacity to store it, or this process can't uphold it, the refusal is changed to one that
+    /// claims nothing.
     fn store_tombstone(
         &mut self,
         key: Key,
@@ -246,9 +248,13 @@
         if !id_from_caller {
             return refusal;
         }
+        let refusal = self.weaken_if_leaving(refusal, &arrival.endpoint, &arrival.work);
+        if refusal.claim != Claim::NotRun {
+            return refusal;
+        }
         if self.state.tombstones.len() >= self.state.settings.tombstones_max {
             return Refusal {
-                claim: crate::refusal::Claim::Unknown,
+                claim: Claim::Unknown,
                 ..refusal
             };
         }
--- a/crates/core/src/reduce/attempt.rs
+++ b/crates/core/src/reduce/attempt.rs
@@ -302,6 +302,11 @@
 
     /// Ends a call with a refusal.
     pub(super) fn fail_call(&mut self, call: Call, refusal: Refusal) {
+        let request = self.state.requests.get(&call);
+        let refusal = match request.filter(|request| request.id_from_caller) {
+            Some(request) => self.weaken_if_leaving(refusal, &request.endpoint, &request.work),
+            None => refusal,
+        };
         self.finish_call(call, Outcome::Refused(refusal));
     }
 
--- a/crates/core/src/reduce/recover.rs
+++ b/crates/core/src/reduce/recover.rs
@@ -76,7 +76,8 @@
     }
 
     fn start_recovery(&mut self, remote: RemoteRequest) {
-        if !self.can_take_over(&remote) {
+        let arrival = &remote.arrival;
+        if !self.can_take_over(&arrival.endpoint, &arrival.work) {
             self.request_seal(&remote);
             return;
         }
@@ -94,11 +95,31 @@
         }
     }
 
-    fn can_take_over(&self, remote: &RemoteRequest) -> bool {
-        match &remote.arrival.work {
+    /// Changes a refusal as "not run" to one that claims nothing if this process is leaving and another one may then
+    /// take the id over: the record of the refusal ends with this process, and no witness has it.
+    pub(super) fn weaken_if_leaving(
+        &self,
+        refusal: Refusal,
+        endpoint: &str,
+        work: &Work,
+    ) -> Refusal {
+        let is_lasting =
+            self.state.lifecycle == Lifecycle::Running || !self.can_take_over(endpoint, work);
+        match refusal.claim {
+            Claim::NotRun if !is_lasting => Refusal {
+                claim: Claim::Unknown,
+                ..refusal
+            },
+            _ => refusal,
+        }
+    }
+
+    /// Returns whether any process may run work under the id of a dead owner.
+    fn can_take_over(&self, endpoint: &str, work: &Work) -> bool {
+        match work {
             Work::Model { .. } => true,
             Work::Service { method, path } => {
-                let endpoint = self.state.table.endpoint(&remote.arrival.endpoint);
+                let endpoint = self.state.table.endpoint(endpoint);
                 endpoint.is_some_and(|endpoint| endpoint.is_repeatable(method, path))
             }
         }
