node: timers fire while a runner sends without end

What callers saw: a plain runner that sends interim heads without end keeps all timers of the process from firing, and so its ticks and timeouts, for as long as it goes on.

Cause: the runtime looks at its timers only when no task is ready. crates/http lets connections wait for a timer that beats, but only once pulse::beat() has been called on the thread, which the node's timer never did; the gateway's does.

Change: the node's timer beats as the gateway's does, until the process ends. Connections of callers wait for it in the same way; no test of this commit has a caller that sends without end. Connections between VMs do not wait, in the gateway neither.

Test: endless_bytes_timers_fire.

--- a/crates/http/src/pulse.rs
+++ b/crates/http/src/pulse.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-/// Time without a beat after which timers are held to be kept from firing; three periods of the timer that beats.
+/// Time without a beat after which timers are held to be kept from firing; two periods or more of the timer that beats.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(45);
 /// Polls of a connection after which it looks at the clock again.
 const POLLS_PER_CHECK: u32 = 16;
@@ -20,7 +20,7 @@
     static WAITING: ManuallyDrop<RefCell<Vec<Waker>>> = const { ManuallyDrop::new(RefCell::new(Vec::new())) };
 }
 
-/// Tells that timers fire. To be called by a timer of this thread each 15 ms or so, from the first call on until
+/// Tells that timers fire. To be called by a timer of this thread each 20 ms or less, from the first call on until
 /// the process ends.
 pub fn beat() {
     LAST_BEAT.set(Some(Instant::now()));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 use hornbeamtiller_core::token::Instance;
 use hornbeamtiller_http::accept::Acceptor;
 use hornbeamtiller_http::client::{self, Client};
+use hornbeamtiller_http::pulse;
 use hornbeamtiller_http::server::{self, Limits, Server, Unreceived};
 use hornbeamtiller_http::socket::Listener;
 
@@ -189,8 +190,15 @@
 async fn run_timer(driver: Driver) {
     while !driver.has_exited() {
         monoio::time::sleep(TICK_INTERVAL).await;
+        pulse::beat();
         driver.apply(Event::Tick);
     }
+    // What ends the process needs timers, too.
+    drop(driver);
+    loop {
+        monoio::time::sleep(TICK_INTERVAL).await;
+        pulse::beat();
+    }
 }
 
 async fn keep_streams_alive(driver: Driver) {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses only some of these items.
 #![allow(dead_code)]
 
+pub mod runner;
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
