node: an answer without a length may be cut if its runner has ended

What callers saw: part of an answer as a whole one (200, kept for repeats of its id), where a plain runner's process ended while it sent a body that has neither a length nor chunks.

Cause: such a body ends with its connection, and the end of the process looks the same. The gateway checks whether anything listens at the runner's address yet; the node took each such answer as whole.

Change: as in the gateway, a refused connection after such a body says that the runner has ended, and the attempt counts as lost: a call that may not be repeated is refused as unknown (runner_lost), one that may be is tried again. If the runner listens or does not respond within 400 ms, the answer is taken as whole, as before. Answers to HEAD, 204 and 304 have no body and are not checked.

Tests: answer_without_length_runner_ended failed before (the caller got the part as an answer); answer_without_length_runner_listens and answer_without_body_runner_ended passed before and now. Tests of hornbeamtiller-node: 35 passed.

--- a/crates/node/src/attempt/plain.rs
+++ b/crates/node/src/attempt/plain.rs
@@ -1,8 +1,13 @@
 //! Calls to plain services.
 
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use hornbeamtiller_core::event::Failure;
-use hornbeamtiller_http::client::Reuse;
-use http::{HeaderValue, Request};
+use hornbeamtiller_http::client::{Response, Reuse};
+use hornbeamtiller_http::socket;
+use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 
 use super::{classify_error, Job};
@@ -11,6 +16,8 @@
 
 /// Header with the id, which the service may use to detect duplicates.
 const ID_HEADER: &str = "idempotency-key";
+/// Timeout of the connection that shows whether a runner still listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 pub(super) async fn run(driver: &Driver, job: &Job, reuse: bool) -> Result<(), Failure> {
     let reuse = if reuse { Reuse::Allowed } else { Reuse::Fresh };
@@ -20,11 +27,16 @@
         .send(job.address, request, reuse, job.timeout)
         .await
         .map_err(|error| classify_error(&error))?;
+    let ends_with_connection = has_body(job, &response) && response.ends_with_connection();
     let max_bytes = driver.settings().flags.answer_bytes;
     let (head, body) = response
         .collect(max_bytes, job.timeout)
         .await
         .map_err(|error| classify_error(&error))?;
+    // The process may have ended before it had sent all of such a body.
+    if ends_with_connection && has_ended(job.address).await {
+        return Err(Failure::Lost);
+    }
     driver.apply_response(
         job.attempt,
         ServiceResponse {
@@ -36,6 +48,21 @@
     Ok(())
 }
 
+/// Whether the request's method and the status allow the response a body.
+fn has_body(job: &Job, response: &Response) -> bool {
+    let is_bodiless = matches!(
+        response.head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    job.caller_request.method != Method::HEAD && !is_bodiless
+}
+
+/// Whether the process of a runner has ended. Only a refused connection proves it.
+async fn has_ended(address: SocketAddr) -> bool {
+    let probed = socket::probe(address, PROBE_TIMEOUT).await;
+    probed.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 fn request(job: &Job) -> Request<Full<bytes::Bytes>> {
     let caller_request = &job.caller_request;
     let mut request = Request::new(Full::new(caller_request.body.clone()));
