http: a runtime forgets what an earlier one of its thread left to wait

Callers see nothing of it: a process has one runtime on a thread.

Cause: connections that wait for timers are in a thread-local list. The test runs several runtimes one after the other on its thread; when one ended with a connection in the list, the next one woke its task. Also, connections of a later runtime waited for timers of an earlier one.

Change: a runtime starts with an empty list and without a beat. Wakers of the earlier one are forgotten, not dropped.

--- a/crates/http/src/pulse.rs
+++ b/crates/http/src/pulse.rs
@@ -28,6 +28,13 @@
     waiting.into_iter().for_each(Waker::wake);
 }
 
+/// Forgets what an earlier runtime of this thread left. To be called before a runtime starts.
+pub(crate) fn reset() {
+    LAST_BEAT.set(None);
+    // Neither woken nor dropped: the runtime to which wakers belong has ended.
+    std::mem::forget(WAITING.with(|waiting| waiting.take()));
+}
+
 /// Lets one connection wait for timers.
 #[derive(Debug, Default)]
 pub(crate) struct Pulse {
--- a/crates/http/src/runtime.rs
+++ b/crates/http/src/runtime.rs
@@ -7,6 +7,8 @@
 
 use monoio::{LegacyDriver, RuntimeBuilder};
 
+use crate::pulse;
+
 /// Runs a future to completion on a new runtime of the current thread.
 ///
 /// # Errors
@@ -16,5 +18,6 @@
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()?;
+    pulse::reset();
     Ok(runtime.block_on(future))
 }
