relay: a delegate that shuts down and sent a call to no runner costs no retry

Cause: a delegate refuses with `leaving` what it can't end before it exits. The VM that asked took that for an arrival at a runner, so the next delegate needed a retry; its share of the budget was below one (0.42 to 0.55), and the call was refused after the first delegate. In the traced run all 33 refusals `not_run no_retry_left` at cut VMs followed a decline by a VM that was leaving; 30 had asked only one of the two VMs with reach. All 40 delegated calls refused as `leaving` were refused in 0 ms, without a dispatch.

Change: a delegated call that has arrived at no runner is refused as `leaving_unsent`, which the VM that asked counts as no arrival, as with `out_of_reach`; the next VM is asked, three at most as before. If a runner has got the call, the refusal says `leaving` and costs a retry as before. VMs of earlier releases take the new reason for any refusal, and their `leaving` still costs a retry here. What VMs that reach their runners send is unchanged.

Run: delegate, reach_fleet, fleet, budget and rest of the relay, refusal and translate of the platform, clippy of the changed packages.

--- a/crates/hornbeamctl/src/commands/explain.rs
+++ b/crates/hornbeamctl/src/commands/explain.rs
@@ -218,6 +218,7 @@
         "limited" => "the runners name limits, and others were sent to them first",
         "no_retry_left" => "the retry budget had no retry left",
         "leaving" => "the process was shutting down",
+        "leaving_unsent" => "the VM that another one asked was shutting down; no runner got it",
         "origin_unknown" => "no VM knew which software version began the stream",
         "origin_unreachable" => {
             "the VMs that may know which software version began the stream were not reached"
--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -106,6 +106,8 @@
     Refused,
     /// The VM that was to run it reaches no runner either.
     OutOfReach,
+    /// The VM that was to run it shuts down, and has sent it to no runner.
+    Leaving,
     /// The VM that was to run it refused it for the cap of its organisation; no other VM would run it.
     OverCap,
 }
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -37,7 +37,11 @@
     pub(super) fn handle_arrival(&mut self, arrival: Arrival) {
         self.state.counters.arrived += 1;
         if self.state.exited {
-            let refusal = Refusal::not_run(Reason::Leaving, NOT_READY_RETRY_AFTER);
+            let reason = match arrival.delegated_by {
+                Some(_) => Reason::LeavingUnsent,
+                None => Reason::Leaving,
+            };
+            let refusal = Refusal::not_run(reason, NOT_READY_RETRY_AFTER);
             return self.refuse_arrival(&arrival, refusal);
         }
         let Some(manifest) = self.state.manifest.clone() else {
--- a/crates/relay/src/reduce/finish.rs
+++ b/crates/relay/src/reduce/finish.rs
@@ -102,6 +102,11 @@
         if in_progress {
             call.execution = Execution::MayHaveRun;
         }
+        let is_unsent = call.delegated_by.is_some() && !call.arrivals.has_arrived();
+        let reason = match reason {
+            Reason::Leaving if is_unsent => Reason::LeavingUnsent,
+            reason => reason,
+        };
         let id = call.id.clone();
         let elapsed = self.now.saturating_sub(call.arrived_at);
         if call.progress.head_forwarded {
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -362,7 +362,7 @@
             match decline {
                 Decline::Full => known.last_full_at = Some(now),
                 Decline::Displaced => known.displaced = true,
-                Decline::Refused | Decline::OutOfReach | Decline::OverCap => {}
+                Decline::Refused | Decline::OutOfReach | Decline::Leaving | Decline::OverCap => {}
             }
         }
     }
--- a/crates/relay/src/reduce/retry.rs
+++ b/crates/relay/src/reduce/retry.rs
@@ -104,7 +104,9 @@
 /// How an attempt with this outcome arrived.
 pub(super) fn arrival_of(outcome: &Outcome) -> Arrival {
     match outcome {
-        Outcome::Unwritten | Outcome::Declined(Decline::OutOfReach) => Arrival::None,
+        Outcome::Unwritten | Outcome::Declined(Decline::OutOfReach | Decline::Leaving) => {
+            Arrival::None
+        }
         Outcome::Prefilled { .. } => Arrival::Prefilled,
         Outcome::Declined(_)
         | Outcome::Lost
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -54,6 +54,8 @@
     TimedOut,
     /// The process is shutting down.
     Leaving,
+    /// The VM that was to run the request for another one is shutting down, and has sent it to no runner.
+    LeavingUnsent,
     /// No VM knows which software version began the stream that is to go on.
     OriginUnknown,
     /// The VMs that may know which software version began the stream did not respond, or are not
--- a/crates/relay/tests/delegate.rs
+++ b/crates/relay/tests/delegate.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use hornbeamtiller_relay::crash::{Crash, Feature, Report, Suspect};
 use hornbeamtiller_relay::event::{
     Arrival, Decline, Dispatch, Effect, Event, Operation, Outcome, Presence,
@@ -14,6 +16,9 @@
     NON_IDEMPOTENT, STREAM,
 };
 
+/// Time after which a VM that shuts down starts no attempt any more.
+const LATE: Duration = Duration::from_millis(7_500);
+
 /// A VM that knows these others.
 fn fleet(others: u8) -> Harness {
     let mut harness = Harness::new(1);
@@ -176,7 +181,11 @@
 /// Guards against callers that are refused for want of a retry, while no runner has got their request.
 #[test]
 fn peer_out_of_reach_costs_no_retry() {
-    for (decline, is_asked) in [(Decline::OutOfReach, true), (Decline::Refused, false)] {
+    for (decline, is_asked) in [
+        (Decline::OutOfReach, true),
+        (Decline::Leaving, true),
+        (Decline::Refused, false),
+    ] {
         let mut harness = fleet(3);
         harness.state.settings.retry_slack = 0.0;
         harness.state.settings.retry_ratio = 0.0;
@@ -187,6 +196,63 @@
     }
 }
 
+/// A VM that has run for a while.
+fn long_running() -> Harness {
+    let mut harness = Harness::new(1);
+    harness.now += LATE;
+    harness
+}
+
+/// Has a VM notice that it was asked to shut down some time ago.
+fn leave_late(harness: &mut Harness) {
+    harness.apply(Event::Leave {
+        noticed_after: LATE,
+    });
+}
+
+/// Guards against callers that are refused for want of a retry, since a VM that shuts down refuses what it has sent to
+/// no runner as if it had.
+#[test]
+fn delegated_call_refused_leaving_unsent() {
+    for path in [IDEMPOTENT, NON_IDEMPOTENT, STREAM] {
+        let mut harness = long_running();
+        leave_late(&mut harness);
+        let refused = refusal(&arrive_delegated(&mut harness, path)).expect("a refusal");
+        assert_eq!(refused.reason, Reason::LeavingUnsent, "{path}");
+        assert_eq!(refused.claim, Claim::NotRun, "{path}");
+        let refused = refusal(&harness.arrive(path)).expect("a refusal");
+        assert_eq!(refused.reason, Reason::Leaving, "{path}: a caller's");
+    }
+}
+
+/// The same of a call that could not be written to a runner before, and of one that comes after the exit.
+#[test]
+fn delegated_call_refused_leaving_unwritten() {
+    let mut harness = long_running();
+    let reached = dispatch(&harness.arrive(NON_IDEMPOTENT));
+    harness.end_attempt(reached.attempt, Outcome::Answered { status: 200 });
+    let run = dispatch(&arrive_delegated(&mut harness, NON_IDEMPOTENT));
+    leave_late(&mut harness);
+    let refused = refusal(&harness.end_attempt(run.attempt, Outcome::Unwritten));
+    assert_eq!(refused.map(|it| it.reason), Some(Reason::LeavingUnsent));
+    harness.advance(LATE);
+    assert!(harness.state.exited);
+    let refused = refusal(&arrive_delegated(&mut harness, NON_IDEMPOTENT));
+    assert_eq!(refused.map(|it| it.reason), Some(Reason::LeavingUnsent));
+}
+
+/// What a runner has got counts for the retries of the VM that asked: the refusal does not say that none has.
+#[test]
+fn delegated_call_refused_leaving_after_decline() {
+    let mut harness = long_running();
+    let run = dispatch(&arrive_delegated(&mut harness, NON_IDEMPOTENT));
+    leave_late(&mut harness);
+    let declined = Outcome::Declined(Decline::Full);
+    let refused = refusal(&harness.end_attempt(run.attempt, declined)).expect("a refusal");
+    assert_eq!(refused.reason, Reason::Leaving);
+    assert_eq!(refused.claim, Claim::NotRun);
+}
+
 /// Guards against callers that are refused as all VMs that reach runners shut down at the same time: these still
 /// serve whom they have.
 #[test]
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -819,6 +819,7 @@
                 // As the platform's protocol tells them apart.
                 let decline = match refusal.reason {
                     Reason::OutOfReach => Decline::OutOfReach,
+                    Reason::LeavingUnsent => Decline::Leaving,
                     _ => Decline::Refused,
                 };
                 end_attempt(attempt, Outcome::Declined(decline))
