relay: a silent prefill waits for a prefill runner that accepts again

What callers saw: a prefill at a silent runner was aborted though the only other prefill runner was merely cooling down, and its prompt was read by the decode runner, which slows down the streams there.

Cause: a prefill whose decode runner is usable moved without a look at which runner would take it.

Change: it stays while the prefill runners that respond are all cooling down, and moves once one of them accepts requests. Where no other prefill runner responds, or there is none, it goes to the decode runner as before: such a prompt would wait in vain.

--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -229,6 +229,17 @@
         .any(|runner| is_ready(runner) || is_draining_usable(runner, query, now))
 }
 
+/// Whether the runners that may get the call are all cooling down, some of them though they respond.
+pub fn is_awaiting_cooldown(pool: &Pool, query: &Query<'_>, now: Duration) -> bool {
+    let responds = |runner: &&Runner| !runner.breaker.is_open(now);
+    let mut candidates = eligible(pool, query, now)
+        .filter(|runner| is_usable(runner, query.drain_timeout, now))
+        .filter(responds)
+        .peekable();
+    let has_any = candidates.peek().is_some();
+    has_any && candidates.all(|runner| is_cooling_down(runner, query.purpose, now))
+}
+
 /// The runners that serve the purpose, have the build, and have not asked for no requests.
 fn eligible<'a, 'q>(
     pool: &'a Pool,
--- a/crates/relay/src/reduce/timeout.rs
+++ b/crates/relay/src/reduce/timeout.rs
@@ -180,13 +180,16 @@
     }
 
     /// Whether a prefill can move to another runner now, and the run after it has its capacity: that
-    /// reserved for it, or other capacity if its decode runner can't be used any more.
+    /// reserved for it, or other capacity if its decode runner can't be used any more. It moves to its decode
+    /// runner only if no prefill runner is about to accept it.
     fn can_move_prefill(&mut self, number: id::Call, from: &id::Runner) -> bool {
         let call = self.state.calls.get(&number);
         let reserved = call.and_then(|call| call.reserved_decode.as_ref());
         let decode = reserved.and_then(|name| self.find_usable(name, Purpose::Decode));
         match decode {
-            Some(_) => self.may_start_another(number),
+            Some(decode) => {
+                !self.awaits_prefill_runner(number, &decode) && self.may_start_another(number)
+            }
             None => self.can_move(number, from),
         }
     }
--- a/crates/relay/tests/give_up.rs
+++ b/crates/relay/tests/give_up.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_relay::event::{Effect, Event, Outcome};
+use hornbeamtiller_relay::event::{Dispatch, Effect, Event, Operation, Outcome};
+use hornbeamtiller_relay::id;
 use support::{dispatch, dispatches, has, ms, refusal, Harness, IDEMPOTENT, STREAM};
 
 /// Time limit of a read.
@@ -26,6 +27,24 @@
     None
 }
 
+fn other_prefill_runner(prefill: &Dispatch) -> id::Runner {
+    match &*prefill.runner {
+        "read-1" => "read-2".into(),
+        _ => "read-1".into(),
+    }
+}
+
+/// Ticks until an attempt is dispatched.
+fn next_dispatch(harness: &mut Harness) -> Dispatch {
+    let end = harness.now + ms(3_000);
+    while harness.now < end {
+        if let Some(next) = dispatches(&harness.advance(ms(15))).first() {
+            return next.clone();
+        }
+    }
+    panic!("nothing dispatched");
+}
+
 /// Guards against a read that is refused though the first runner would still have answered it.
 #[test]
 #[ignore = "known red: issue 30"]
@@ -43,15 +62,11 @@
 
 /// Guards against a prefill that is given up though no other prefill runner can take it.
 #[test]
-#[ignore = "known red: issue 30"]
 fn silent_prefill_no_other_runner_stays() {
     let mut harness = Harness::new(1);
     let prefill = dispatch(&harness.arrive(STREAM));
-    let other = match &*prefill.runner {
-        "read-1" => "read-2",
-        _ => "read-1",
-    };
-    let other = harness.state.pool.get_mut(&other.into()).expect("listed");
+    let other = other_prefill_runner(&prefill);
+    let other = harness.state.pool.get_mut(&other).expect("listed");
     other.kv_cooldown_until = ms(600_000);
     while harness.elapsed() < ms(3_000) {
         let effects = harness.advance(ms(15));
@@ -59,6 +74,39 @@
     }
 }
 
+/// Guards against a prompt that waits in vain: its decode runner takes it if no other prefill runner will.
+#[test]
+fn silent_prefill_only_runner_moves() {
+    let mut harness = Harness::new(1);
+    harness.apply(Event::RunnerRemoved {
+        runner: "read-2".into(),
+        revision: 20,
+    });
+    // Until then it may be used, as it leaves.
+    let removed_at = harness.now + harness.state.settings.drain_timeout;
+    while harness.now < removed_at {
+        harness.advance(ms(15));
+    }
+    let prefill = dispatch(&harness.arrive(STREAM));
+    assert_eq!(prefill.operation, Operation::Prefill);
+    let moved = next_dispatch(&mut harness);
+    assert!(matches!(moved.operation, Operation::Generate { .. }));
+}
+
+/// Guards against a prompt that stays at its silent runner although the other one accepts requests again.
+#[test]
+fn silent_prefill_other_runner_back_moves() {
+    let mut harness = Harness::new(1);
+    let prefill = dispatch(&harness.arrive(STREAM));
+    let other = other_prefill_runner(&prefill);
+    let back_at = harness.now + ms(1_500);
+    let known = harness.state.pool.get_mut(&other).expect("listed");
+    known.kv_cooldown_until = back_at;
+    let moved = next_dispatch(&mut harness);
+    assert_eq!((moved.runner, moved.operation), (other, Operation::Prefill));
+    assert!(harness.now >= back_at);
+}
+
 /// Guards against runners that count as silent because this process has not run for a while.
 #[test]
 fn tick_after_own_stall_runner_not_silent() {
