--- a/crates/relay/src/manifest.rs
+++ b/crates/relay/src/manifest.rs
@@ -66,13 +66,15 @@
 
     /// Picks an endpoint at random by weight; none if all weights are zero.
     pub fn pick_endpoint(&self, rng: &mut impl Rng) -> Option<&id::Endpoint> {
-        let sum: u32 = self.targets.iter().map(|(_, weight)| weight).sum();
+        let weights = self.targets.iter().map(|(_, weight)| u64::from(*weight));
+        let sum: u64 = weights.sum();
         if sum == 0 {
             return None;
         }
         let mut remaining = rng.random_range(0..sum);
         for (endpoint, weight) in &self.targets {
-            if remaining < *weight {
+            let weight = u64::from(*weight);
+            if remaining < weight {
                 return Some(endpoint);
             }
             remaining -= weight;
