relay: sums of tokens, loads and waiting calls saturate

What callers saw: nothing known. A debug build panics, which ends the process, when figures named by others exceed their type in sum: Token-Counts of a caller, loads and waiting calls of a peer, Server-Load of a runner. A release build wraps: a busy engine looks idle, a prefill gets too little time; 2^32-1 waiting calls of a peer make the ratio's denominator 0, which panics there too (read in the code, not run).

Cause: plain additions. Change: they saturate. Ordinary figures give what they gave.

reduce_any_figures: sequences of up to 80 events with figures at the ends of their ranges, in requests, reports, limits, rests, positions, entries, peers' views and claims.

--- a/crates/relay/src/allocation/allocator.rs
+++ b/crates/relay/src/allocation/allocator.rs
@@ -256,7 +256,7 @@
             priority: ask.priority,
             organisation: ask.organisation.as_ref(),
             need: round.time_to_prefill(ask),
-            work: ask.tokens + ask.prefill_tokens,
+            work: ask.tokens.saturating_add(ask.prefill_tokens),
             patience: patience.map(|patience| patience.saturating_sub(self.age)),
         }
     }
--- a/crates/relay/src/allocation/round.rs
+++ b/crates/relay/src/allocation/round.rs
@@ -106,7 +106,7 @@
             })
         });
         found.map_or(Duration::ZERO, |(runner, queued)| {
-            runner.prefill_time(queued + ask.prefill_tokens)
+            runner.prefill_time(queued.saturating_add(ask.prefill_tokens))
         })
     }
 
@@ -286,7 +286,8 @@
 
     fn has_room(&self, runner: &Runner, engine: &Engine, memory: u64) -> bool {
         let load = self.load(runner);
-        let fits = load.requests < engine.slots && load.tokens + self.ask.tokens <= memory;
+        let fits =
+            load.requests < engine.slots && load.tokens.saturating_add(self.ask.tokens) <= memory;
         load.requests == 0 || fits
     }
 
@@ -355,7 +356,10 @@
     fn find_prefill(&self, decode: &Descriptor) -> Option<&'a Runner> {
         let field = Field::new(self.pool, &self.ask.endpoint, placement::Purpose::Prefill);
         let cost = |runner: &&Runner| {
-            let queued = self.load(runner).prefill_tokens + self.ask.prefill_tokens;
+            let queued = self
+                .load(runner)
+                .prefill_tokens
+                .saturating_add(self.ask.prefill_tokens);
             let is_near = runner.descriptor.zone == decode.zone;
             let moved = if is_near { Duration::ZERO } else { ZONE_COST };
             let failing = placement::failure_cost(runner, self.now);
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -205,7 +205,7 @@
     let Some((reported, at)) = runner.reported else {
         return false;
     };
-    let busy = reported.running + reported.waiting;
+    let busy = reported.running.saturating_add(reported.waiting);
     let service = field.current_time(runner, now).unwrap_or(LATENCY_DEFAULT);
     // Until its queue is worked off, or a slot becomes free.
     let busy_for = service.scale(f64::from(busy) / f64::from(slots));
@@ -285,7 +285,8 @@
     let memory = (engine.kv_capacity_tokens as f64 * query.headroom.memory_fraction()) as u64;
     // A request that exceeds even an idle engine is left for the engine to decline.
     let is_idle = load.requests == 0;
-    is_idle || (load.requests < engine.slots && load.tokens + query.load.tokens <= memory)
+    is_idle
+        || (load.requests < engine.slots && load.tokens.saturating_add(query.load.tokens) <= memory)
 }
 
 /// Number of calls of this size for which engines have capacity, by the loads of all VMs; unlimited
@@ -309,7 +310,7 @@
                 .saturating_sub(load.requests)
                 .min(by_memory as u32)
         })
-        .sum()
+        .fold(0, u32::saturating_add)
 }
 
 /// Requests queued or running at a plain runner: as reported by it recently, or as counted by this
@@ -318,7 +319,9 @@
     let reported = runner
         .reported
         .filter(|(_, at)| at.saturating_add(REPORT_AGE_MAX) > now);
-    let reported = reported.map_or(0, |(reported, _)| reported.running + reported.waiting);
+    let reported = reported.map_or(0, |(reported, _)| {
+        reported.running.saturating_add(reported.waiting)
+    });
     reported.max(runner.local_load.requests)
 }
 
@@ -330,7 +333,7 @@
 /// Expected cost of one more stream at a decode engine where engines report slowdowns, as a duration: the
 /// streams there, with the new one, slow each other down in proportion to the time of an event.
 pub(crate) fn stream_cost(requests: u32, slowness: f64) -> Duration {
-    STREAM_COST.scale(f64::from(requests + 1) * slowness)
+    STREAM_COST.scale((f64::from(requests) + 1.0) * slowness)
 }
 
 /// Expected time until a prefill engine has prefilled this many tokens.
@@ -377,7 +380,9 @@
             latency.scale(1.0 + f64::from(queue_length(runner, now)) / slots)
         }
         (Purpose::Prefill, _) => {
-            let tokens = load.prefill_tokens + query.load.prefill_tokens;
+            let tokens = load
+                .prefill_tokens
+                .saturating_add(query.load.prefill_tokens);
             prefill_time(runner, tokens, field, now)
         }
         (Purpose::Decode, None) => {
--- a/crates/relay/src/pool/runner.rs
+++ b/crates/relay/src/pool/runner.rs
@@ -36,11 +36,11 @@
 }
 
 impl Load {
-    /// Adds another load.
+    /// Adds another load, up to the largest numbers: callers and peers may name any.
     pub fn add(&mut self, other: Load) {
-        self.requests += other.requests;
-        self.tokens += other.tokens;
-        self.prefill_tokens += other.prefill_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
     }
 
     /// Subtracts another load, down to zero.
--- a/crates/relay/src/reduce/choose.rs
+++ b/crates/relay/src/reduce/choose.rs
@@ -79,9 +79,9 @@
                 ..single
             },
             Purpose::Decode => Load {
-                tokens: prompt.tokens
-                    + (prompt.output_tokens as f64 * self.state.policy.output_memory_fraction)
-                        as u64,
+                tokens: prompt.tokens.saturating_add(
+                    (prompt.output_tokens as f64 * self.state.policy.output_memory_fraction) as u64,
+                ),
                 prefill_tokens: if self.has_kv(number) {
                     0
                 } else {
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -140,7 +140,7 @@
         };
         let tokens = self.prompt_tokens(number);
         let queued = queued.max(runner.load().prefill_tokens);
-        let expected = self.prefill_time(number, &runner, queued + tokens);
+        let expected = self.prefill_time(number, &runner, queued.saturating_add(tokens));
         if placement::is_cooling_down(&runner, Purpose::Prefill, self.now) {
             return false;
         }
--- a/crates/relay/src/reduce/load.rs
+++ b/crates/relay/src/reduce/load.rs
@@ -135,12 +135,10 @@
     /// capacity, so each claims it with such a probability that about as many do as there is
     /// capacity for.
     pub(super) fn may_claim_capacity(&mut self, number: id::Call) -> bool {
-        let waiting_elsewhere: u32 = self
-            .state
-            .peer_reports
-            .values()
+        let reports = self.state.peer_reports.values();
+        let waiting_elsewhere = reports
             .map(|report| report.waiting_calls)
-            .sum();
+            .fold(0, u32::saturating_add);
         if waiting_elsewhere == 0 {
             return true;
         }
@@ -148,7 +146,8 @@
             return true;
         };
         let capacity = placement::free_capacity(&self.state.pool, &query);
-        capacity > waiting_elsewhere || self.state.rng.random_ratio(capacity, 1 + waiting_elsewhere)
+        let all = waiting_elsewhere.saturating_add(1);
+        capacity >= all || self.state.rng.random_ratio(capacity, all)
     }
 
     /// Drops the reports that are older than [`REPORT_LIFETIME`].
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -242,7 +242,7 @@
             // Other tokens still queued arrived later or shared the runner's time; half of them are
             // counted as prefilled in this time.
             let shared = queued_tokens.saturating_sub(tokens) / 2;
-            known.record_prefill(tokens + shared, ended.took);
+            known.record_prefill(tokens.saturating_add(shared), ended.took);
         }
         self.record_prefill_time(ended, tokens);
         let address = self
--- a/crates/relay/src/reduce/speed.rs
+++ b/crates/relay/src/reduce/speed.rs
@@ -38,7 +38,7 @@
 
     /// Records the time of a token in a prefill that has ended.
     pub(super) fn record_prefill_time(&mut self, ended: &EndedAttempt, tokens: u64) {
-        let work = tokens + ended.in_flight.queued_tokens;
+        let work = tokens.saturating_add(ended.in_flight.queued_tokens);
         if work > 0 {
             let time = ended.took.scale(1.0 / (work as f64));
             self.record_time(&ended.runner, time);
--- a/crates/relay/src/reduce/timeout.rs
+++ b/crates/relay/src/reduce/timeout.rs
@@ -257,8 +257,9 @@
 pub(super) fn response_timeout(call: &Call, runner: &Runner, needs_prefill: bool) -> Duration {
     if let Some(prompt) = call.prompt {
         let prefill_tokens = if needs_prefill { prompt.tokens } else { 0 };
-        let expected =
-            runner.prefill_time_while_decoding(runner.load().prefill_tokens + prefill_tokens);
+        let expected = runner.prefill_time_while_decoding(
+            runner.load().prefill_tokens.saturating_add(prefill_tokens),
+        );
         return FIRST_EVENT_TIMEOUT + prefill_timeout(expected);
     }
     let latency = runner
--- a/crates/relay/tests/extreme.rs
+++ b/crates/relay/tests/extreme.rs
@@ -2,11 +2,21 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hornbeamtiller_relay::duration::{self, Scale as _, LONGEST};
-use hornbeamtiller_relay::event::{Arrival, Event};
-use support::{dispatch, ms, prefilled, refusal, stream_arrival, Harness, STREAM};
+use hornbeamtiller_relay::event::{Arrival, Decline, Effect, Event, Operation, Outcome, Prompt};
+use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::limit::Statement;
+use hornbeamtiller_relay::pool::{Descriptor, Load, Report};
+use hornbeamtiller_relay::refusal::Claim;
+use proptest::prelude::*;
+use proptest::sample::select;
+use support::{
+    dispatch, ms, prefilled, refusal, stream_arrival, Harness, IDEMPOTENT, NON_IDEMPOTENT, STREAM,
+    STREAM_NOT_RESUMABLE,
+};
 
 #[test]
 fn from_seconds_out_of_range() {
@@ -87,3 +97,331 @@
         }
     }
 }
+
+/// Numbers at the ends of the ranges of their types and of what VMs exchange.
+const NUMBERS: [u64; 12] = [
+    0,
+    1,
+    2,
+    4_000,
+    65_535,
+    65_536,
+    0xffff_ffff,
+    0x1_0000_0000,
+    (1 << 48) - 1,
+    1 << 63,
+    u64::MAX - 1,
+    u64::MAX,
+];
+/// The peer that reports loads.
+const PEER: &str = "vm-2";
+
+fn numbers() -> impl Strategy<Value = u64> {
+    prop_oneof![4 => select(&NUMBERS[..]), 1 => any::<u64>()]
+}
+
+/// The same for a smaller type, whose ends are met as often.
+fn small_numbers() -> impl Strategy<Value = u32> {
+    numbers().prop_map(|number| u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+fn loads() -> impl Strategy<Value = Load> {
+    (small_numbers(), numbers(), numbers()).prop_map(|(requests, tokens, prefill_tokens)| Load {
+        requests,
+        tokens,
+        prefill_tokens,
+    })
+}
+
+fn reports() -> impl Strategy<Value = Report> {
+    let slowdown = proptest::option::of(10_u16..=2_000);
+    let counts = (small_numbers(), small_numbers(), small_numbers());
+    (counts, slowdown).prop_map(|((running, waiting, slots), slowdown)| Report {
+        running,
+        waiting,
+        slots,
+        slowdown,
+    })
+}
+
+/// The figures of a request.
+#[derive(Debug, Clone)]
+struct Figures {
+    time_limit: Option<u64>,
+    prompt: Option<(u64, u64)>,
+    stated_tokens: Option<u64>,
+    resume_after: Option<u64>,
+}
+
+fn request_figures() -> impl Strategy<Value = Figures> {
+    use proptest::option::{of, weighted};
+    let resume_after = weighted(0.2, numbers());
+    let prompt = of((numbers(), numbers()));
+    (of(numbers()), prompt, of(numbers()), resume_after).prop_map(
+        |(time_limit, prompt, stated_tokens, resume_after)| Figures {
+            time_limit,
+            prompt,
+            stated_tokens,
+            resume_after,
+        },
+    )
+}
+
+/// One event, with figures as others may name them.
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive(usize, Figures),
+    /// A request as the harness makes it, so that some are served between the others.
+    ArriveUsual(usize),
+    End(usize, usize, Option<Report>),
+    Position(usize, Option<u64>),
+    Load(usize, Report),
+    Limit(usize, f64),
+    Rest(usize, u64),
+    List(usize, u32, u64, u64),
+    Peer(usize, Load, u32),
+    ClaimOf(usize, Load),
+    Disconnect(usize),
+    Advance(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let index = || 0_usize..64;
+    let limits = select(&[1e-300, 0.5, 3.0, 1e19, f64::MAX][..]);
+    let rests = select(&[1_u64, 200, 3_600_000][..]);
+    let one = prop_oneof![
+        3 => (index(), request_figures()).prop_map(|(path, figures)| Step::Arrive(path, figures)),
+        2 => index().prop_map(Step::ArriveUsual),
+        6 => (index(), index(), proptest::option::of(reports()))
+            .prop_map(|(which, how, report)| Step::End(which, how, report)),
+        3 => (index(), proptest::option::of(numbers()))
+            .prop_map(|(which, position)| Step::Position(which, position)),
+        1 => (index(), reports()).prop_map(|(which, report)| Step::Load(which, report)),
+        1 => (index(), limits).prop_map(|(which, limit)| Step::Limit(which, limit)),
+        1 => (index(), rests).prop_map(|(which, rest)| Step::Rest(which, rest)),
+        1 => (index(), small_numbers(), numbers(), numbers())
+            .prop_map(|(which, slots, born, revision)| Step::List(which, slots, born, revision)),
+        1 => (index(), loads(), small_numbers())
+            .prop_map(|(which, load, waiting)| Step::Peer(which, load, waiting)),
+        1 => (index(), loads()).prop_map(|(which, load)| Step::ClaimOf(which, load)),
+        1 => index().prop_map(Step::Disconnect),
+        4 => prop_oneof![9 => 1_u64..400, 1 => 400_u64..3_600_000].prop_map(Step::Advance),
+    ];
+    proptest::collection::vec(one, 1..80)
+}
+
+/// What is known of an attempt.
+struct Attempt {
+    call: id::Call,
+    is_prefill: bool,
+    is_open: bool,
+    may_have_run: bool,
+}
+
+/// Checks that nothing runs twice and that refusals are true.
+#[derive(Default)]
+struct Observer {
+    attempts: BTreeMap<id::Attempt, Attempt>,
+    /// Whether the request of a call may be repeated, and the final responses to it.
+    calls: BTreeMap<id::Call, (bool, u32)>,
+}
+
+impl Observer {
+    fn may_have_run(&self, call: id::Call) -> bool {
+        let mut attempts = self.attempts.values();
+        attempts.any(|known| known.call == call && known.may_have_run && !known.is_prefill)
+    }
+
+    fn observe(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            match effect {
+                Effect::Dispatch(dispatch) => {
+                    let (is_repeatable, responses) = self.calls[&dispatch.call];
+                    assert_eq!(responses, 0, "an attempt after the final response");
+                    let is_repeat = self.may_have_run(dispatch.call);
+                    assert!(is_repeatable || !is_repeat, "runs twice");
+                    let attempt = Attempt {
+                        call: dispatch.call,
+                        is_prefill: dispatch.operation == Operation::Prefill,
+                        is_open: true,
+                        may_have_run: true,
+                    };
+                    self.attempts.insert(dispatch.attempt, attempt);
+                }
+                Effect::AbortAttempt { attempt } => {
+                    if let Some(attempt) = self.attempts.get_mut(attempt) {
+                        attempt.is_open = false;
+                    }
+                }
+                Effect::Refuse { call, refusal } => {
+                    let is_false = refusal.claim == Claim::NotRun && self.may_have_run(*call);
+                    assert!(!is_false, "{refusal:?}, though it may have run");
+                    assert!(refusal.retry_after.is_none_or(|after| after <= LONGEST));
+                    self.end(*call);
+                }
+                Effect::ForwardResponse { call }
+                | Effect::EndStream { call }
+                | Effect::AbortStream { call } => self.end(*call),
+                _ => {}
+            }
+        }
+    }
+
+    fn end(&mut self, call: id::Call) {
+        let (_, responses) = self.calls.get_mut(&call).expect("a call");
+        *responses += 1;
+        assert_eq!(*responses, 1, "a second final response");
+    }
+
+    fn pick(&self, which: usize) -> Option<id::Attempt> {
+        let open = self.attempts.iter().filter(|(_, known)| known.is_open);
+        let open: Vec<_> = open.map(|(attempt, _)| *attempt).collect();
+        open.get(which % open.len().max(1)).copied()
+    }
+}
+
+fn outcome(how: usize, is_prefill: bool) -> Outcome {
+    match how % 7 {
+        0 => Outcome::Unwritten,
+        1 => Outcome::Declined(Decline::Full),
+        2 => Outcome::Lost,
+        3 => Outcome::Answered { status: 500 },
+        _ if is_prefill => prefilled(),
+        4 => Outcome::Ended,
+        _ => Outcome::Answered { status: 200 },
+    }
+}
+
+fn arrive(
+    harness: &mut Harness,
+    observer: &mut Observer,
+    path: usize,
+    change: impl FnOnce(Arrival) -> Arrival,
+) -> Vec<Effect> {
+    let path = [NON_IDEMPOTENT, IDEMPOTENT, STREAM, STREAM_NOT_RESUMABLE][path % 4];
+    harness.last_call += 1;
+    let is_repeatable = [IDEMPOTENT, STREAM].contains(&path);
+    let call = harness.last_call;
+    observer.calls.insert(call, (is_repeatable, 0));
+    let arrival = stream_arrival(call, path);
+    let prompt = arrival.prompt.filter(|_| path.starts_with("/stream"));
+    let arrival = change(Arrival { prompt, ..arrival });
+    harness.apply(Event::Arrived(arrival))
+}
+
+fn with_figures(arrival: Arrival, figures: Figures) -> Arrival {
+    let prompt = figures.prompt.map(|(tokens, output_tokens)| Prompt {
+        tokens,
+        output_tokens,
+    });
+    Arrival {
+        time_limit: figures.time_limit.map(Duration::from_millis),
+        prompt,
+        stated_tokens: figures.stated_tokens,
+        resume_after: figures.resume_after,
+        ..arrival
+    }
+}
+
+fn apply_step(harness: &mut Harness, observer: &mut Observer, step: Step) -> Option<Vec<Effect>> {
+    let listed = support::descriptors();
+    let runner = |which: usize| listed[which % listed.len()].clone();
+    let effects = match step {
+        Step::Arrive(path, figures) => arrive(harness, observer, path, |arrival| {
+            with_figures(arrival, figures)
+        }),
+        Step::ArriveUsual(path) => arrive(harness, observer, path, |arrival| arrival),
+        Step::End(which, how, reported) => {
+            let attempt = observer.pick(which)?;
+            let known = observer.attempts.get_mut(&attempt)?;
+            let outcome = outcome(how, known.is_prefill);
+            known.is_open = false;
+            known.may_have_run = !matches!(outcome, Outcome::Unwritten | Outcome::Declined(_));
+            harness.apply(Event::AttemptEnded {
+                attempt,
+                outcome,
+                reported,
+            })
+        }
+        Step::Position(which, position) => {
+            let attempt = observer.pick(which)?;
+            if observer.attempts[&attempt].is_prefill {
+                return None;
+            }
+            let effects = harness.apply(Event::StreamStarted { attempt });
+            observer.observe(&effects);
+            harness.apply(Event::StreamEvent { attempt, position })
+        }
+        Step::Load(which, reported) => {
+            let attempt = observer.pick(which)?;
+            harness.apply(Event::LoadStated { attempt, reported })
+        }
+        Step::Limit(which, rate) => {
+            let attempt = observer.pick(which)?;
+            let statement = Statement::Limited(rate);
+            harness.apply(Event::LimitStated { attempt, statement })
+        }
+        Step::Rest(which, time) => {
+            let attempt = observer.pick(which)?;
+            let time = ms(time);
+            harness.apply(Event::RestAsked { attempt, time })
+        }
+        Step::List(which, slots, started_at_ms, revision) => {
+            let descriptor = Descriptor {
+                slots,
+                started_at_ms,
+                revision,
+                ..runner(which)
+            };
+            harness.apply(Event::RunnerUpdated { descriptor })
+        }
+        Step::Peer(which, load, waiting_calls) => {
+            let mut view = support::view(support::member(PEER, 2, 1), false);
+            view.loads = vec![(runner(which).runner, load)];
+            view.waiting_calls = waiting_calls;
+            harness.apply(Event::ViewReceived { view: view.into() })
+        }
+        Step::ClaimOf(which, load) => {
+            let engine = runner(which).runner;
+            harness.receive_claim(&engine, load)
+        }
+        Step::Disconnect(which) => {
+            let attempt = observer.pick(which)?;
+            let call = observer.attempts[&attempt].call;
+            harness.apply(Event::CallerDisconnected { call })
+        }
+        Step::Advance(time) => harness.advance(ms(time)),
+    };
+    Some(effects)
+}
+
+proptest! {
+    #![proptest_config(support::proptest_config(1_000))]
+
+    /// Over any sequence of events with any figures nothing panics and nothing runs twice, refusals are true, and
+    /// nothing is left at the end.
+    #[test]
+    fn reduce_any_figures(seed in any::<u64>(), steps in steps()) {
+        let mut harness = if seed % 4 == 0 {
+            Harness::with_shared_loads(seed)
+        } else {
+            Harness::new(seed)
+        };
+        let mut observer = Observer::default();
+        for step in steps {
+            if let Some(effects) = apply_step(&mut harness, &mut observer, step) {
+                observer.observe(&effects);
+            }
+        }
+        for _ in 0..40 {
+            let effects = harness.advance(ms(500));
+            observer.observe(&effects);
+        }
+        assert!(harness.state.calls.is_empty(), "calls are left");
+        assert!(harness.state.by_attempt.is_empty(), "attempts are left");
+        assert!(harness.state.in_flight.is_empty(), "attempts are left");
+        assert!(harness.state.charges.is_empty(), "load is left");
+        let mut runners = harness.state.pool.iter();
+        assert!(runners.all(|runner| runner.local_load == Load::default()), "load is left");
+    }
+}
