--- a/crates/relay/src/reduce/choose.rs
+++ b/crates/relay/src/reduce/choose.rs
@@ -140,6 +140,7 @@
         };
         placement::pick(&self.state.pool, &query, self.now, &mut rng).cloned()
     }
+
     /// Whether no prefill runner can take a call for a decode runner now, but one that responds soon will.
     pub(super) fn awaits_prefill_runner(&self, number: id::Call, decode: &Runner) -> bool {
         let Some(query) = self.build_query(number, Purpose::Prefill) else {
