gateway, node: connections may wait for timers before the first one has fired

Cause: connections wait for timers only once a timer has fired.

Change: the timer's task beats once before it waits for the first time.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,6 +173,8 @@
 }
 
 async fn run_timer<P: Protocol>(driver: Driver<P>) {
+    // Connections may have to wait for timers before the first one has fired.
+    pulse::beat();
     while !driver.has_exited() {
         monoio::time::sleep(TICK_INTERVAL).await;
         pulse::beat();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -170,6 +170,8 @@
 }
 
 async fn run_timer(driver: Driver) {
+    // Connections may have to wait for timers before the first one has fired.
+    pulse::beat();
     while !driver.has_exited() {
         monoio::time::sleep(TICK_INTERVAL).await;
         pulse::beat();
