One piece of code for what the change had twice

Readability; nothing changes for callers, no assertion is changed.

- The timer's loop of both paths is `pulse::run`: the first beat, a tick each period, and the beat that goes on after the exit.
- The wait until a process has left, of both paths, is `stop::wait_until_left`.
- The query for a prefill runner of a decode runner is built in one place.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,17 +173,9 @@
 }
 
 async fn run_timer<P: Protocol>(driver: Driver<P>) {
-    // Connections may have to wait for timers before the first one has fired.
-    pulse::beat();
-    while !driver.has_exited() {
-        monoio::time::sleep(TICK_INTERVAL).await;
-        pulse::beat();
+    let tick = move || {
         driver.apply(Event::Tick);
-    }
-    // What ends the process needs timers, too.
-    drop(driver);
-    loop {
-        monoio::time::sleep(TICK_INTERVAL).await;
-        pulse::beat();
-    }
+        !driver.has_exited()
+    };
+    pulse::run(TICK_INTERVAL, tick).await;
 }
--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -21,14 +21,12 @@
 use hornbeamtiller_platform::Process;
 use hornbeamtiller_relay::policy::{self, Policy};
 use logging::{Output, Writer};
-use stop::{Ending, Grace, Signals};
+use stop::{Ending, Grace, Signals, SIGNAL_POLL_INTERVAL};
 
 /// Exit code for settings that fail validation.
 const EXIT_INVALID_SETTINGS: u8 = 3;
 /// Exit code if the process can't start.
 const EXIT_START_FAILED: u8 = 4;
-/// Interval at which signals are polled.
-const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is polled, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// How long before the end of the grace period the last clients are waited for. The rest is for the log and the exit.
@@ -242,10 +240,7 @@
         last_moment: began_at + process.grace_period().saturating_sub(KILL_MARGIN),
     };
     process.leave(unasked_at.elapsed());
-    while !process.has_left() && !signals.is_interrupted() {
-        signals.log_received();
-        monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
-    }
+    stop::wait_until_left(|| process.has_left(), &signals).await;
     let closing = process.close();
     Ok(stop::wait_for_clients(&closing, grace, &signals).await)
 }
@@ -269,10 +264,7 @@
     }
     let began_at = Instant::now();
     node.leave();
-    while !node.has_left() && !signals.is_interrupted() {
-        signals.log_received();
-        monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
-    }
+    stop::wait_until_left(|| node.has_left(), &signals).await;
     let closing = node.close();
     let grace = Grace {
         began_at,
--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -13,6 +13,8 @@
 pub const EXIT_INTERRUPTED: u8 = 1;
 /// Least time after all work has ended, in which the last messages to peers are written.
 const FLUSH_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which signals are checked.
+pub const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which it is checked whether clients have received their responses.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Responses that are named in the log, those first whose requests are oldest.
@@ -140,6 +142,14 @@
     pub last_moment: Instant,
 }
 
+/// Waits until a process that leaves has left, or is to end at once.
+pub async fn wait_until_left(has_left: impl Fn() -> bool, signals: &Signals) {
+    while !has_left() && !signals.is_interrupted() {
+        signals.log_received();
+        monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
+    }
+}
+
 /// Waits until all clients have received their responses, but no longer than the grace period, and logs why the process
 /// ends and which responses were not received.
 pub async fn wait_for_clients(closing: &Closing, grace: Grace, signals: &Signals) -> Ending {
--- a/crates/http/src/pulse.rs
+++ b/crates/http/src/pulse.rs
@@ -28,6 +28,25 @@
     waiting.into_iter().for_each(Waker::wake);
 }
 
+/// Runs the timer that beats: `tick` each `period`, which is at most 20 ms, until that returns false. What ends the process
+/// needs timers, too, so the timer goes on without it then, until the runtime ends.
+pub async fn run(period: Duration, mut tick: impl FnMut() -> bool) {
+    // Connections may have to wait for timers before the first one has fired.
+    beat();
+    loop {
+        monoio::time::sleep(period).await;
+        beat();
+        if !tick() {
+            break;
+        }
+    }
+    drop(tick);
+    loop {
+        monoio::time::sleep(period).await;
+        beat();
+    }
+}
+
 /// Forgets what an earlier runtime of this thread left. To be called before a runtime starts.
 pub(crate) fn reset() {
     LAST_BEAT.set(None);
--- a/crates/http/tests/pulse.rs
+++ b/crates/http/tests/pulse.rs
@@ -1,17 +1,17 @@
 //! Connections that wait for timers to fire.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::{Request, Response};
-use hyper::body::Incoming;
 use monoio::io::{AsyncReadRent as _, AsyncWriteRentExt as _};
 use monoio::net::TcpStream;
 
-use hornbeamtiller_http::body::{Never, Outgoing};
 use hornbeamtiller_http::pulse;
 use hornbeamtiller_http::runtime::block_on;
-use hornbeamtiller_http::server::{Handler, Limits, Server};
+use hornbeamtiller_http::server::{Limits, Server};
+use support::Small;
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 /// More than a connection takes before it looks whether timers fire.
@@ -21,17 +21,6 @@
 /// Time after which a connection is held to wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-#[derive(Clone)]
-struct Small;
-
-impl Handler for Small {
-    type Source = Never;
-
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Outgoing<Never>> {
-        Response::new(Outgoing::full(""))
-    }
-}
-
 /// Sends one request after the other and returns how many get a response.
 async fn count_served() -> usize {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -1,5 +1,7 @@
 //! The server's connection limit, its timeouts and its shutdown.
 
+mod support;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +16,7 @@
 use hornbeamtiller_http::runtime::block_on;
 use hornbeamtiller_http::server::{Handle, Handler, Limits, Server, State, Timeouts};
 use hornbeamtiller_http::socket::Listener;
+use support::Small;
 
 /// Longer than the interval at which a server at its connection limit looks for a free place.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
@@ -490,18 +493,6 @@
 /// How long the platform waits for an answer of readiness.
 const READINESS_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Answers at once, with few bytes.
-#[derive(Clone)]
-struct Small;
-
-impl Handler for Small {
-    type Source = Never;
-
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Outgoing<Never>> {
-        Response::new(Outgoing::full(""))
-    }
-}
-
 /// Takes all places with connections that send requests ahead, then sends a request on a further one; returns whether its
 /// response came in time.
 async fn request_beside_ahead<H: Handler>(handler: H) -> bool {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -170,19 +170,11 @@
 }
 
 async fn run_timer(driver: Driver) {
-    // Connections may have to wait for timers before the first one has fired.
-    pulse::beat();
-    while !driver.has_exited() {
-        monoio::time::sleep(TICK_INTERVAL).await;
-        pulse::beat();
+    let tick = move || {
         driver.apply(Event::Tick);
-    }
-    // What ends the process needs timers, too.
-    drop(driver);
-    loop {
-        monoio::time::sleep(TICK_INTERVAL).await;
-        pulse::beat();
-    }
+        !driver.has_exited()
+    };
+    pulse::run(TICK_INTERVAL, tick).await;
 }
 
 async fn keep_streams_alive(driver: Driver) {
--- a/crates/relay/src/reduce/choose.rs
+++ b/crates/relay/src/reduce/choose.rs
@@ -134,22 +134,27 @@
     /// Picks a prefill runner whose KV cache a decode runner can read.
     pub(super) fn pick_prefill_for(&mut self, number: id::Call, decode: &Runner) -> Option<Runner> {
         let mut rng = SmallRng::from_rng(&mut self.state.rng);
-        let query = Query {
-            build: self.prefill_build(decode),
-            ..self.build_query(number, Purpose::Prefill)?
-        };
+        let query = self.build_prefill_query(number, decode)?;
         placement::pick(&self.state.pool, &query, self.now, &mut rng).cloned()
     }
 
     /// Whether no prefill runner can take a call for a decode runner now, but one that responds soon will.
     pub(super) fn awaits_prefill_runner(&self, number: id::Call, decode: &Runner) -> bool {
-        let Some(query) = self.build_query(number, Purpose::Prefill) else {
-            return false;
-        };
-        let query = Query {
+        let query = self.build_prefill_query(number, decode);
+        query.is_some_and(|query| {
+            placement::is_awaiting_cooldown(&self.state.pool, &query, self.now)
+        })
+    }
+
+    /// The call's requirements on a prefill runner whose KV cache a decode runner can read.
+    fn build_prefill_query<'a>(
+        &'a self,
+        number: id::Call,
+        decode: &'a Runner,
+    ) -> Option<Query<'a>> {
+        Some(Query {
             build: self.prefill_build(decode),
-            ..query
-        };
-        placement::is_awaiting_cooldown(&self.state.pool, &query, self.now)
+            ..self.build_query(number, Purpose::Prefill)?
+        })
     }
 }
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use hornbeamtiller_relay::event::{Arrival, Effect, Event, Outcome};
 use hornbeamtiller_relay::member::{Status, View};
 use hornbeamtiller_relay::pool::Role;
@@ -167,9 +169,8 @@
     assert!(harness.state.calls.is_empty());
 }
 
-/// Guards against a stream that is cut although its runner has ended, since its last events reach this process late.
-#[test]
-fn leave_completes_stream_that_arrives_late() {
+/// A VM that leaves, one of whose streams is completed by its runner this long after that.
+fn end_stream_while_leaving(after: Duration) -> Harness {
     let mut harness = Harness::new(1);
     let stream = harness.start_stream(STREAM);
     harness.apply(Event::StreamStarted {
@@ -179,13 +180,20 @@
     harness.apply(Event::Leave {
         noticed_after: ms(0),
     });
-    harness.advance(ms(7_400));
+    harness.advance(after);
     assert!(!harness.state.exited);
     let ended = harness.end_attempt(stream.attempt, Outcome::Ended);
     assert!(has(&ended, |effect| matches!(
         effect,
         Effect::EndStream { .. }
     )));
+    harness
+}
+
+/// Guards against a stream that is cut although its runner has ended, since its last events reach this process late.
+#[test]
+fn leave_completes_stream_that_arrives_late() {
+    let mut harness = end_stream_while_leaving(ms(7_400));
     harness.advance(ms(100));
     assert!(harness.state.exited);
 }
@@ -194,22 +202,7 @@
 /// their last events.
 #[test]
 fn leave_reads_what_has_arrived_before_cut() {
-    let mut harness = Harness::new(1);
-    let stream = harness.start_stream(STREAM);
-    harness.apply(Event::StreamStarted {
-        attempt: stream.attempt,
-    });
-    harness.stream_event(stream.attempt, 1);
-    harness.apply(Event::Leave {
-        noticed_after: ms(0),
-    });
-    harness.advance(ms(7_700));
-    assert!(!harness.state.exited);
-    let ended = harness.end_attempt(stream.attempt, Outcome::Ended);
-    assert!(has(&ended, |effect| matches!(
-        effect,
-        Effect::EndStream { .. }
-    )));
+    let mut harness = end_stream_while_leaving(ms(7_700));
     harness.advance(ms(15));
     assert!(harness.state.exited);
 }
