http: a response whose body fails is sent as far as it came

What callers saw: a connection that ends without a byte of a response, though a runner had begun to answer: its stream broke off right after its first part.

Cause: hyper ends the connection as soon as a body fails, and drops what it has not written yet. It writes only while the body is pending. A body that fails in the same turn as its head, or as other parts, takes them with it.

Change: the body is pending for one turn when it fails; what came before is written, then the connection ends as before.

--- a/crates/http/src/connection/monitored.rs
+++ b/crates/http/src/connection/monitored.rs
@@ -100,6 +100,8 @@
     control: Rc<Control>,
     /// Whether the body has neither a length nor chunks and ends with the connection.
     ends_with_connection: bool,
+    /// How the body has failed, until `hyper` is told.
+    failure: Option<Truncated>,
 }
 
 impl<B: Body> Tracked<B> {
@@ -113,6 +115,7 @@
             body,
             control,
             ends_with_connection,
+            failure: None,
         }
     }
 }
@@ -131,7 +134,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
         let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Err(failure)) = next {
+            // `hyper` drops what it has not written when a body fails, and writes it while a body is pending.
+            self.failure = Some(failure);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if next.is_none() && self.ends_with_connection {
             self.control.ends_after_flush.set(true);
         }
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -5,14 +5,16 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use monoio::io::{AsyncReadRent as _, AsyncWriteRentExt as _};
 use monoio::net::TcpStream;
 
-use hornbeamtiller_http::body::{Never, Outgoing};
+use hornbeamtiller_http::body::{Never, Outgoing, Source, Truncated};
 use hornbeamtiller_http::runtime::block_on;
 use hornbeamtiller_http::server::{Handle, Handler, Limits, Server, State, Timeouts};
 use hornbeamtiller_http::socket::Listener;
@@ -566,3 +568,54 @@
     })
     .expect("a runtime");
 }
+
+/// Yields some events, then fails.
+struct Failing {
+    events: usize,
+}
+
+impl Source for Failing {
+    fn poll_chunk(&mut self, _cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Truncated>>> {
+        if self.events == 0 {
+            return Poll::Ready(Some(Err(Truncated)));
+        }
+        self.events -= 1;
+        Poll::Ready(Some(Ok(Bytes::from_static(EVENT))))
+    }
+}
+
+/// Answers with a stream that fails after so many events.
+#[derive(Clone)]
+struct FailsAfter(usize);
+
+impl Handler for FailsAfter {
+    type Source = Failing;
+
+    async fn handle(&self, _request: Request<Incoming>) -> Response<Outgoing<Failing>> {
+        Response::new(Outgoing::Stream(Failing { events: self.0 }))
+    }
+}
+
+const EVENT: &[u8] = b"data: 1\n\n";
+
+/// Guards against a client that gets nothing of a response whose body fails before its first part is written.
+#[test]
+fn failed_body_is_sent_so_far() {
+    for events in 0..3 {
+        let received = block_on(async {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let handler = FailsAfter(events);
+            let server = Server::bind(any, Limits::default(), handler).expect("a listener");
+            let mut stream = connect(&server, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n".to_vec()).await;
+            let mut received = Vec::new();
+            while let (Ok(1..), chunk) = stream.read(Vec::with_capacity(4096)).await {
+                received.extend_from_slice(&chunk);
+            }
+            String::from_utf8(received).expect("text")
+        });
+        let received = received.expect("a runtime");
+        assert!(received.starts_with("HTTP/1.1 200 OK\r\n"), "{received:?}");
+        assert_eq!(received.matches("data: 1").count(), events, "{received:?}");
+        assert!(!received.ends_with("0\r\n\r\n"), "{received:?}");
+    }
+}
