relay: log what is decided on each lost attempt, crash, clear and release

New lines: loss_examined, runner_checked, crash_told, suspect_cleared; runner_crashed counts the crashes of each suspect, and releases name the request and the time. No decision changes.

--- a/crates/relay/src/crash/evidence.rs
+++ b/crates/relay/src/crash/evidence.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use super::{Circumstance, Crash, Feature, Recent, Suspect};
@@ -61,6 +62,28 @@
     share: f64,
 }
 
+/// Crashes at which a part or a request was there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Crashes.
+    pub crashes: u32,
+    /// The same, of which those that follow each other closely count as one.
+    pub moments: u32,
+}
+
+impl Count {
+    /// Whether there is none.
+    pub fn is_zero(self) -> bool {
+        self.crashes == 0
+    }
+}
+
+impl fmt::Display for Count {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} crashes at {} moments", self.crashes, self.moments)
+    }
+}
+
 /// The crashes that a VM knows of, and what is sound.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
@@ -129,13 +152,34 @@
         crashes.any(|crash| crash.suspects(feature, sound_at))
     }
 
-    /// Records that a response to a request with a feature went on; returns whether that clears it of a crash.
-    pub fn clear(&mut self, feature: Feature, at: Duration) -> bool {
-        let before = self.sound.get(feature);
-        let mut crashes = self.crashes.values();
-        let is_news = crashes.any(|crash| crash.at <= at && crash.suspects(feature, before));
+    /// Records that a response to a request with a feature went on; returns the crashes of which that clears it.
+    pub fn clear(&mut self, feature: Feature, at: Duration) -> Count {
+        let before = self.count(feature);
         self.sound.insert(feature, at);
-        is_news
+        let after = self.count(feature);
+        Count {
+            crashes: before.crashes - after.crashes,
+            moments: before.moments - after.moments,
+        }
+    }
+
+    /// The crashes at which a feature was there and of which nothing has cleared it.
+    pub fn count(&self, feature: Feature) -> Count {
+        let sound_at = self.sound.get(feature);
+        let crashes = self.crashes.values();
+        let mut times: Vec<Duration> = crashes
+            .filter(|crash| crash.suspects(feature, sound_at))
+            .map(|crash| crash.at)
+            .collect();
+        times.sort_unstable();
+        let mut candidate = Candidate::default();
+        for at in times {
+            candidate.count(at, Circumstance::default());
+        }
+        Count {
+            crashes: candidate.crashes,
+            moments: candidate.moments,
+        }
     }
 
     /// The part or request that explains most of the crashes that nothing quarantined explains, if any explains
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::pool::Instance;
 
-pub use evidence::{Culprit, Evidence};
+pub use evidence::{Count, Culprit, Evidence};
 pub use feature::{shared_parts, Feature};
 pub use quarantine::Quarantine;
 pub use recent::Recent;
@@ -52,7 +52,7 @@
 }
 
 /// How a runner had a suspect when it crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Circumstance {
     /// Position in the features of the request, from 0.
     pub position: u32,
--- a/crates/relay/src/crash/quarantine.rs
+++ b/crates/relay/src/crash/quarantine.rs
@@ -67,6 +67,11 @@
             .is_some_and(|entry| entry.is_active)
     }
 
+    /// When its quarantine, or the latest trial, began.
+    pub fn since(&self, feature: Feature) -> Option<Duration> {
+        self.entries.get(&feature).map(|entry| entry.since)
+    }
+
     /// The generation of its quarantine.
     pub fn generation(&self, feature: Feature) -> u32 {
         self.entries
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -72,8 +72,16 @@
     RestAsked,
     /// A runner says that it leaves.
     RunnerDeparts,
+    /// An attempt was lost: whether that may tell that its runner has ended.
+    LossExamined,
+    /// It was checked whether the process of a runner has ended.
+    RunnerChecked,
     /// The process of a runner has ended while it had requests.
     RunnerCrashed,
+    /// Another VM told of the crash of a runner.
+    CrashTold,
+    /// A part or a request is not suspect any more of the crashes so far.
+    SuspectCleared,
     /// Runners are sent no requests with a part of prompts any more.
     PartQuarantined,
     /// A request with a part that is quarantined was let through.
--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -139,7 +139,8 @@
 }
 
 /// Whether anything listens at the address of a runner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Presence {
     /// A connection was established.
     Listening,
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -16,6 +16,9 @@
 use super::outcome::EndedAttempt;
 use super::Reducer;
 
+/// Maximum number of suspects of a crash whose crashes are logged.
+const SUSPECTS_SHOWN_MAX: usize = 8;
+
 /// What becomes of a call under which runners have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Prospect {
@@ -44,6 +47,21 @@
     pub(super) fn record_loss(&mut self, ended: &EndedAttempt) {
         let in_flight = &ended.in_flight;
         let instance = &in_flight.instance;
+        let verdict = if in_flight.has_gone_on(self.now) {
+            "response went on"
+        } else if self.serving_address(instance).is_none() {
+            "not listed as ready"
+        } else {
+            "may have ended"
+        };
+        self.log(
+            Entry::new(Kind::LossExamined)
+                .request(&ended.id)
+                .runner(&instance.runner)
+                .attempt(ended.attempt)
+                .outcome(verdict)
+                .age(self.now.saturating_sub(in_flight.sent_at)),
+        );
         if in_flight.has_gone_on(self.now) || self.serving_address(instance).is_none() {
             return;
         }
@@ -132,16 +150,16 @@
         let Some(loss) = self.state.losses.remove(instance) else {
             return;
         };
-        if presence != Presence::Refused {
-            return;
-        }
         let age = self.now.saturating_sub(loss.at);
         self.log(
-            Entry::new(Kind::RunnerCrashed)
+            Entry::new(Kind::RunnerChecked)
                 .runner(&instance.runner)
-                .age(age)
-                .features(loss.suspects.keys().copied()),
+                .outcome(<&str>::from(presence))
+                .age(age),
         );
+        if presence != Presence::Refused {
+            return;
+        }
         self.state.counters.runners_crashed += 1;
         let evidence = &self.state.evidence;
         let suspects = loss.suspects.iter().map(|(feature, circumstance)| Suspect {
@@ -155,6 +173,23 @@
             suspects: suspects.collect(),
         };
         self.merge_crash(crash);
+        self.log(
+            Entry::new(Kind::RunnerCrashed)
+                .runner(&instance.runner)
+                .outcome(self.summarize_suspects(&loss.suspects))
+                .age(age)
+                .features(loss.suspects.keys().copied()),
+        );
+    }
+
+    /// What is known of the suspects of a crash, as text: the crashes of each.
+    fn summarize_suspects(&self, suspects: &BTreeMap<Feature, Circumstance>) -> String {
+        let shown = suspects.keys().take(SUSPECTS_SHOWN_MAX);
+        let counts = shown.map(|feature| {
+            let count = self.state.evidence.count(*feature);
+            format!("{feature}: {count}")
+        });
+        counts.collect::<Vec<_>>().join(", ")
     }
 
     /// Whether a runner responded to this VM after it is said to have crashed: to a VM that is cut off from them
@@ -166,11 +201,28 @@
         heard_at.is_some_and(|at| at > crashed_at)
     }
 
-    fn merge_crash(&mut self, crash: Crash) {
+    /// Adds a crash; returns whether anything of it is new.
+    fn merge_crash(&mut self, crash: Crash) -> bool {
         let instance = crash.instance.clone();
-        if self.state.evidence.merge(crash, self.now) {
+        let is_news = self.state.evidence.merge(crash, self.now);
+        if is_news {
             self.state.untold.crashes.insert(instance);
         }
+        is_news
+    }
+
+    /// Takes over what another VM knows of a crash.
+    fn merge_told_crash(&mut self, crash: Crash) {
+        let entry = Entry::new(Kind::CrashTold)
+            .runner(&crash.instance.runner)
+            .age(crash.age)
+            .features(crash.suspects.iter().map(|suspect| suspect.feature));
+        if self.has_responded_since(&crash) {
+            return self.log(entry.outcome("the runner has responded since"));
+        }
+        if self.merge_crash(crash) {
+            self.log(entry.outcome("taken over"));
+        }
     }
 
     /// Number of runners that have ended under a call, and of those that may have.
@@ -206,9 +258,7 @@
     /// Takes over what another VM knows.
     pub(super) fn handle_crash_report(&mut self, report: Report) {
         for crash in report.crashes {
-            if !self.has_responded_since(&crash) {
-                self.merge_crash(crash);
-            }
+            self.merge_told_crash(crash);
         }
         for record in report.features {
             self.merge_record(record);
@@ -220,7 +270,10 @@
         let feature = record.feature;
         if let Some(age) = record.sound_age {
             let sound_at = now.saturating_sub(age);
-            if self.state.evidence.clear(feature, sound_at) {
+            let cleared = self.state.evidence.clear(feature, sound_at);
+            if !cleared.is_zero() {
+                let entry = Entry::new(Kind::SuspectCleared).features([feature]).age(age);
+                self.log(entry.outcome(format!("told by a peer, of {cleared}")));
                 self.state.untold.features.insert(feature);
             }
         }
@@ -298,10 +351,17 @@
             return;
         };
         let (parts, fingerprint, now) = (call.parts.clone(), call.fingerprint, self.now);
+        let id = call.id.clone();
         for feature in Feature::of(&parts, fingerprint) {
-            let mut is_news = self.state.evidence.clear(feature, now);
+            let cleared = self.state.evidence.clear(feature, now);
+            let mut is_news = !cleared.is_zero();
+            if is_news {
+                let entry = Entry::new(Kind::SuspectCleared).request(&id);
+                let entry = entry.features([feature]);
+                self.log(entry.outcome(format!("a response went on, of {cleared}")));
+            }
             if self.state.quarantine.release(feature) {
-                self.log_release(feature, "a response went on");
+                self.log_release(feature, &format!("a response to {id} went on"));
                 is_news = true;
             }
             if is_news {
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -32,10 +32,10 @@
 /// An attempt that has just ended.
 pub(super) struct EndedAttempt {
     pub(super) number: id::Call,
-    attempt: id::Attempt,
+    pub(super) attempt: id::Attempt,
     pub(super) runner: id::Runner,
     pub(super) in_flight: InFlight,
-    id: Arc<str>,
+    pub(super) id: Arc<str>,
     is_prefill: bool,
     is_standby: bool,
     pub(super) took: Duration,
--- a/crates/relay/src/reduce/quarantine.rs
+++ b/crates/relay/src/reduce/quarantine.rs
@@ -131,9 +131,14 @@
     }
 
     fn log_quarantine(&mut self, kind: Kind, feature: Feature, cause: &str) {
-        let generation = self.state.quarantine.generation(feature);
-        let entry = Entry::new(kind).features([feature]);
-        self.log(entry.version(generation.into()).outcome(cause));
+        let quarantine = &self.state.quarantine;
+        let generation = quarantine.generation(feature);
+        let since = quarantine.since(feature).unwrap_or(self.now);
+        let entry = Entry::new(kind)
+            .features([feature])
+            .version(generation.into())
+            .age(self.now.saturating_sub(since));
+        self.log(entry.outcome(cause));
     }
 
     /// Whether this VM has heard what is quarantined, or nobody can tell.
