--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -272,7 +272,9 @@
             let sound_at = now.saturating_sub(age);
             let cleared = self.state.evidence.clear(feature, sound_at);
             if !cleared.is_zero() {
-                let entry = Entry::new(Kind::SuspectCleared).features([feature]).age(age);
+                let entry = Entry::new(Kind::SuspectCleared)
+                    .features([feature])
+                    .age(age);
                 self.log(entry.outcome(format!("told by a peer, of {cleared}")));
                 self.state.untold.features.insert(feature);
             }
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -155,6 +155,11 @@
 /// Has a runner crash while it begins to respond to a request with these shared parts, and be replaced.
 fn crash(harness: &mut Harness, shared: &[id::Part]) {
     let run = generate(harness, shared);
+    crash_run(harness, &run);
+}
+
+/// Has the runner of an attempt crash, and be replaced.
+fn crash_run(harness: &mut Harness, run: &Dispatch) {
     harness.now += ms(60);
     let effects = harness.end_attempt(run.attempt, Outcome::Lost);
     let checks = checks(&effects);
@@ -188,6 +193,28 @@
     panic!("five runners have crashed");
 }
 
+/// Guards against a part whose crashes are put down to the requests that have it, each of which comes again.
+#[test]
+#[ignore = "known red: issue 64"]
+fn crashing_part_of_repeated_requests_is_refused() {
+    let mut harness = Harness::new(1);
+    for fingerprint in 1..4 {
+        for _ in 0..3 {
+            let parts = [FIRST, SECOND, 0x1000 + fingerprint];
+            let path = STREAM_NOT_RESUMABLE;
+            let effects = harness.arrive_asking_with_parts(path, fingerprint, &parts);
+            if refusal(&effects).is_some_and(|refused| refused.reason == Reason::PromptQuarantined)
+            {
+                return;
+            }
+            let prefill = dispatch(&effects);
+            let run = dispatch(&harness.end_attempt(prefill.attempt, prefilled()));
+            crash_run(&mut harness, &run);
+        }
+    }
+    panic!("nine runners have crashed");
+}
+
 /// Has a part quarantined: three runners crash on it, one after the other.
 fn quarantine(harness: &mut Harness, shared: &[id::Part]) {
     for _ in 0..3 {
--- a/crates/relay/tests/crash_fleet.rs
+++ b/crates/relay/tests/crash_fleet.rs
@@ -166,3 +166,43 @@
         ..Play::default()
     });
 }
+
+/// Guards against a part whose crashes are put down to the requests that have it, each of which comes again.
+#[test]
+#[ignore = "known red: issue 64"]
+fn fleet_crashing_requests_each_repeated() {
+    for poison in [0.3, 0.5, 1.0, 2.0] {
+        CHECK.seeds("each repeated", |seed| Play {
+            seed,
+            poison,
+            tries: 4,
+            ..Play::default()
+        });
+    }
+}
+
+/// Guards against crashes that are taken for broken connections, as something listens for a moment more.
+#[test]
+#[ignore = "known red: issue 64"]
+fn fleet_listener_outlives_connections() {
+    for time in [20, 80, 300] {
+        CHECK.seeds("listener outlives", |seed| Play {
+            seed,
+            listening_time: ms(time),
+            ..Play::default()
+        });
+    }
+}
+
+/// Guards against crashes some time after the first event that clear the part which caused them.
+#[test]
+#[ignore = "known red: issue 64"]
+fn fleet_late_crashes() {
+    for time in [300, 400, 700] {
+        CHECK.seeds("late crashes", |seed| Play {
+            seed,
+            crash_after: Some(ms(time)),
+            ..Play::default()
+        });
+    }
+}
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -65,6 +65,12 @@
     pub unreached: BTreeMap<(usize, id::Runner), Barrier>,
     /// Parts that crash each engine that begins a stream with them.
     pub poison: BTreeSet<id::Part>,
+    /// Time from the beginning of a response on which an engine crashes to the crash.
+    pub crash_after: Duration,
+    /// How long something still listens at the address of an engine that has ended.
+    pub listening_time: Duration,
+    /// Until when something listens at the addresses of engines that have ended.
+    listening_until: BTreeMap<id::Runner, Duration>,
     /// What plain requests ask for that crash each runner which runs them.
     pub crashing: BTreeSet<id::Fingerprint>,
     fingerprints: BTreeMap<(usize, id::Call), id::Fingerprint>,
@@ -275,6 +281,9 @@
             older: BTreeSet::new(),
             unreached: BTreeMap::new(),
             poison: BTreeSet::new(),
+            crash_after: BEGIN_TIME,
+            listening_time: Duration::ZERO,
+            listening_until: BTreeMap::new(),
             crashing: BTreeSet::new(),
             fingerprints: BTreeMap::new(),
             reached: Vec::new(),
@@ -514,7 +523,9 @@
             return self.deliver_after(barrier.delay(), vm, event);
         }
         let engine = self.engines.get(&instance.runner);
+        let listening_until = self.listening_until.get(&instance.runner);
         let presence = match engine {
+            _ if listening_until.is_some_and(|until| *until > self.now) => Presence::Listening,
             Some(engine) if engine.down_until <= self.now => Presence::Listening,
             _ => Presence::Refused,
         };
@@ -562,6 +573,8 @@
 
     /// Stops an engine; what runs there is lost.
     pub fn stop_engine(&mut self, name: &id::Runner) {
+        let until = self.now + self.listening_time;
+        self.listening_until.insert(name.clone(), until);
         if let Some(engine) = self.engines.get_mut(name) {
             engine.down_until = Duration::MAX;
         }
@@ -693,9 +706,11 @@
                 let is_foreign = kv.is_some_and(|kv| self.caches[&kv.handle] != build);
                 self.foreign_caches += u32::from(is_foreign);
                 if let Some(part) = poison {
-                    return self
-                        .crash_at
-                        .push((now + BEGIN_TIME, dispatch.runner, part));
+                    if self.crash_after > BEGIN_TIME {
+                        self.stream(vm, attempt, resume_after.unwrap_or(0));
+                    }
+                    let crash_at = now + self.crash_after;
+                    return self.crash_at.push((crash_at, dispatch.runner, part));
                 }
                 if self.generated.insert(call) {
                     self.first_runs.insert((vm, attempt));
@@ -922,10 +937,22 @@
 
     /// Delivers a request whose prompt has these parts.
     pub fn arrive_with(&mut self, vm: usize, call: id::Call, parts: &[id::Part]) {
+        self.arrive_again(vm, call, parts, call);
+    }
+
+    /// The same of a caller who may have asked for it before, with this fingerprint.
+    pub fn arrive_again(
+        &mut self,
+        vm: usize,
+        call: id::Call,
+        parts: &[id::Part],
+        fingerprint: id::Fingerprint,
+    ) {
         self.arrived_at.insert((vm, call), self.now);
         self.parts.insert((vm, call), parts.into());
         let arrival = Arrival {
             parts: parts.into(),
+            fingerprint,
             ..super::stream_arrival(call, STREAM)
         };
         self.apply(vm, Event::Arrived(arrival));
--- a/crates/relay/tests/support/poison.rs
+++ b/crates/relay/tests/support/poison.rs
@@ -18,6 +18,8 @@
 const DOWN_TIME: Duration = Duration::from_millis(2_000);
 /// When the entry of an engine that has crashed is removed.
 const LISTED_TIME: Duration = Duration::from_millis(3_600);
+/// Interval at which a caller sends a request again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// How much later than others a VM may learn of a change of the list, in milliseconds.
 const LIST_DELAY_MS: u64 = 100;
 /// Engines that prefill, and that decode.
@@ -71,6 +73,12 @@
     /// Requests per second that crash engines, and when they come.
     pub poison: f64,
     pub poisoned: Vec<std::ops::Range<Duration>>,
+    /// How often a caller sends each of them, at intervals of `RETRY_INTERVAL`.
+    pub tries: u32,
+    /// Time from the beginning of a response to the crash; none for the usual one.
+    pub crash_after: Option<Duration>,
+    /// How long something still listens at the address of an engine that has ended.
+    pub listening_time: Duration,
     /// Parts that take turns in these requests, or what these ask for in turns.
     pub culprits: Vec<id::Part>,
     pub incidents: Vec<(Duration, Incident)>,
@@ -86,6 +94,9 @@
             sound: 25.0,
             poison: 5.0,
             poisoned: vec![ms(11_000)..ms(30_000)],
+            tries: 1,
+            crash_after: None,
+            listening_time: Duration::ZERO,
             culprits: vec![POISON],
             incidents: Vec::new(),
             length: ms(30_000),
@@ -93,6 +104,14 @@
     }
 }
 
+/// A request that comes again.
+struct Again {
+    at: Duration,
+    parts: Vec<id::Part>,
+    fingerprint: id::Fingerprint,
+    culprit: id::Part,
+}
+
 /// A request as it was sent.
 struct Sent {
     vm: usize,
@@ -126,6 +145,7 @@
     cut_until: Vec<(Duration, usize)>,
     crash_at: Vec<Duration>,
     last_call: id::Call,
+    again: Vec<Again>,
 }
 
 /// The engines that decode and prefill, or the plain runners.
@@ -161,6 +181,10 @@
         let engines = list_engines(play.service);
         let mut fleet = Fleet::with_engines(play.vms, engines.clone());
         let culprits = play.culprits.iter().copied().collect();
+        if let Some(time) = play.crash_after {
+            fleet.crash_after = time;
+        }
+        fleet.listening_time = play.listening_time;
         match play.service {
             Service::Streams => fleet.poison = culprits,
             Service::Plain => fleet.crashing = culprits,
@@ -181,6 +205,7 @@
             cut_until: Vec::new(),
             crash_at: Vec::new(),
             last_call: 0,
+            again: Vec::new(),
             play,
         }
     }
@@ -349,6 +374,7 @@
     }
 
     fn send_streams(&mut self) {
+        self.send_again();
         for _ in 0..self.draw_count(self.play.sound) {
             let first = self.rng.random_range(1..=FIRST_PARTS);
             // Some parts are far more common than others.
@@ -374,6 +400,25 @@
         let mut parts = shared.to_vec();
         parts.push(1_000_000 + call);
         self.report.fleet.arrive_with(vm, call, &parts);
+        let Some(culprit) = culprit else {
+            return;
+        };
+        let now = self.report.fleet.now;
+        self.again.extend((1..self.play.tries).map(|number| Again {
+            at: now + RETRY_INTERVAL * number,
+            parts: parts.clone(),
+            fingerprint: call,
+            culprit,
+        }));
+    }
+
+    fn send_again(&mut self) {
+        let now = self.report.fleet.now;
+        for again in take_due(&mut self.again, |again| again.at <= now) {
+            let (vm, call) = self.draw_call(Some(again.culprit), again.parts[0]);
+            let fleet = &mut self.report.fleet;
+            fleet.arrive_again(vm, call, &again.parts, again.fingerprint);
+        }
     }
 }
 
