relay: a request that is quarantined does not hide its part

Cause: a request that comes again (the client's retry, second attempts) is at three crashes before its part is counted often enough, and is quarantined. What is quarantined took its crashes out of the evidence, so the part was counted anew; where few such requests come, each explains its own crashes and the part none.

Crashes that only a request explains now count for its parts too, once two crashes more are there that no quarantine explains: the part explains them all. A request that alone crashes runners leaves its parts alone, as nothing else crashes with them.

--- a/crates/relay/src/crash/evidence.rs
+++ b/crates/relay/src/crash/evidence.rs
@@ -18,6 +18,9 @@
 const SHARE_MIN: f64 = 0.5;
 /// The same for one that explains as many crashes as a doubtful one has to.
 const SHARE_MIN_MANY: f64 = 0.25;
+/// Crashes that no quarantined request explains, at which a part has to be suspect before those that one explains count for
+/// it too.
+const UNEXPLAINED_MIN: u32 = 2;
 /// Crashes closer to each other count as one: what ends several runners at a moment is not what they were sent.
 /// A request that was never responded to is at several runners at once only if it was sent again and again, so
 /// its crashes all count.
@@ -190,22 +193,34 @@
         is_quarantined: impl Fn(Feature) -> bool,
         is_partial: bool,
     ) -> Option<Culprit> {
-        let is_unexplained = |crash: &&Observed| {
-            let is_settled = crash.at + SETTLING_TIME <= now;
-            is_settled
-                && !crash
-                    .suspects
-                    .keys()
-                    .any(|feature| is_quarantined(*feature))
+        let explanation = |crash: &Observed| {
+            let mut explanations = crash.suspects.keys().copied();
+            let is_part = |feature: &Feature| !feature.is_request() && is_quarantined(*feature);
+            let part = explanations.clone().find(is_part);
+            part.or_else(|| explanations.find(|feature| is_quarantined(*feature)))
         };
-        let mut crashes: Vec<&Observed> = self.crashes.values().filter(is_unexplained).collect();
-        crashes.retain(|crash| !crash.suspects.is_empty());
-        crashes.sort_by_key(|crash| crash.at);
-        let candidates = self.count_crashes(&crashes);
-        let culprits = candidates
-            .into_iter()
-            .map(|(feature, candidate)| candidate.into_culprit(feature, &crashes));
+        let is_settled = |crash: &&Observed| crash.at + SETTLING_TIME <= now;
+        let settled = self.crashes.values().filter(is_settled);
+        let mut crashes: Vec<(&Observed, Option<Feature>)> = settled
+            .filter(|crash| !crash.suspects.is_empty())
+            .map(|crash| (crash, explanation(crash)))
+            .filter(|(_, explanation)| explanation.is_none_or(Feature::is_request))
+            .collect();
+        crashes.sort_by_key(|(crash, _)| crash.at);
+        let unexplained = crashes.iter().filter(|(_, by)| by.is_none());
+        let unexplained: Vec<&Observed> = unexplained.map(|(crash, _)| *crash).collect();
+        let all: Vec<&Observed> = crashes.into_iter().map(|(crash, _)| crash).collect();
+        let candidates = self.count_crashes(&unexplained);
+        let of_parts = self.count_crashes(&all);
+        let culprits = candidates.into_iter().flat_map(|(feature, candidate)| {
+            // Requests with a part that crashes runners come again too, each of which explains its own crashes.
+            let is_wider = !feature.is_request() && candidate.crashes >= UNEXPLAINED_MIN;
+            let wider = of_parts.get(&feature).filter(|_| is_wider).cloned();
+            let wider = wider.map(|wider| wider.into_culprit(feature, &all));
+            [Some(candidate.into_culprit(feature, &unexplained)), wider]
+        });
         culprits
+            .flatten()
             .filter(|culprit| culprit.is_certain(is_partial))
             .max_by_key(Culprit::order)
     }
@@ -281,7 +296,7 @@
 }
 
 /// What was there at crashes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Candidate {
     /// Crashes at which it was there.
     crashes: u32,
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -195,7 +195,6 @@
 
 /// Guards against a part whose crashes are put down to the requests that have it, each of which comes again.
 #[test]
-#[ignore = "known red: issue 64"]
 fn crashing_part_of_repeated_requests_is_refused() {
     let mut harness = Harness::new(1);
     for fingerprint in 1..4 {
--- a/crates/relay/tests/crash_fleet.rs
+++ b/crates/relay/tests/crash_fleet.rs
@@ -169,7 +169,6 @@
 
 /// Guards against a part whose crashes are put down to the requests that have it, each of which comes again.
 #[test]
-#[ignore = "known red: issue 64"]
 fn fleet_crashing_requests_each_repeated() {
     for poison in [0.3, 0.5, 1.0, 2.0] {
         CHECK.seeds("each repeated", |seed| Play {
