relay: a runner at which something was lost is watched for its end

Cause: whether the process had ended was asked once, by one connection, at the moment of the loss, in a race with its end; everything but a refusal was taken as proof that it lives.

A loss is now watched for 6 s: it is looked again after 0.1 s, 0.3 s, 1 s and 2.5 s; a later process listed under the name or at the address, or a response of another process there (421), shows the end as well. A runner that leaves in the meantime, or responds well after the loss, has not crashed then. A call waits for the first two looks only.

--- /dev/null
+++ b/crates/relay/src/crash/loss.rs
@@ -0,0 +1,110 @@
+//! What was lost at a runner, and how long it is watched for signs that its process has ended.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{Circumstance, Feature};
+
+/// When it is looked again whether a process has ended, since the loss. A system closes the connections and the listener of
+/// a process one after the other.
+const LOOKS_AFTER: [Duration; 4] = [
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(1_000),
+    Duration::from_millis(2_500),
+];
+/// How long a process is watched: a new one at its address, or under its name, may be listed that much later.
+const WATCHED_TIME: Duration = Duration::from_secs(6);
+/// Later than this after the loss, a loss at the same process is another matter.
+const GROUPING_TIME: Duration = Duration::from_secs(1);
+/// Looks after which a call is not kept waiting for what else is found.
+const DECISIVE_LOOKS: usize = 2;
+
+/// What this VM lost at a runner, while it is watched whether that has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Loss {
+    /// When the first attempt was lost.
+    pub at: Duration,
+    /// Where the runner listened.
+    pub address: SocketAddr,
+    /// What may have crashed the runner, if it has crashed.
+    pub suspects: BTreeMap<Feature, Circumstance>,
+    /// Number of looks that have found something listening, or nothing.
+    looks: usize,
+    /// Whether a look is in progress.
+    is_looking: bool,
+}
+
+impl Loss {
+    /// Begins to watch a runner at which an attempt was lost; the first look is in progress.
+    pub fn new(at: Duration, address: SocketAddr) -> Self {
+        Self {
+            at,
+            address,
+            suspects: BTreeMap::new(),
+            looks: 0,
+            is_looking: true,
+        }
+    }
+
+    /// Whether a loss at this time may have the same cause.
+    pub fn is_grouped(&self, now: Duration) -> bool {
+        now < self.at + GROUPING_TIME
+    }
+
+    /// Adds the suspects of another request.
+    pub fn add(&mut self, suspects: BTreeMap<Feature, Circumstance>) {
+        merge(&mut self.suspects, suspects);
+    }
+
+    /// Records that a look did not find that the process has ended.
+    pub fn end_look(&mut self) {
+        self.looks += 1;
+        self.is_looking = false;
+    }
+
+    /// Begins the next look if it is due; returns whether it is.
+    pub fn start_look(&mut self, now: Duration) -> bool {
+        let after = self.looks.checked_sub(1);
+        let after = after.and_then(|number| LOOKS_AFTER.get(number));
+        let is_due = after.is_some_and(|after| self.at + *after <= now);
+        let starts = is_due && !self.is_looking;
+        self.is_looking |= starts;
+        starts
+    }
+
+    /// Whether the first looks may still find that the process has ended.
+    pub fn is_unclear(&self) -> bool {
+        self.looks < DECISIVE_LOOKS
+    }
+
+    /// Whether the process is not watched any more.
+    pub fn is_over(&self, now: Duration) -> bool {
+        !self.is_looking && self.at + WATCHED_TIME <= now
+    }
+}
+
+/// What was given up at a runner a moment ago.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Abandoned {
+    /// When the latest attempt was given up.
+    pub at: Duration,
+    /// What may have crashed the runner, if it has crashed.
+    pub suspects: BTreeMap<Feature, Circumstance>,
+}
+
+impl Abandoned {
+    /// Adds the suspects of another request that was given up.
+    pub fn add(&mut self, at: Duration, suspects: BTreeMap<Feature, Circumstance>) {
+        self.at = at;
+        merge(&mut self.suspects, suspects);
+    }
+}
+
+fn merge(known: &mut BTreeMap<Feature, Circumstance>, more: BTreeMap<Feature, Circumstance>) {
+    for (feature, circumstance) in more {
+        let known = known.entry(feature).or_insert(circumstance);
+        known.merge(circumstance);
+    }
+}
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -11,16 +11,17 @@
 
 mod evidence;
 mod feature;
+mod loss;
 mod quarantine;
 mod recent;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::pool::Instance;
 
 pub use evidence::{Count, Culprit, Evidence};
 pub use feature::{shared_parts, Feature};
+pub use loss::{Abandoned, Loss};
 pub use quarantine::Quarantine;
 pub use recent::Recent;
 
@@ -32,25 +33,6 @@
 /// How long a runner may still be at work on a request that it was no longer asked to run.
 pub const ABANDONED_TIME: Duration = Duration::from_millis(500);
 
-/// What this VM lost at a runner, while it is checked whether that has ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Loss {
-    /// When the first attempt was lost.
-    pub at: Duration,
-    /// What may have crashed the runner, if it has crashed.
-    pub suspects: BTreeMap<Feature, Circumstance>,
-}
-
-impl Loss {
-    /// Adds the suspects of another request.
-    pub fn add(&mut self, suspects: BTreeMap<Feature, Circumstance>) {
-        for (feature, circumstance) in suspects {
-            let known = self.suspects.entry(feature).or_insert(circumstance);
-            known.merge(circumstance);
-        }
-    }
-}
-
 /// How a runner had a suspect when it crashed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Circumstance {
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::crash::{
-    Circumstance, Crash, Feature, Loss, Record, Report, Suspect, ABANDONED_TIME,
+    Abandoned, Circumstance, Crash, Feature, Loss, Record, Report, Suspect, ABANDONED_TIME,
     CRASHES_PER_CALL_MAX,
 };
 use crate::decision_log::{Entry, Kind};
@@ -19,6 +20,11 @@
 /// Maximum number of suspects of a crash whose crashes are logged.
 const SUSPECTS_SHOWN_MAX: usize = 8;
 
+/// Verdicts within this time count whatever the runner has sent since: what it had sent may be received late.
+const PROMPT_VERDICT_TIME: Duration = Duration::from_secs(1);
+/// How long after a loss a response has to come to show that the runner lived on.
+const OUTLIVED_MARGIN: Duration = Duration::from_millis(100);
+
 /// What becomes of a call under which runners have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Prospect {
@@ -96,12 +102,11 @@
         };
         let instance = in_flight.instance.clone();
         let abandoned = self.state.abandoned.entry(instance);
-        let abandoned = abandoned.or_insert_with(|| Loss {
+        let abandoned = abandoned.or_insert_with(|| Abandoned {
             at: now,
             suspects: BTreeMap::new(),
         });
-        abandoned.at = now;
-        abandoned.add(suspects);
+        abandoned.add(now, suspects);
     }
 
     /// What of a call may have crashed its runner.
@@ -121,17 +126,16 @@
         let Some(address) = self.serving_address(instance) else {
             return;
         };
-        let at = self.now;
-        let is_checked = self.state.losses.contains_key(instance);
-        let loss = self.state.losses.entry(instance.clone());
-        let loss = loss.or_insert_with(|| Loss {
-            at,
-            suspects: BTreeMap::new(),
-        });
+        let now = self.now;
+        let known = self.state.losses.remove(instance);
+        let known = known.filter(|loss| loss.is_grouped(now));
+        let is_checked = known.is_some();
+        let mut loss = known.unwrap_or_else(|| Loss::new(now, address));
         loss.add(suspects);
         if let Some(abandoned) = self.state.abandoned.remove(instance) {
             loss.add(abandoned.suspects);
         }
+        self.state.losses.insert(instance.clone(), loss);
         if !is_checked {
             let instance = instance.clone();
             self.emit(Effect::CheckRunner { instance, address });
@@ -147,9 +151,11 @@
 
     pub(super) fn handle_runner_check(&mut self, instance: &Instance, presence: Presence) {
         self.record_probe(instance, presence);
-        let Some(loss) = self.state.losses.remove(instance) else {
+        let Some(loss) = self.state.losses.get_mut(instance) else {
             return;
         };
+        let is_early = loss.is_unclear();
+        loss.end_look();
         let age = self.now.saturating_sub(loss.at);
         self.log(
             Entry::new(Kind::RunnerChecked)
@@ -160,6 +166,64 @@
         if presence != Presence::Refused {
             return;
         }
+        // One that is found to leave in the meantime ends as planned.
+        if is_early || !self.is_leaving(instance) {
+            self.conclude_crash(instance, "refused");
+        } else {
+            self.state.losses.remove(instance);
+        }
+    }
+
+    fn is_leaving(&self, instance: &Instance) -> bool {
+        let runner = self.state.pool.find(instance);
+        runner.is_some_and(|runner| runner.status != Status::Ready)
+    }
+
+    /// Records that another process responded at the address of a runner.
+    pub(super) fn record_displaced(&mut self, instance: &Instance) {
+        self.conclude_crash(instance, "another process responds");
+    }
+
+    /// Finds the processes at which something was lost and in whose place others are listed since.
+    pub(super) fn find_replaced(&mut self) {
+        let losses = self.state.losses.iter();
+        let replaced = losses.filter(|(instance, loss)| self.is_replaced(instance, loss));
+        let replaced: Vec<Instance> = replaced.map(|(instance, _)| instance.clone()).collect();
+        for instance in replaced {
+            self.conclude_crash(&instance, "another process is listed");
+        }
+    }
+
+    /// Whether a later process is listed under the name or at the address of one.
+    fn is_replaced(&self, instance: &Instance, loss: &Loss) -> bool {
+        let mut listed = self.state.pool.iter().map(|runner| &runner.descriptor);
+        listed.any(|other| {
+            let is_there = other.runner == instance.runner || other.address == loss.address;
+            is_there && other.started_at_ms > instance.started_at_ms
+        })
+    }
+
+    /// Whether a runner responded to this VM well after something was lost there: it ended later than that, if at all.
+    fn has_outlived(&self, instance: &Instance, loss: &Loss) -> bool {
+        let runner = self.state.pool.find(instance);
+        let heard_at = runner.and_then(|runner| runner.last_seen_at);
+        let is_late = loss.at + PROMPT_VERDICT_TIME < self.now;
+        is_late && heard_at.is_some_and(|at| at > loss.at + OUTLIVED_MARGIN)
+    }
+
+    /// Records that a runner has ended when something was lost there, unless it is known to have lived on.
+    fn conclude_crash(&mut self, instance: &Instance, sign: &str) {
+        let Some(loss) = self.state.losses.remove(instance) else {
+            return;
+        };
+        let age = self.now.saturating_sub(loss.at);
+        let entry = Entry::new(Kind::RunnerCrashed)
+            .runner(&instance.runner)
+            .age(age)
+            .features(loss.suspects.keys().copied());
+        if self.has_outlived(instance, &loss) {
+            return self.log(entry.outcome(format!("{sign}, but it has responded since")));
+        }
         self.state.counters.runners_crashed += 1;
         let evidence = &self.state.evidence;
         let suspects = loss.suspects.iter().map(|(feature, circumstance)| Suspect {
@@ -173,13 +237,8 @@
             suspects: suspects.collect(),
         };
         self.merge_crash(crash);
-        self.log(
-            Entry::new(Kind::RunnerCrashed)
-                .runner(&instance.runner)
-                .outcome(self.summarize_suspects(&loss.suspects))
-                .age(age)
-                .features(loss.suspects.keys().copied()),
-        );
+        let counts = self.summarize_suspects(&loss.suspects);
+        self.log(entry.outcome(format!("{sign}; {counts}")));
     }
 
     /// What is known of the suspects of a crash, as text: the crashes of each.
@@ -234,7 +293,7 @@
         let losses = &self.state.losses;
         let lost_at = call.lost_at.iter();
         let crashed = lost_at.clone().filter(|at| evidence.has_crashed(at));
-        let unclear = lost_at.filter(|at| losses.contains_key(at));
+        let unclear = lost_at.filter(|at| losses.get(at).is_some_and(Loss::is_unclear));
         (crashed.count(), unclear.count())
     }
 
@@ -298,10 +357,26 @@
         let now = self.now;
         let abandoned = &mut self.state.abandoned;
         abandoned.retain(|_, given_up| given_up.at + ABANDONED_TIME > now);
+        self.look_again();
         self.state.evidence.expire(now);
         self.quarantine_culprits();
     }
 
+    /// Looks again at the runners at which something was lost, and forgets those that have not ended.
+    fn look_again(&mut self) {
+        let now = self.now;
+        self.state.losses.retain(|_, loss| !loss.is_over(now));
+        let losses = self.state.losses.iter_mut();
+        let due = losses.filter_map(|(instance, loss)| {
+            let starts = loss.start_look(now);
+            starts.then(|| (instance.clone(), loss.address))
+        });
+        let due: Vec<(Instance, SocketAddr)> = due.collect();
+        for (instance, address) in due {
+            self.emit(Effect::CheckRunner { instance, address });
+        }
+    }
+
     /// What this VM has learnt of crashes, if anything, of these runners, parts and requests.
     pub(super) fn describe_news(&self, untold: &Untold) -> Option<Report> {
         let evidence = &self.state.evidence;
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -342,6 +342,9 @@
             return self.continue_after_no_run(ended.number, &ended.runner);
         }
         self.record_decline(&ended.runner, decline);
+        if decline == Decline::Displaced {
+            self.record_displaced(&ended.in_flight.instance);
+        }
         if decline == Decline::OverCap {
             return self.refuse_delegated(ended.number);
         }
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -40,6 +40,9 @@
     pub(super) fn handle_pool(&mut self, descriptors: Vec<Descriptor>, revision: id::Revision) {
         let count = descriptors.len();
         let changed = self.state.pool.replace(descriptors, revision, self.now);
+        if changed {
+            self.find_replaced();
+        }
         if changed || !self.state.pool_loaded {
             self.log(
                 Entry::new(Kind::RunnerListed)
@@ -78,6 +81,7 @@
                     .build(&build)
                     .outcome(format!("{role}, {state}")),
             );
+            self.find_replaced();
         }
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,7 +13,7 @@
 use crate::cache_index::{self, HISTORY_TIMEOUT};
 use crate::call::Call;
 use crate::cap;
-use crate::crash::{Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
+use crate::crash::{Abandoned, Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
 use crate::event::Directory;
 use crate::id;
 use crate::leave::Leave;
@@ -230,7 +230,7 @@
     pub losses: HashMap<Instance, Loss>,
     /// What was given up a moment ago at runners that may still be at work on it: when last, and the suspects if
     /// they have crashed.
-    pub abandoned: HashMap<Instance, Loss>,
+    pub abandoned: HashMap<Instance, Abandoned>,
     /// Endpoints of which this VM reaches no runner, or none of a stage.
     pub unreached: BTreeSet<id::Endpoint>,
     /// Runners that are being probed, as they may be out of reach.
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -6,7 +6,7 @@
 
 use hornbeamtiller_relay::crash::{Crash, Evidence, Hold, Record, Report, Suspect, BEGIN_MARGIN};
 use hornbeamtiller_relay::decision_log::Kind;
-use hornbeamtiller_relay::event::{Dispatch, Effect, Event, Outcome, Presence};
+use hornbeamtiller_relay::event::{Decline, Dispatch, Effect, Event, Outcome, Presence};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
@@ -80,6 +80,97 @@
     }
 }
 
+/// Has an attempt lost whose runner still seems to listen; returns its process.
+fn lose_listening(harness: &mut Harness) -> Instance {
+    let run = generate(harness, &[FIRST, SECOND]);
+    let effects = harness.end_attempt(run.attempt, Outcome::Lost);
+    let instance = checks(&effects).remove(0);
+    let effects = report(harness, &instance, Presence::Listening);
+    assert_eq!(crashed(&effects), None);
+    instance
+}
+
+/// Guards against a process that is taken for alive as its listener ends after its connections.
+#[test]
+fn lost_attempt_listener_ends_later() {
+    let mut harness = Harness::new(1);
+    let instance = lose_listening(&mut harness);
+    let effects = harness.advance(ms(120));
+    assert_eq!(checks(&effects), std::slice::from_ref(&instance));
+    let effects = report(&mut harness, &instance, Presence::Refused);
+    assert_eq!(crashed(&effects), Some(vec![SECOND, FIRST]));
+}
+
+/// Guards against a process that is taken for alive as another one listens at its address.
+#[test]
+fn lost_attempt_address_taken_over() {
+    for is_renamed in [false, true] {
+        let mut harness = Harness::new(1);
+        let instance = lose_listening(&mut harness);
+        let known = harness.state.pool.get(&instance.runner).expect("a runner");
+        let mut descriptor = known.descriptor.clone();
+        descriptor.started_at_ms += 1;
+        descriptor.revision += 1;
+        if is_renamed {
+            descriptor.runner = "another".into();
+        }
+        harness.now += ms(800);
+        let effects = harness.apply(Event::RunnerUpdated { descriptor });
+        assert_eq!(crashed(&effects), Some(vec![SECOND, FIRST]));
+    }
+}
+
+#[test]
+fn lost_attempt_another_process_responds() {
+    let mut harness = Harness::new(1);
+    let mut runs: Vec<Dispatch> = (1..7).map(|part| generate(&mut harness, &[part])).collect();
+    let runner = runs[0].runner.clone();
+    runs.retain(|run| run.runner == runner);
+    let effects = harness.end_attempt(runs[0].attempt, Outcome::Lost);
+    report(&mut harness, &checks(&effects)[0], Presence::Listening);
+    let displaced = Outcome::Declined(Decline::Displaced);
+    let effects = harness.end_attempt(runs[1].attempt, displaced);
+    assert_eq!(crashed(&effects), Some(vec![1]));
+}
+
+/// A connection that breaks says nothing of a process that ends seconds later, or leaves as planned.
+#[test]
+fn lost_attempt_runner_ends_much_later() {
+    for leaves in [false, true] {
+        let mut harness = Harness::new(1);
+        let instance = lose_listening(&mut harness);
+        let runner = instance.runner.clone();
+        harness.now += ms(500);
+        report(&mut harness, &instance, Presence::Listening);
+        if leaves {
+            let revision = 20;
+            harness.apply(Event::RunnerRemoved { runner, revision });
+        } else {
+            let known = harness.state.pool.get_mut(&runner).expect("a runner");
+            known.last_seen_at = Some(harness.now);
+        }
+        harness.now += ms(2_000);
+        let effects = report(&mut harness, &instance, Presence::Refused);
+        assert_eq!(harness.state.counters.runners_crashed, 0, "{effects:?}");
+    }
+}
+
+/// A runner that goes on is not looked at for ever.
+#[test]
+fn lost_attempt_looks_are_bounded() {
+    let mut harness = Harness::new(1);
+    let instance = lose_listening(&mut harness);
+    let mut looks = 0;
+    for _ in 0..800 {
+        let effects = harness.advance(ms(15));
+        if checks(&effects).contains(&instance) {
+            looks += 1;
+            report(&mut harness, &instance, Presence::Listening);
+        }
+    }
+    assert_eq!((looks, harness.state.losses.len()), (4, 0));
+}
+
 fn lose_after(harness: &mut Harness, run: &Dispatch, time: Duration) -> Vec<Effect> {
     let attempt = run.attempt;
     harness.apply(Event::StreamStarted { attempt });
--- a/crates/relay/tests/crash_fleet.rs
+++ b/crates/relay/tests/crash_fleet.rs
@@ -182,7 +182,6 @@
 
 /// Guards against crashes that are taken for broken connections, as something listens for a moment more.
 #[test]
-#[ignore = "known red: issue 64"]
 fn fleet_listener_outlives_connections() {
     for time in [20, 80, 300] {
         CHECK.seeds("listener outlives", |seed| Play {
