relay: what is proven sound clears crashes, not what has gone on for 0.25 s

Cause: a response that had gone on for 0.25 s counted as sound. Its loss was no evidence, and it cleared all earlier crashes of its parts at all VMs; a trial that crashed its runner late released the part.

A request is sound once its response has ended or has gone on for 2 s. Until then its loss is looked into, and what it has is a weak suspect where it had gone on for a moment, or others have since: that counts only against what no VM knows to be sound, from five crashes and half of those of its time on, and not in the first 5 s of a process. Strong suspicion is judged as before, but crashes of what had begun before count as one within 0.3 s. VMs tell proven soundness and late suspects in fields of their own, which older releases don't read.

Tests changed as they held the fault for right: a loss 0.25 s after the first event is looked into (lost_attempt_gone_on_is_suspect; the bound is 2 s now, lost_attempt_sound_is_no_suspect), responses that clear end, and a trial releases at 2 s. In their place, as strict: trial_late_crash_keeps_part, part_once_sound_late_crashes_do_not_count.

--- a/crates/relay/src/crash/evidence.rs
+++ b/crates/relay/src/crash/evidence.rs
@@ -11,7 +11,7 @@
 
 /// Crashes at which a part or a request has to be suspect before it is quarantined.
 const CRASHES_MIN: u32 = 3;
-/// The same if responses went on before, or where what most others know may be missing.
+/// The same if responses had gone on for a moment, before or at these crashes, or where what most others know may be missing.
 const CRASHES_MIN_DOUBTFUL: u32 = 5;
 /// Share of the crashes of its time that a suspect has to explain; where runners crash for other reasons, each
 /// is there at a few of them.
@@ -25,6 +25,9 @@
 /// A request that was never responded to is at several runners at once only if it was sent again and again, so
 /// its crashes all count.
 const CRASH_SPACING: Duration = Duration::from_millis(100);
+/// The same for what responses had gone on to before: where several runners end within a second for other reasons, what
+/// is sent on from one to the next is at each of them.
+const CRASH_SPACING_BEGUN: Duration = Duration::from_millis(300);
 /// The time of a request begins this long before its first crash and ends as long after its last: a request is
 /// sent again within moments to where runners crash one after the other.
 const REQUEST_MARGIN: Duration = Duration::from_secs(1);
@@ -42,6 +45,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Mark {
     circumstance: Circumstance,
+    had_begun: bool,
     was_sound: bool,
 }
 
@@ -51,6 +55,17 @@
     suspects: BTreeMap<Feature, Mark>,
 }
 
+/// Whether a VM knows what others do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// It does.
+    Complete,
+    /// It has not run for long enough to know what is sound.
+    Learning,
+    /// It has only just started, or reaches less than half of the fleet.
+    Partial,
+}
+
 /// A part or a request that explains crashes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Culprit {
@@ -58,8 +73,8 @@
     pub feature: Feature,
     /// Crashes that it explains.
     pub crashes: u32,
-    /// Whether responses to requests with it had gone on before.
-    pub was_sound: bool,
+    /// Whether responses to requests with it had gone on for a moment before.
+    pub had_begun: bool,
     circumstance: Circumstance,
     /// The share of the crashes of its time that it explains.
     share: f64,
@@ -81,6 +96,15 @@
     }
 }
 
+impl Count {
+    fn less(self, other: Self) -> Self {
+        Self {
+            crashes: self.crashes.saturating_sub(other.crashes),
+            moments: self.moments.saturating_sub(other.moments),
+        }
+    }
+}
+
 impl fmt::Display for Count {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} crashes at {} moments", self.crashes, self.moments)
@@ -91,20 +115,42 @@
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
     crashes: BTreeMap<Instance, Observed>,
+    /// When responses last went on for a moment.
+    begun: Recent,
+    /// When requests were last known to be sound.
     sound: Recent,
 }
 
+/// When a request with a feature last showed that it is sound, or may be.
+#[derive(Debug, Clone, Copy)]
+struct Clearance {
+    begun_at: Option<Duration>,
+    sound_at: Option<Duration>,
+}
+
 impl Evidence {
     /// Whether a process is known to have crashed.
     pub fn has_crashed(&self, instance: &Instance) -> bool {
         self.crashes.contains_key(instance)
     }
 
-    /// When a response to a request with a feature last went on.
+    /// When a response to a request with a feature last went on for a moment.
+    pub fn begun_at(&self, feature: Feature) -> Option<Duration> {
+        self.begun.get(feature)
+    }
+
+    /// When a request with a feature was last known to be sound.
     pub fn sound_at(&self, feature: Feature) -> Option<Duration> {
         self.sound.get(feature)
     }
 
+    fn clearance(&self, feature: Feature) -> Clearance {
+        Clearance {
+            begun_at: self.begun.get(feature),
+            sound_at: self.sound.get(feature),
+        }
+    }
+
     /// Adds a crash, or what another VM knows of it; returns whether anything is new.
     pub fn merge(&mut self, crash: Crash, now: Duration) -> bool {
         let at = now.saturating_sub(crash.age);
@@ -150,48 +196,48 @@
 
     /// Whether a suspect was there at a crash that nothing has cleared it of.
     fn is_suspect(&self, feature: Feature) -> bool {
-        let sound_at = self.sound.get(feature);
+        let clearance = self.clearance(feature);
         let mut crashes = self.crashes.values();
-        crashes.any(|crash| crash.suspects(feature, sound_at))
+        crashes.any(|crash| crash.suspects(feature, clearance).is_some())
+    }
+
+    /// Records that a response to a request with a feature went on for a moment, so that it is less suspect. Returns the
+    /// crashes at which that makes it less suspect.
+    pub fn record_begun(&mut self, feature: Feature, at: Duration) -> Count {
+        let before = self.tally(feature).strong.total();
+        self.begun.insert(feature, at);
+        before.less(self.tally(feature).strong.total())
     }
 
-    /// Records that a response to a request with a feature went on; returns the crashes of which that clears it.
+    /// Records that a request with a feature is sound; returns the crashes of which that clears it.
     pub fn clear(&mut self, feature: Feature, at: Duration) -> Count {
         let before = self.count(feature);
+        self.begun.insert(feature, at);
         self.sound.insert(feature, at);
-        let after = self.count(feature);
-        Count {
-            crashes: before.crashes - after.crashes,
-            moments: before.moments - after.moments,
-        }
+        before.less(self.count(feature))
     }
 
     /// The crashes at which a feature was there and of which nothing has cleared it.
     pub fn count(&self, feature: Feature) -> Count {
-        let sound_at = self.sound.get(feature);
-        let crashes = self.crashes.values();
-        let mut times: Vec<Duration> = crashes
-            .filter(|crash| crash.suspects(feature, sound_at))
-            .map(|crash| crash.at)
-            .collect();
-        times.sort_unstable();
-        let mut candidate = Candidate::default();
-        for at in times {
-            candidate.count(at, Circumstance::default());
-        }
-        Count {
-            crashes: candidate.crashes,
-            moments: candidate.moments,
-        }
+        self.tally(feature).all.total()
+    }
+
+    /// The crashes at which a feature was there.
+    fn tally(&self, feature: Feature) -> Candidate {
+        let mut crashes: Vec<&Observed> = self.crashes.values().collect();
+        crashes.retain(|crash| crash.suspects.contains_key(&feature));
+        crashes.sort_by_key(|crash| crash.at);
+        let mut candidates = self.count_crashes(&crashes, |counted| counted == feature);
+        candidates.remove(&feature).unwrap_or_default()
     }
 
     /// The part or request that explains most of the crashes that nothing quarantined explains, if any explains
-    /// enough of them. `is_partial` is whether this VM may not know what is sound.
+    /// enough of them. `knowledge` is whether this VM knows what is sound.
     pub fn find_culprit(
         &self,
         now: Duration,
         is_quarantined: impl Fn(Feature) -> bool,
-        is_partial: bool,
+        knowledge: Knowledge,
     ) -> Option<Culprit> {
         let explanation = |crash: &Observed| {
             let mut explanations = crash.suspects.keys().copied();
@@ -210,33 +256,39 @@
         let unexplained = crashes.iter().filter(|(_, by)| by.is_none());
         let unexplained: Vec<&Observed> = unexplained.map(|(crash, _)| *crash).collect();
         let all: Vec<&Observed> = crashes.into_iter().map(|(crash, _)| crash).collect();
-        let candidates = self.count_crashes(&unexplained);
-        let of_parts = self.count_crashes(&all);
+        let candidates = self.count_crashes(&unexplained, |_| true);
+        let of_parts = self.count_crashes(&all, |feature| !feature.is_request());
         let culprits = candidates.into_iter().flat_map(|(feature, candidate)| {
             // Requests with a part that crashes runners come again too, each of which explains its own crashes.
-            let is_wider = !feature.is_request() && candidate.crashes >= UNEXPLAINED_MIN;
-            let wider = of_parts.get(&feature).filter(|_| is_wider).cloned();
-            let wider = wider.map(|wider| wider.into_culprit(feature, &all));
-            [Some(candidate.into_culprit(feature, &unexplained)), wider]
+            let is_wider = candidate.all.crashes() >= UNEXPLAINED_MIN;
+            let wider = of_parts.get(&feature).filter(|_| is_wider);
+            let own = candidate.culprit(feature, &unexplained, knowledge);
+            let wider = wider.and_then(|wider| wider.culprit(feature, &all, knowledge));
+            [own, wider]
         });
-        culprits
-            .flatten()
-            .filter(|culprit| culprit.is_certain(is_partial))
-            .max_by_key(Culprit::order)
+        culprits.flatten().max_by_key(Culprit::order)
     }
 
     /// What was there at these crashes, the earliest first, and nothing has cleared since.
-    fn count_crashes(&self, crashes: &[&Observed]) -> BTreeMap<Feature, Candidate> {
+    fn count_crashes(
+        &self,
+        crashes: &[&Observed],
+        is_counted: impl Fn(Feature) -> bool,
+    ) -> BTreeMap<Feature, Candidate> {
         let mut candidates: BTreeMap<Feature, Candidate> = BTreeMap::new();
         for crash in crashes {
             for (feature, mark) in &crash.suspects {
-                let sound_at = self.sound.get(*feature);
-                if !crash.suspects(*feature, sound_at) {
+                if !is_counted(*feature) {
                     continue;
                 }
+                let clearance = self.clearance(*feature);
+                let Some(suspicion) = crash.suspects(*feature, clearance) else {
+                    continue;
+                };
                 let candidate = candidates.entry(*feature).or_default();
-                candidate.was_sound |= mark.was_sound || sound_at.is_some();
-                candidate.count(crash.at, mark.circumstance);
+                candidate.had_begun |= mark.had_begun || clearance.begun_at.is_some();
+                candidate.was_sound |= mark.was_sound || clearance.sound_at.is_some();
+                candidate.count(crash.at, mark.circumstance, suspicion);
             }
         }
         candidates
@@ -248,6 +300,7 @@
         let suspects = observed.suspects.iter().map(|(feature, mark)| Suspect {
             feature: *feature,
             circumstance: mark.circumstance,
+            had_begun: mark.had_begun || self.begun.get(*feature).is_some(),
             was_sound: mark.was_sound || self.sound.get(*feature).is_some(),
         });
         let crash = Crash {
@@ -278,80 +331,153 @@
         }
         let mark = Mark {
             circumstance: suspect.circumstance,
+            had_begun: suspect.had_begun,
             was_sound: suspect.was_sound,
         };
         let known = self.suspects.entry(suspect.feature).or_insert(mark);
         let is_news = !is_known
             || known.circumstance.merge(suspect.circumstance)
+            || (suspect.had_begun && !known.had_begun)
             || (suspect.was_sound && !known.was_sound);
+        known.had_begun |= suspect.had_begun;
         known.was_sound |= suspect.was_sound;
         is_news
     }
 
-    /// Whether a suspect was there that no later response has cleared.
-    fn suspects(&self, feature: Feature, sound_at: Option<Duration>) -> bool {
-        let is_there = self.suspects.contains_key(&feature);
-        is_there && sound_at.is_none_or(|sound_at| sound_at < self.at)
+    /// How suspect something is that was there, unless a sound request has cleared it since.
+    fn suspects(&self, feature: Feature, clearance: Clearance) -> Option<Suspicion> {
+        let mark = self.suspects.get(&feature)?;
+        let is_before = |at: Option<Duration>| at.is_none_or(|at| at < self.at);
+        let is_strong = !mark.circumstance.is_late && is_before(clearance.begun_at);
+        is_before(clearance.sound_at).then_some(match is_strong {
+            true => Suspicion::Strong,
+            false => Suspicion::Weak,
+        })
     }
 }
 
-/// What was there at crashes.
+/// How suspect something is that was there at a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Suspicion {
+    /// The response had only just begun, if at all, and none has gone on since.
+    Strong,
+    /// It had gone on for a moment, or another one has since. That counts against what was never sound.
+    Weak,
+}
+
+/// Crashes at which something was there, the earliest first.
 #[derive(Debug, Clone, Default)]
-struct Candidate {
-    /// Crashes at which it was there.
-    crashes: u32,
-    /// The same, of which those that follow each other closely count as one.
-    moments: u32,
-    counted_at: Duration,
-    first_at: Duration,
-    last_at: Duration,
-    was_sound: bool,
+struct Tally {
+    times: Vec<Duration>,
     position: u32,
     /// The longest time that a runner had had it before it crashed.
     held: Duration,
 }
 
-impl Candidate {
+impl Tally {
     fn count(&mut self, at: Duration, circumstance: Circumstance) {
-        if self.crashes == 0 {
-            self.first_at = at;
-        }
-        self.crashes += 1;
-        self.last_at = at;
-        if self.moments == 0 || self.counted_at + CRASH_SPACING <= at {
-            self.moments += 1;
-            self.counted_at = at;
-        }
+        self.times.push(at);
         self.position = self.position.max(circumstance.position);
         self.held = self.held.max(circumstance.held);
     }
 
+    fn crashes(&self) -> u32 {
+        self.times.len() as u32
+    }
+
+    /// Number of crashes, of which those that are closer to the one counted before count as one.
+    fn moments(&self, spacing: Duration) -> u32 {
+        let mut moments = 0;
+        let mut next_at = Duration::ZERO;
+        for at in &self.times {
+            if moments == 0 || next_at <= *at {
+                moments += 1;
+                next_at = *at + spacing;
+            }
+        }
+        moments
+    }
+
+    fn total(&self) -> Count {
+        Count {
+            crashes: self.crashes(),
+            moments: self.moments(CRASH_SPACING),
+        }
+    }
+
     /// The share of the crashes of its time at which it was there.
     fn share(&self, crashes: &[&Observed], margin: Duration) -> f64 {
-        let time = self.first_at.saturating_sub(margin)..=self.last_at + margin;
+        let (Some(first_at), Some(last_at)) = (self.times.first(), self.times.last()) else {
+            return 0.0;
+        };
+        let time = first_at.saturating_sub(margin)..=*last_at + margin;
         let all = crashes.iter().filter(|crash| time.contains(&crash.at));
-        f64::from(self.crashes) / all.count().max(1) as f64
+        f64::from(self.crashes()) / all.count().max(1) as f64
     }
+}
 
-    fn into_culprit(self, feature: Feature, crashes: &[&Observed]) -> Culprit {
+/// What was there at crashes.
+#[derive(Debug, Clone, Default)]
+struct Candidate {
+    had_begun: bool,
+    was_sound: bool,
+    /// The crashes at which it was strongly suspect.
+    strong: Tally,
+    /// All of them.
+    all: Tally,
+}
+
+impl Candidate {
+    fn count(&mut self, at: Duration, circumstance: Circumstance, suspicion: Suspicion) {
+        self.all.count(at, circumstance);
+        if suspicion == Suspicion::Strong {
+            self.strong.count(at, circumstance);
+        }
+    }
+
+    /// What it is found to explain, if that is enough: by strong suspicion, or by any if it was never sound.
+    fn culprit(
+        &self,
+        feature: Feature,
+        crashes: &[&Observed],
+        knowledge: Knowledge,
+    ) -> Option<Culprit> {
+        let strong = self.describe(&self.strong, self.had_begun, feature, crashes);
+        if strong.is_certain(knowledge != Knowledge::Complete) {
+            return Some(strong);
+        }
+        let any = self.describe(&self.all, false, feature, crashes);
+        let is_certain = any.crashes >= CRASHES_MIN_DOUBTFUL && any.share >= SHARE_MIN;
+        let may_be_sound = self.was_sound || knowledge == Knowledge::Partial;
+        (is_certain && !may_be_sound).then_some(any)
+    }
+
+    fn describe(
+        &self,
+        tally: &Tally,
+        had_begun: bool,
+        feature: Feature,
+        crashes: &[&Observed],
+    ) -> Culprit {
         let margin = match feature {
             Feature::Part(_) => Duration::ZERO,
             Feature::Request(_) => REQUEST_MARGIN,
         };
-        let all_count = feature.is_request() && !self.was_sound;
+        let crashes_counted = match (feature.is_request(), had_begun) {
+            (true, false) => tally.crashes(),
+            (false, false) => tally.moments(CRASH_SPACING),
+            (_, true) => tally.moments(CRASH_SPACING_BEGUN),
+        };
         Culprit {
             feature,
-            crashes: if all_count {
-                self.crashes
-            } else {
-                self.moments
-            },
-            was_sound: self.was_sound,
+            crashes: crashes_counted,
+            had_begun,
             circumstance: Circumstance {
-                position: self.position,
-                held: self.held,
+                position: tally.position,
+                held: tally.held,
+                is_late: false,
             },
-            share: self.share(crashes, margin),
+            share: tally.share(crashes, margin),
         }
     }
 }
@@ -360,15 +486,15 @@
     /// The likelier of two culprits has the higher order: what explains more, a request before a part that it
     /// has, of requests the one that runners had had the shortest, of parts the later one.
     fn order(&self) -> impl Ord {
-        let Circumstance { position, held } = self.circumstance;
+        let Circumstance { position, held, .. } = self.circumstance;
         let is_request = self.feature.is_request();
         let shortest = Reverse(if is_request { held } else { Duration::ZERO });
-        let clearness = (!self.was_sound, self.crashes, is_request);
+        let clearness = (!self.had_begun, self.crashes, is_request);
         (clearness, shortest, position, self.feature)
     }
 
     fn is_certain(&self, is_partial: bool) -> bool {
-        let min = match (self.was_sound, is_partial) {
+        let min = match (self.had_begun, is_partial) {
             (false, false) => CRASHES_MIN,
             (true, false) | (false, true) => CRASHES_MIN_DOUBTFUL,
             (true, true) => return false,
--- a/crates/relay/src/crash/loss.rs
+++ b/crates/relay/src/crash/loss.rs
@@ -6,6 +6,9 @@
 
 use super::{Circumstance, Feature};
 
+/// What may have crashed a runner, and how the runner had it.
+pub type Suspects = BTreeMap<Feature, Circumstance>;
+
 /// When it is looked again whether a process has ended, since the loss. A system closes the connections and the listener of
 /// a process one after the other.
 const LOOKS_AFTER: [Duration; 4] = [
@@ -29,7 +32,7 @@
     /// Where the runner listened.
     pub address: SocketAddr,
     /// What may have crashed the runner, if it has crashed.
-    pub suspects: BTreeMap<Feature, Circumstance>,
+    pub suspects: Suspects,
     /// Number of looks that have found something listening, or nothing.
     looks: usize,
     /// Whether a look is in progress.
@@ -42,7 +45,7 @@
         Self {
             at,
             address,
-            suspects: BTreeMap::new(),
+            suspects: Suspects::new(),
             looks: 0,
             is_looking: true,
         }
@@ -54,7 +57,7 @@
     }
 
     /// Adds the suspects of another request.
-    pub fn add(&mut self, suspects: BTreeMap<Feature, Circumstance>) {
+    pub fn add(&mut self, suspects: Suspects) {
         merge(&mut self.suspects, suspects);
     }
 
@@ -91,18 +94,18 @@
     /// When the latest attempt was given up.
     pub at: Duration,
     /// What may have crashed the runner, if it has crashed.
-    pub suspects: BTreeMap<Feature, Circumstance>,
+    pub suspects: Suspects,
 }
 
 impl Abandoned {
     /// Adds the suspects of another request that was given up.
-    pub fn add(&mut self, at: Duration, suspects: BTreeMap<Feature, Circumstance>) {
+    pub fn add(&mut self, at: Duration, suspects: Suspects) {
         self.at = at;
         merge(&mut self.suspects, suspects);
     }
 }
 
-fn merge(known: &mut BTreeMap<Feature, Circumstance>, more: BTreeMap<Feature, Circumstance>) {
+fn merge(known: &mut Suspects, more: Suspects) {
     for (feature, circumstance) in more {
         let known = known.entry(feature).or_insert(circumstance);
         known.merge(circumstance);
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -19,14 +19,17 @@
 
 use crate::pool::Instance;
 
-pub use evidence::{Count, Culprit, Evidence};
+pub use evidence::{Count, Culprit, Evidence, Knowledge};
 pub use feature::{shared_parts, Feature};
-pub use loss::{Abandoned, Loss};
+pub use loss::{Abandoned, Loss, Suspects};
 pub use quarantine::Quarantine;
 pub use recent::Recent;
 
-/// How long a response has to go on after its first event before its request is not suspect any more.
+/// How long a response has to go on after its first event before its request is less suspect, if a runner crashes.
 pub const BEGIN_MARGIN: Duration = Duration::from_millis(250);
+/// How long it has to go on, if it does not end before, to show that its request is sound. A clear hides all earlier crashes,
+/// so it must not come before the crash of a runner that takes a moment to end.
+pub const SOUND_TIME: Duration = Duration::from_secs(2);
 /// Crashes at the beginning of its response after which a call is sent to no other runner.
 pub const CRASHES_PER_CALL_MAX: usize = 2;
 
@@ -40,6 +43,8 @@
     pub position: u32,
     /// How long it had had the latest such request.
     pub held: Duration,
+    /// Whether the responses to all such requests had gone on for a moment.
+    pub is_late: bool,
 }
 
 impl Circumstance {
@@ -48,6 +53,7 @@
         let merged = Self {
             position: self.position.max(other.position),
             held: self.held.min(other.held),
+            is_late: self.is_late && other.is_late,
         };
         std::mem::replace(self, merged) != merged
     }
@@ -60,7 +66,9 @@
     pub feature: Feature,
     /// How the runner had it.
     pub circumstance: Circumstance,
-    /// Whether responses to requests with it had gone on before.
+    /// Whether responses to requests with it had gone on for a moment before.
+    pub had_begun: bool,
+    /// Whether a request with it is known to have been sound.
     pub was_sound: bool,
 }
 
@@ -80,7 +88,9 @@
 pub struct Record {
     /// What it is.
     pub feature: Feature,
-    /// How long ago a response to a request with it last went on.
+    /// How long ago a response to a request with it last went on for a moment.
+    pub begun_age: Option<Duration>,
+    /// How long ago a request with it was last known to be sound.
     pub sound_age: Option<Duration>,
     /// Its quarantine, if it ever was in one.
     pub hold: Option<Hold>,
@@ -95,8 +105,8 @@
     pub is_active: bool,
     /// How long ago this generation began.
     pub age: Duration,
-    /// Whether responses to requests with it had gone on before.
-    pub was_sound: bool,
+    /// Whether responses to requests with it had gone on for a moment before.
+    pub had_begun: bool,
 }
 
 /// Crashes, parts and requests, as told to other VMs.
--- a/crates/relay/src/crash/quarantine.rs
+++ b/crates/relay/src/crash/quarantine.rs
@@ -6,12 +6,12 @@
 use super::{Feature, Hold};
 use crate::allocation::hash;
 
-/// Time until a request is let through after what responses went on to before is quarantined.
+/// Time until a request is let through after what responses had gone on to before is quarantined.
 const TRIAL_AFTER_FIRST: Duration = Duration::from_secs(3);
 /// How much longer that time is with each generation.
 const TRIAL_FACTOR: u32 = 4;
 /// Generations by which what no response ever went on to is ahead.
-const NEVER_SOUND_LEAD: u32 = 2;
+const NEVER_BEGUN_LEAD: u32 = 2;
 /// Longest time between two requests that are let through.
 const TRIAL_AFTER_MAX: Duration = Duration::from_secs(3_600);
 /// Maximum number of parts and requests; those that were quarantined the longest ago are forgotten.
@@ -22,7 +22,7 @@
     generation: u32,
     is_active: bool,
     since: Duration,
-    was_sound: bool,
+    had_begun: bool,
 }
 
 impl Entry {
@@ -33,7 +33,7 @@
 
     /// Time between its quarantine, or the last request that was let through, and the next one.
     fn trial_after(&self) -> Duration {
-        let lead = if self.was_sound { 0 } else { NEVER_SOUND_LEAD };
+        let lead = if self.had_begun { 0 } else { NEVER_BEGUN_LEAD };
         let steps = self.generation.saturating_sub(1).saturating_add(lead);
         let factor = TRIAL_FACTOR.saturating_pow(steps);
         TRIAL_AFTER_FIRST
@@ -86,12 +86,12 @@
     }
 
     /// Quarantines a part or a request.
-    pub fn hold(&mut self, feature: Feature, was_sound: bool, now: Duration) {
+    pub fn hold(&mut self, feature: Feature, had_begun: bool, now: Duration) {
         let entry = Entry {
             generation: self.generation(feature) + 1,
             is_active: true,
             since: now,
-            was_sound,
+            had_begun,
         };
         self.entries.insert(feature, entry);
         if self.entries.len() > FEATURES_MAX {
@@ -119,7 +119,7 @@
             generation: hold.generation,
             is_active: hold.is_active,
             since: now.saturating_sub(hold.age),
-            was_sound: hold.was_sound,
+            had_begun: hold.had_begun,
         };
         let known = self.entries.get(&feature);
         if known.is_some_and(|known| known.order() >= entry.order()) {
@@ -151,7 +151,7 @@
             generation: entry.generation,
             is_active: entry.is_active,
             age: now.saturating_sub(entry.since),
-            was_sound: entry.was_sound,
+            had_begun: entry.had_begun,
         })
     }
 
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -1,12 +1,12 @@
 //! Crashes of runners: what was lost with them, and what other VMs know. See [`crate::crash`].
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::crash::{
-    Abandoned, Circumstance, Crash, Feature, Loss, Record, Report, Suspect, ABANDONED_TIME,
-    CRASHES_PER_CALL_MAX,
+    Abandoned, Circumstance, Count, Crash, Feature, Loss, Record, Report, Suspect, Suspects,
+    ABANDONED_TIME, CRASHES_PER_CALL_MAX,
 };
 use crate::decision_log::{Entry, Kind};
 use crate::event::{Effect, Presence};
@@ -37,15 +37,21 @@
 }
 
 impl Reducer<'_> {
-    /// Records an event of an attempt. Once its response has gone on for a moment, its request is sound.
+    /// Records an event of an attempt. Once its response has gone on for long, its request is sound.
     pub(super) fn record_progress(&mut self, number: id::Call, attempt: id::Attempt) {
         let now = self.now;
         let Some(in_flight) = self.state.in_flight.get_mut(&attempt) else {
             return;
         };
         in_flight.begun_at.get_or_insert(now);
-        if in_flight.has_gone_on(now) && !std::mem::replace(&mut in_flight.is_sound, true) {
+        let has_begun =
+            in_flight.has_gone_on(now) && !std::mem::replace(&mut in_flight.has_begun, true);
+        let is_sound =
+            in_flight.shows_soundness(now) && !std::mem::replace(&mut in_flight.is_sound, true);
+        if is_sound {
             self.clear_features(number);
+        } else if has_begun {
+            self.record_begun(number);
         }
     }
 
@@ -53,7 +59,7 @@
     pub(super) fn record_loss(&mut self, ended: &EndedAttempt) {
         let in_flight = &ended.in_flight;
         let instance = &in_flight.instance;
-        let verdict = if in_flight.has_gone_on(self.now) {
+        let verdict = if in_flight.shows_soundness(self.now) {
             "response went on"
         } else if self.serving_address(instance).is_none() {
             "not listed as ready"
@@ -68,7 +74,7 @@
                 .outcome(verdict)
                 .age(self.now.saturating_sub(in_flight.sent_at)),
         );
-        if in_flight.has_gone_on(self.now) || self.serving_address(instance).is_none() {
+        if in_flight.shows_soundness(self.now) || self.serving_address(instance).is_none() {
             return;
         }
         let Some(suspects) = self.find_suspects(ended.number, in_flight) else {
@@ -84,7 +90,7 @@
     /// it has ended.
     pub(super) fn record_unreached(&mut self, instance: &Instance) {
         if self.state.abandoned.contains_key(instance) {
-            self.check_after_loss(instance, BTreeMap::new());
+            self.check_after_loss(instance, Suspects::new());
         }
     }
 
@@ -94,7 +100,7 @@
         let Some(in_flight) = self.state.in_flight.get(&attempt) else {
             return;
         };
-        if in_flight.has_gone_on(now) {
+        if in_flight.shows_soundness(now) {
             return;
         }
         let Some(suspects) = self.find_suspects(number, in_flight) else {
@@ -104,25 +110,26 @@
         let abandoned = self.state.abandoned.entry(instance);
         let abandoned = abandoned.or_insert_with(|| Abandoned {
             at: now,
-            suspects: BTreeMap::new(),
+            suspects: Suspects::new(),
         });
         abandoned.add(now, suspects);
     }
 
     /// What of a call may have crashed its runner.
-    fn find_suspects(
-        &self,
-        number: id::Call,
-        in_flight: &InFlight,
-    ) -> Option<BTreeMap<Feature, Circumstance>> {
+    fn find_suspects(&self, number: id::Call, in_flight: &InFlight) -> Option<Suspects> {
         let call = self.state.calls.get(&number)?;
         let held = self.now.saturating_sub(in_flight.sent_at);
-        let circumstances = (0..).map(|position| Circumstance { position, held });
+        let is_late = in_flight.has_gone_on(self.now);
+        let circumstances = (0..).map(|position| Circumstance {
+            position,
+            held,
+            is_late,
+        });
         Some(call.features().zip(circumstances).collect())
     }
 
     /// Checks whether a runner has ended, with these suspects and what was given up there a moment ago.
-    fn check_after_loss(&mut self, instance: &Instance, suspects: BTreeMap<Feature, Circumstance>) {
+    fn check_after_loss(&mut self, instance: &Instance, suspects: Suspects) {
         let Some(address) = self.serving_address(instance) else {
             return;
         };
@@ -229,6 +236,7 @@
         let suspects = loss.suspects.iter().map(|(feature, circumstance)| Suspect {
             feature: *feature,
             circumstance: *circumstance,
+            had_begun: evidence.begun_at(*feature).is_some(),
             was_sound: evidence.sound_at(*feature).is_some(),
         });
         let crash = Crash {
@@ -242,7 +250,7 @@
     }
 
     /// What is known of the suspects of a crash, as text: the crashes of each.
-    fn summarize_suspects(&self, suspects: &BTreeMap<Feature, Circumstance>) -> String {
+    fn summarize_suspects(&self, suspects: &Suspects) -> String {
         let shown = suspects.keys().take(SUSPECTS_SHOWN_MAX);
         let counts = shown.map(|feature| {
             let count = self.state.evidence.count(*feature);
@@ -327,16 +335,20 @@
     fn merge_record(&mut self, record: Record) {
         let now = self.now;
         let feature = record.feature;
-        if let Some(age) = record.sound_age {
-            let sound_at = now.saturating_sub(age);
-            let cleared = self.state.evidence.clear(feature, sound_at);
-            if !cleared.is_zero() {
-                let entry = Entry::new(Kind::SuspectCleared)
-                    .features([feature])
-                    .age(age);
-                self.log(entry.outcome(format!("told by a peer, of {cleared}")));
-                self.state.untold.features.insert(feature);
+        let evidence = &mut self.state.evidence;
+        let begun = record.begun_age;
+        let begun = begun.map(|age| (age, evidence.record_begun(feature, now.saturating_sub(age))));
+        let sound = record.sound_age;
+        let sound = sound.map(|age| (age, evidence.clear(feature, now.saturating_sub(age))));
+        for (age, cleared) in [begun, sound].into_iter().flatten() {
+            if cleared.is_zero() {
+                continue;
             }
+            let entry = Entry::new(Kind::SuspectCleared)
+                .features([feature])
+                .age(age);
+            self.log(entry.outcome(format!("told by a peer, of {cleared}")));
+            self.state.untold.features.insert(feature);
         }
         let Some(hold) = record.hold else {
             return;
@@ -394,10 +406,12 @@
     }
 
     fn describe_feature(&self, feature: Feature) -> Record {
-        let sound_at = self.state.evidence.sound_at(feature);
+        let evidence = &self.state.evidence;
+        let age = |at: Option<Duration>| at.map(|at| self.now.saturating_sub(at));
         Record {
             feature,
-            sound_age: sound_at.map(|at| self.now.saturating_sub(at)),
+            begun_age: age(evidence.begun_at(feature)),
+            sound_age: age(evidence.sound_at(feature)),
             hold: self.state.quarantine.describe(feature, self.now),
         }
     }
@@ -416,34 +430,58 @@
         let report = Report {
             crashes,
             features: records
-                .filter(|record| record.sound_age.is_some() || record.hold.is_some())
+                .filter(|record| record.begun_age.is_some() || record.hold.is_some())
                 .collect(),
         };
         (!report.is_empty()).then_some(report)
     }
 
-    /// Records that the response to a call went on, which clears what it has.
+    /// Records that the response to a call has gone on for a moment.
+    fn record_begun(&mut self, number: id::Call) {
+        let now = self.now;
+        for (id, feature) in self.features_of(number) {
+            let cleared = self.state.evidence.record_begun(feature, now);
+            self.log_cleared(&id, feature, cleared);
+            let was_sound = self.state.evidence.sound_at(feature).is_some();
+            if was_sound {
+                self.release(&id, feature);
+            }
+        }
+    }
+
+    /// Records that a call is sound, which clears what it has.
     pub(super) fn clear_features(&mut self, number: id::Call) {
-        let Some(call) = self.state.calls.get(&number) else {
-            return;
-        };
-        let (parts, fingerprint, now) = (call.parts.clone(), call.fingerprint, self.now);
-        let id = call.id.clone();
-        for feature in Feature::of(&parts, fingerprint) {
+        let now = self.now;
+        for (id, feature) in self.features_of(number) {
             let cleared = self.state.evidence.clear(feature, now);
-            let mut is_news = !cleared.is_zero();
-            if is_news {
-                let entry = Entry::new(Kind::SuspectCleared).request(&id);
-                let entry = entry.features([feature]);
-                self.log(entry.outcome(format!("a response went on, of {cleared}")));
-            }
-            if self.state.quarantine.release(feature) {
-                self.log_release(feature, &format!("a response to {id} went on"));
-                is_news = true;
-            }
-            if is_news {
-                self.state.untold.features.insert(feature);
-            }
+            self.log_cleared(&id, feature, cleared);
+            self.release(&id, feature);
+        }
+    }
+
+    /// What a call has, each with the id of its request.
+    fn features_of(&self, number: id::Call) -> Vec<(Arc<str>, Feature)> {
+        let call = self.state.calls.get(&number).into_iter();
+        call.flat_map(|call| call.features().map(|feature| (call.id.clone(), feature)))
+            .collect()
+    }
+
+    fn log_cleared(&mut self, id: &Arc<str>, feature: Feature, cleared: Count) {
+        if cleared.is_zero() {
+            return;
+        }
+        let entry = Entry::new(Kind::SuspectCleared)
+            .request(id)
+            .features([feature]);
+        self.log(entry.outcome(format!("a response went on, of {cleared}")));
+        self.state.untold.features.insert(feature);
+    }
+
+    /// Ends the quarantine of what a sound request has.
+    fn release(&mut self, id: &Arc<str>, feature: Feature) {
+        if self.state.quarantine.release(feature) {
+            self.log_release(feature, &format!("a response to {id} went on"));
+            self.state.untold.features.insert(feature);
         }
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,7 +13,7 @@
 use crate::cache_index::{self, HISTORY_TIMEOUT};
 use crate::call::Call;
 use crate::cap;
-use crate::crash::{Abandoned, Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN};
+use crate::crash::{Abandoned, Evidence, Feature, Loss, Quarantine, BEGIN_MARGIN, SOUND_TIME};
 use crate::event::Directory;
 use crate::id;
 use crate::leave::Leave;
@@ -158,7 +158,9 @@
     pub sent_at: Duration,
     /// When the first event of its stream was received.
     pub begun_at: Option<Duration>,
-    /// Whether its prompt has been recorded as sound, since its response went on for a moment.
+    /// Whether it has been recorded that its response went on for a moment.
+    pub has_begun: bool,
+    /// Whether its request has been recorded as sound, since its response went on.
     pub is_sound: bool,
     /// Whether another VM runs it.
     pub is_delegated: bool,
@@ -176,6 +178,7 @@
             instance,
             sent_at: now,
             begun_at: None,
+            has_begun: false,
             is_sound: false,
             is_delegated: false,
             queued_tokens: 0,
@@ -187,6 +190,11 @@
     pub fn has_gone_on(&self, now: Duration) -> bool {
         self.begun_at.is_some_and(|at| at + BEGIN_MARGIN <= now)
     }
+
+    /// Whether its response has gone on for long enough to show that its request is sound.
+    pub fn shows_soundness(&self, now: Duration) -> bool {
+        self.begun_at.is_some_and(|at| at + SOUND_TIME <= now)
+    }
 }
 
 /// The complete state of one process.
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_relay::crash::{Crash, Evidence, Hold, Record, Report, Suspect, BEGIN_MARGIN};
+use hornbeamtiller_relay::crash::{
+    Crash, Evidence, Hold, Knowledge, Record, Report, Suspect, BEGIN_MARGIN, SOUND_TIME,
+};
 use hornbeamtiller_relay::decision_log::Kind;
 use hornbeamtiller_relay::event::{Decline, Dispatch, Effect, Event, Outcome, Presence};
 use hornbeamtiller_relay::id;
@@ -188,14 +190,66 @@
     assert_eq!(checks(&effects).len(), 1);
 }
 
+/// The runner may have taken a moment to end.
 #[test]
-fn lost_attempt_begun_is_no_suspect() {
+fn lost_attempt_gone_on_is_suspect() {
     let mut harness = Harness::new(1);
     let run = generate(&mut harness, &[FIRST]);
-    let effects = lose_after(&mut harness, &run, BEGIN_MARGIN);
+    let effects = lose_after(&mut harness, &run, SOUND_TIME - ms(1));
+    assert_eq!(checks(&effects).len(), 1);
+}
+
+#[test]
+fn lost_attempt_sound_is_no_suspect() {
+    let mut harness = Harness::new(1);
+    let run = generate(&mut harness, &[FIRST]);
+    let effects = lose_after(&mut harness, &run, SOUND_TIME);
     assert!(checks(&effects).is_empty());
 }
 
+/// Has a runner crash some time after its response to a request with these shared parts has begun.
+fn crash_late(harness: &mut Harness, shared: &[id::Part]) {
+    let run = generate(harness, shared);
+    let attempt = run.attempt;
+    harness.apply(Event::StreamStarted { attempt });
+    harness.stream_event(attempt, 1);
+    harness.now += BEGIN_MARGIN;
+    harness.stream_event(attempt, 2);
+    crash_run(harness, &run);
+}
+
+/// Guards against crashes some time after the first event that clear the part which caused them.
+#[test]
+fn crashing_part_late_is_quarantined() {
+    let mut harness = Harness::new(1);
+    for second in 1..6 {
+        assert!(!is_held(&harness, SECOND));
+        crash_late(&mut harness, &[FIRST, SECOND, 0x100 + second]);
+    }
+    assert!(is_held(&harness, SECOND));
+}
+
+/// What was sound is in the middle of a response wherever a runner ends for another reason.
+#[test]
+fn part_once_sound_late_crashes_do_not_count() {
+    let mut harness = Harness::new(1);
+    respond(&mut harness, &[FIRST, SECOND]);
+    for second in 1..9 {
+        crash_late(&mut harness, &[FIRST, SECOND, 0x100 + second]);
+    }
+    assert!(!is_held(&harness, FIRST) && !is_held(&harness, SECOND));
+}
+
+/// A response that goes on for a moment releases nothing that was never sound.
+#[test]
+fn trial_late_crash_keeps_part() {
+    let mut harness = Harness::new(1);
+    quarantine(&mut harness, &[FIRST, SECOND]);
+    harness.advance(ms(49_000));
+    crash_late(&mut harness, &[FIRST, SECOND]);
+    assert!(is_held(&harness, SECOND));
+}
+
 /// The last part belongs to the request alone: a runner has ended, but no part is suspect.
 #[test]
 fn lost_attempt_without_shared_parts() {
@@ -318,14 +372,15 @@
     harness.state.quarantine.holds(part.into())
 }
 
-/// Delivers a request with these shared parts, and lets its response go on for a moment.
+/// Delivers a request with these shared parts, and lets its response go on and end.
 fn respond(harness: &mut Harness, shared: &[id::Part]) {
     let run = generate(harness, shared);
     let attempt = run.attempt;
     harness.apply(Event::StreamStarted { attempt });
     harness.stream_event(attempt, 1);
-    harness.now += BEGIN_MARGIN;
+    harness.now += SOUND_TIME;
     harness.stream_event(attempt, 2);
+    harness.end_attempt(attempt, Outcome::Ended);
 }
 
 /// Of parts that are always together, the later one is taken for the cause, and only that.
@@ -378,6 +433,7 @@
     let suspect = Suspect {
         feature: SECOND.into(),
         circumstance: support::circumstance(1),
+        had_begun: false,
         was_sound: false,
     };
     let crash = |runner: u64, millis: u64| Crash {
@@ -481,7 +537,7 @@
     harness.apply(Event::StreamStarted { attempt });
     harness.stream_event(attempt, 1);
     assert!(is_held(&harness, SECOND));
-    harness.now += BEGIN_MARGIN;
+    harness.now += SOUND_TIME;
     harness.stream_event(attempt, 2);
     assert!(!is_held(&harness, SECOND));
 }
@@ -586,11 +642,13 @@
             .map(|part| Suspect {
                 feature: (number * 2_000 + part).into(),
                 circumstance: support::circumstance(0),
+                had_begun: false,
                 was_sound: false,
             })
             .chain([Suspect {
                 feature: SECOND.into(),
                 circumstance: support::circumstance(2_000),
+                had_begun: false,
                 was_sound: false,
             }])
             .collect(),
@@ -602,7 +660,7 @@
     assert!(told.len() <= 32);
     assert!(told.iter().all(|crash| crash.suspects.len() <= 512));
     // The part that was there each time is found among thousands of others.
-    let culprit = evidence.find_culprit(ms(60_000), |_| false, false);
+    let culprit = evidence.find_culprit(ms(60_000), |_| false, Knowledge::Complete);
     assert_eq!(culprit.map(|culprit| culprit.feature), Some(SECOND.into()));
 }
 
@@ -624,13 +682,14 @@
         generation: 1,
         is_active: true,
         age: Duration::ZERO,
-        was_sound: false,
+        had_begun: false,
     };
     let mut told = support::view(support::member("vm-2", 2, 1), false);
     told.crashes = Some(Report {
         crashes: Vec::new(),
         features: vec![Record {
             feature: SECOND.into(),
+            begun_age: None,
             sound_age: None,
             hold: Some(hold),
         }],
--- a/crates/relay/tests/crash_fleet.rs
+++ b/crates/relay/tests/crash_fleet.rs
@@ -194,7 +194,6 @@
 
 /// Guards against crashes some time after the first event that clear the part which caused them.
 #[test]
-#[ignore = "known red: issue 64"]
 fn fleet_late_crashes() {
     for time in [300, 400, 700] {
         CHECK.seeds("late crashes", |seed| Play {
--- a/crates/relay/tests/crash_request.rs
+++ b/crates/relay/tests/crash_request.rs
@@ -184,13 +184,14 @@
         generation: 1,
         is_active: true,
         age: ms(0),
-        was_sound: false,
+        had_begun: false,
     };
     let mut told = support::view(support::member("vm-2", 2, 1), false);
     told.crashes = Some(Report {
         crashes: Vec::new(),
         features: vec![Record {
             feature: Feature::Request(CRASHING),
+            begun_age: None,
             sound_age: None,
             hold: Some(hold),
         }],
--- a/crates/relay/tests/delegate.rs
+++ b/crates/relay/tests/delegate.rs
@@ -91,6 +91,7 @@
         let suspect = Suspect {
             feature: Feature::Request(7),
             circumstance: support::circumstance(0),
+            had_begun: false,
             was_sound: false,
         };
         let crash = Crash {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -450,6 +450,7 @@
     Circumstance {
         position,
         held: Duration::ZERO,
+        is_late: false,
     }
 }
 
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -151,6 +151,8 @@
   # Whether it is the fingerprint of a request.
   heldMillis @4 :UInt32;
   # How long the runner had had it.
+  wasProven @5 :Bool;
+  # Whether a request with it is known to be sound.
 }
 
 struct Crash {
@@ -159,13 +161,15 @@
   born @1 :UInt64;
   ageMillis @2 :UInt32;
   suspects @3 :List(Suspect);
+  lateSuspects @4 :List(Suspect);
+  # The same, where the responses had gone on for a moment.
 }
 
 struct Part {
   # What is known of a part of prompts, or of a request.
   part @0 :UInt64;
   isSound @1 :Bool;
-  # Whether a response to a prompt with it went on.
+  # Whether a response to a prompt with it went on for a moment.
   soundMillis @2 :UInt32;
   # How long ago.
   generation @3 :UInt32;
@@ -175,6 +179,10 @@
   wasSound @6 :Bool;
   isRequest @7 :Bool;
   # Whether it is the fingerprint of a request.
+  isProven @8 :Bool;
+  # Whether a request with it is known to be sound: its response ended, or went on for long.
+  provenMillis @9 :UInt32;
+  # How long ago.
 }
 
 enum Urgency {
--- a/crates/wire/src/crash.rs
+++ b/crates/wire/src/crash.rs
@@ -28,15 +28,26 @@
     out.set_runner(&*crash.instance.runner);
     out.set_born(crash.instance.started_at_ms);
     out.set_age_millis(millis(crash.age));
-    let mut suspects = out.init_suspects(crash.suspects.len() as u32);
-    for (index, suspect) in crash.suspects.iter().enumerate() {
-        let mut out = suspects.reborrow().get(index as u32);
+    // VMs of older releases don't read what is late, as they would take it for as suspect as the others.
+    let is_late = |suspect: &&Suspect| suspect.circumstance.is_late;
+    let (late, early): (Vec<&Suspect>, Vec<&Suspect>) = crash.suspects.iter().partition(is_late);
+    write_suspects(&early, out.reborrow().init_suspects(early.len() as u32));
+    write_suspects(&late, out.init_late_suspects(late.len() as u32));
+}
+
+fn write_suspects(
+    suspects: &[&Suspect],
+    mut out: capnp::struct_list::Builder<'_, schema::suspect::Owned>,
+) {
+    for (index, suspect) in suspects.iter().enumerate() {
+        let mut out = out.reborrow().get(index as u32);
         let (number, is_request) = write_feature(suspect.feature);
         out.set_part(number);
         out.set_is_request(is_request);
         out.set_position(suspect.circumstance.position);
         out.set_held_millis(millis(suspect.circumstance.held));
-        out.set_was_sound(suspect.was_sound);
+        out.set_was_sound(suspect.had_begun);
+        out.set_was_proven(suspect.was_sound);
     }
 }
 
@@ -44,17 +55,21 @@
     let (number, is_request) = write_feature(record.feature);
     out.set_part(number);
     out.set_is_request(is_request);
-    if let Some(age) = record.sound_age {
+    if let Some(age) = record.begun_age {
         out.set_is_sound(true);
         out.set_sound_millis(millis(age));
     }
+    if let Some(age) = record.sound_age {
+        out.set_is_proven(true);
+        out.set_proven_millis(millis(age));
+    }
     let Some(hold) = record.hold else {
         return out.set_generation(GENERATION_NONE);
     };
     out.set_generation(hold.generation);
     out.set_is_held(hold.is_active);
     out.set_held_millis(millis(hold.age));
-    out.set_was_sound(hold.was_sound);
+    out.set_was_sound(hold.had_begun);
 }
 
 /// Decodes the report of a view, if it has one.
@@ -74,35 +89,46 @@
 }
 
 fn read_crash(crash: schema::crash::Reader<'_>) -> Result<Crash, Error> {
-    let suspects = crash.get_suspects()?.iter().map(|suspect| Suspect {
-        feature: read_feature(suspect.get_part(), suspect.get_is_request()),
-        circumstance: Circumstance {
-            position: suspect.get_position(),
-            held: Duration::from_millis(suspect.get_held_millis().into()),
-        },
-        was_sound: suspect.get_was_sound(),
-    });
+    let early = crash.get_suspects()?;
+    let late = crash.get_late_suspects()?;
+    let early = early.iter().map(|suspect| read_suspect(suspect, false));
+    let late = late.iter().map(|suspect| read_suspect(suspect, true));
     Ok(Crash {
         instance: Instance {
             runner: crash.get_runner()?.to_str()?.into(),
             started_at_ms: crash.get_born(),
         },
         age: Duration::from_millis(crash.get_age_millis().into()),
-        suspects: suspects.collect(),
+        suspects: early.chain(late).collect(),
     })
 }
 
+fn read_suspect(suspect: schema::suspect::Reader<'_>, is_late: bool) -> Suspect {
+    Suspect {
+        feature: read_feature(suspect.get_part(), suspect.get_is_request()),
+        circumstance: Circumstance {
+            position: suspect.get_position(),
+            held: Duration::from_millis(suspect.get_held_millis().into()),
+            is_late,
+        },
+        had_begun: suspect.get_was_sound(),
+        was_sound: suspect.get_was_proven(),
+    }
+}
+
 fn read_part(part: schema::part::Reader<'_>) -> Record {
-    let sound_age = Duration::from_millis(part.get_sound_millis().into());
+    let begun_age = Duration::from_millis(part.get_sound_millis().into());
+    let sound_age = Duration::from_millis(part.get_proven_millis().into());
     let hold = Hold {
         generation: part.get_generation(),
         is_active: part.get_is_held(),
         age: Duration::from_millis(part.get_held_millis().into()),
-        was_sound: part.get_was_sound(),
+        had_begun: part.get_was_sound(),
     };
     Record {
         feature: read_feature(part.get_part(), part.get_is_request()),
-        sound_age: part.get_is_sound().then_some(sound_age),
+        begun_age: part.get_is_sound().then_some(begun_age),
+        sound_age: part.get_is_proven().then_some(sound_age),
         hold: (hold.generation != GENERATION_NONE).then_some(hold),
     }
 }
--- a/crates/wire/tests/crash.rs
+++ b/crates/wire/tests/crash.rs
@@ -19,16 +19,19 @@
 
 #[test]
 fn report_complete() {
-    let suspect = |feature, was_sound| Suspect {
+    let suspect = |feature, was_sound, is_late: bool| Suspect {
+        had_begun: !is_late,
         feature,
         circumstance: Circumstance {
             position: 3,
             held: Duration::from_millis(70),
+            is_late,
         },
         was_sound,
     };
-    let record = |feature, sound_age, hold| Record {
+    let record = |feature, begun_age, sound_age, hold| Record {
         feature,
+        begun_age,
         sound_age,
         hold,
     };
@@ -36,11 +39,11 @@
         generation: 2,
         is_active: true,
         age: Duration::from_secs(50),
-        was_sound: true,
+        had_begun: true,
     };
     let released = Hold {
         is_active: false,
-        was_sound: false,
+        had_begun: false,
         ..hold
     };
     let report = Report {
@@ -51,17 +54,20 @@
             },
             age: Duration::from_millis(1_250),
             suspects: vec![
-                suspect(Feature::Part(u64::MAX), true),
-                suspect(Feature::Part(0), false),
-                suspect(Feature::Request(u64::MAX), false),
+                suspect(Feature::Part(u64::MAX), true, false),
+                suspect(Feature::Part(0), false, false),
+                suspect(Feature::Request(u64::MAX), false, false),
+                suspect(Feature::Part(4), false, true),
+                suspect(Feature::Request(5), true, true),
             ],
         }],
         features: vec![
-            record(Feature::Part(1), Some(Duration::ZERO), None),
-            record(Feature::Part(2), None, Some(hold)),
+            record(Feature::Part(1), Some(Duration::ZERO), None, None),
+            record(Feature::Part(2), None, None, Some(hold)),
             record(
                 Feature::Request(3),
                 Some(Duration::from_secs(9)),
+                Some(Duration::from_secs(7)),
                 Some(released),
             ),
         ],
