relay: an answer that says nothing of a prompt clears no part

Cause: any status under 500 cleared the request and all parts of its prompt of earlier crashes, also one that was given without a look at the prompt, or says that nothing ran. Now success clears all, another status the request alone, and 408, 421 and 429 nothing.

Failed before: answer_without_success_clears_no_part.

--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -459,6 +459,18 @@
         }
     }
 
+    /// Records that a call as a whole has crashed no runner, which says nothing of the parts of its prompt.
+    pub(super) fn clear_request(&mut self, number: id::Call) {
+        let now = self.now;
+        for (id, feature) in self.features_of(number) {
+            if feature.is_request() {
+                let cleared = self.state.evidence.clear(feature, now);
+                self.log_cleared(&id, feature, cleared);
+                self.release(&id, feature);
+            }
+        }
+    }
+
     /// What a call has, each with the id of its request.
     fn features_of(&self, number: id::Call) -> Vec<(Arc<str>, Feature)> {
         let call = self.state.calls.get(&number).into_iter();
--- a/crates/relay/src/reduce/outcome.rs
+++ b/crates/relay/src/reduce/outcome.rs
@@ -20,6 +20,8 @@
 pub(super) const FAILURE_STATUS: u16 = 500;
 /// HTTP statuses with which a runner reports that it has executed the request.
 const SUCCESS_STATUSES: Range<u16> = 200..300;
+/// Statuses under [`FAILURE_STATUS`] which say that nothing was run.
+const NOT_RUN_STATUSES: [u16; 3] = [408, 421, 429];
 /// HTTP status with which a runner reports that its time limit has passed.
 const TIMEOUT_STATUS: u16 = 504;
 
@@ -161,7 +163,12 @@
         if !failed {
             self.record_latency(ended);
             self.record_plain_time(ended, reported);
+        }
+        // Another status may be given without a look at what the request asks for.
+        if SUCCESS_STATUSES.contains(&status) {
             self.clear_features(ended.number);
+        } else if !failed && !NOT_RUN_STATUSES.contains(&status) {
+            self.clear_request(ended.number);
         }
         if let Some(call) = self.state.calls.get_mut(&ended.number) {
             call.execution = Execution::MayHaveRun;
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -229,6 +229,19 @@
     assert!(is_held(&harness, SECOND));
 }
 
+/// Guards against parts that are cleared by an answer for which no prompt was looked at.
+#[test]
+fn answer_without_success_clears_no_part() {
+    let mut harness = Harness::new(1);
+    for second in 1..4 {
+        let run = generate(&mut harness, &[FIRST, SECOND, 0x100 + second]);
+        harness.end_attempt(run.attempt, Outcome::Answered { status: 404 });
+        harness.now += ms(200);
+        crash(&mut harness, &[FIRST, SECOND, 0x200 + second]);
+    }
+    assert!(is_held(&harness, SECOND));
+}
+
 /// What was sound is in the middle of a response wherever a runner ends for another reason.
 #[test]
 fn part_once_sound_late_crashes_do_not_count() {
