gateway, node: a listener that outlives its connections proves no whole body

Callers could get a part of an answer without a length as all of it (MIXED), where the runner's process closed the connection 20 ms before its listener: one connection, at the moment of the end, decided whether the process lives.

Such a body now counts as whole once a connection is accepted again 0.1 s later, on the platform's path and the own one, by one function. Only answers that end with their connection wait.

Failed before: response_without_length_listener_ends_later (200 with a part, now 502).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use hornbeamtiller_http::client::{self, Response, Reuse};
 use hornbeamtiller_http::memory::Holder;
 use hornbeamtiller_http::sse;
-use hornbeamtiller_relay::event::{Decline, Dispatch, Event, Operation, Outcome, Presence};
+use hornbeamtiller_relay::event::{Decline, Dispatch, Event, Operation, Outcome};
 use hornbeamtiller_relay::limit::Statement;
 use hornbeamtiller_relay::pool::Report;
 use hornbeamtiller_relay::state::State;
@@ -200,7 +200,7 @@
     /// Whether a body that has ended may be only a part: it ended with its connection, and so did the runner's
     /// process.
     async fn may_be_cut(&self, ends_with_connection: bool) -> bool {
-        ends_with_connection && presence::check(self.dispatch.address).await == Presence::Refused
+        ends_with_connection && presence::has_ended(self.dispatch.address).await
     }
 
     async fn forward_buffered(&self, response: Response, reported: Option<Report>) {
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -14,6 +14,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Unanswered keepalive probes after which the connection is lost (`TCP_KEEPCNT`).
 const KEEPALIVE_PROBES: u32 = 3;
+/// How long the listener of a process that ends may outlive its connections.
+const LISTENER_MARGIN: Duration = Duration::from_millis(100);
 /// Default time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
 pub const USER_TIMEOUT_DEFAULT: Duration = Duration::from_secs(10);
 
@@ -89,6 +91,22 @@
     }
 }
 
+/// Whether nothing listens at an address once a connection of its process has ended. A system closes the connections and the
+/// listener of a process that ends one after the other, so it is looked twice. A `timeout` or another error of a look
+/// tells nothing.
+pub async fn has_stopped_listening(address: SocketAddr, timeout: Duration) -> bool {
+    if refuses(address, timeout).await {
+        return true;
+    }
+    monoio::time::sleep(LISTENER_MARGIN).await;
+    refuses(address, timeout).await
+}
+
+async fn refuses(address: SocketAddr, timeout: Duration) -> bool {
+    let probed = probe(address, timeout).await;
+    probed.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Sets the socket options of a connection. It is lost when sent bytes stay unacknowledged for
 /// `user_timeout`, or keepalive probes unanswered. With no `user_timeout` the system ends it for neither:
 /// the user of the connection has to end each exchange that takes too long.
--- a/crates/node/src/attempt/plain.rs
+++ b/crates/node/src/attempt/plain.rs
@@ -1,7 +1,5 @@
 //! Calls to plain services.
 
-use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use hornbeamtiller_core::event::Failure;
@@ -34,7 +32,7 @@
         .await
         .map_err(|error| classify_error(&error))?;
     // The process may have ended before it had sent all of such a body.
-    if ends_with_connection && has_ended(job.address).await {
+    if ends_with_connection && socket::has_stopped_listening(job.address, PROBE_TIMEOUT).await {
         return Err(Failure::Lost);
     }
     driver.apply_response(
@@ -57,12 +55,6 @@
     job.caller_request.method != Method::HEAD && !is_bodiless
 }
 
-/// Whether the process of a runner has ended. Only a refused connection proves it.
-async fn has_ended(address: SocketAddr) -> bool {
-    let probed = socket::probe(address, PROBE_TIMEOUT).await;
-    probed.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
-}
-
 fn request(job: &Job) -> Request<Full<bytes::Bytes>> {
     let caller_request = &job.caller_request;
     let mut request = Request::new(Full::new(caller_request.body.clone()));
