http: a response with a status above 599 is malformed

RFC 9110 calls all outside 100 to 599 invalid. The client of both paths refuses them now, in one place.

--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -23,7 +23,8 @@
     /// The connection was lost after the request was, or may have been, written.
     #[error("connection lost: {0}")]
     Lost(#[from] hyper::Error),
-    /// The response has a transfer coding other than chunks, or switches protocols; neither was asked for.
+    /// The response has a transfer coding other than chunks or switches protocols, which was not asked for, or its status is
+    /// invalid.
     #[error("response in a form that was not asked for")]
     Unexpected,
     /// Nothing was received within the timeout.
--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -448,9 +448,15 @@
     }
 }
 
+/// Highest valid status code (RFC 9110, 15).
+const STATUS_MAX: u16 = 599;
+
 /// Whether a response has a form that requests ask for: no other protocol, and no transfer coding but chunks. Another
 /// coding is lost on the way to the client, and `hyper` takes an unknown one for a body that ends with its connection.
 fn is_expected(head: &http::response::Parts) -> bool {
+    if head.status.as_u16() > STATUS_MAX {
+        return false;
+    }
     let mut codings = head.headers.get_all(TRANSFER_ENCODING).into_iter();
     let is_plain = match (codings.next(), codings.next()) {
         (None, _) => true,
