--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -73,6 +73,8 @@
     Fresh,
 }
 
+/// Highest valid status code (RFC 9110, 15).
+const STATUS_MAX: u16 = 599;
 /// How much earlier than the server's advertised keep-alive timeout an idle connection is dropped,
 /// to avoid sending a request while the server closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
@@ -448,9 +450,6 @@
     }
 }
 
-/// Highest valid status code (RFC 9110, 15).
-const STATUS_MAX: u16 = 599;
-
 /// Whether a response has a form that requests ask for: no other protocol, and no transfer coding but chunks. Another
 /// coding is lost on the way to the client, and `hyper` takes an unknown one for a body that ends with its connection.
 fn is_expected(head: &http::response::Parts) -> bool {
