relay: a stream that began at another VM's runner never goes on here

Cause: such a stream goes on through other VMs, as its version is not known here; where none could be asked, the call went on like any other, at the runners that this VM reaches again. It is cut now, and its caller takes it up at a VM that finds its version.

--- a/crates/relay/src/reduce/delegate.rs
+++ b/crates/relay/src/reduce/delegate.rs
@@ -43,7 +43,13 @@
             self.fall_back(number, reason);
             return true;
         }
-        self.delegate(number)
+        let is_bound_elsewhere = call.is_bound_elsewhere;
+        let is_delegated = self.delegate(number);
+        if is_bound_elsewhere && !is_delegated {
+            // The runners that this one reaches may be of another software version.
+            self.fall_back(number, Reason::OutOfReach);
+        }
+        is_bound_elsewhere || is_delegated
     }
 
     /// Has another VM run a call, if one can; returns whether one was asked.
--- a/crates/relay/tests/delegate.rs
+++ b/crates/relay/tests/delegate.rs
@@ -410,3 +410,28 @@
     assert!(refusal(&effects).is_none(), "{effects:?}");
     assert_eq!(dispatches(&effects).len(), 1);
 }
+
+/// Guards against a stream of two software versions: one that began at a runner of another VM goes on at one of this VM,
+/// which does not know its version.
+#[test]
+fn stream_begun_elsewhere_never_goes_on_here() {
+    let mut harness = fleet(1);
+    harness.state.policy.allocators = false;
+    let stream = delegate(&mut harness, STREAM);
+    let attempt = stream.attempt;
+    harness.apply(Event::StreamStarted { attempt });
+    harness.stream_event(attempt, 1);
+    for number in 1..3 {
+        for kind in ["make", "read"] {
+            let runner = format!("{kind}-{number}").into();
+            let known = harness.state.pool.get_mut(&runner).expect("a runner");
+            known.last_seen_at = Some(harness.now);
+            known.breaker.end_failures();
+        }
+    }
+    harness.state.unreached.clear();
+    let mut effects = harness.end_attempt(attempt, Outcome::Lost);
+    effects.extend(harness.advance(ms(500)));
+    let here = dispatches(&effects);
+    assert!(here.iter().all(is_delegated), "{here:?}");
+}
