--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -103,8 +103,14 @@
 }
 
 async fn refuses(address: SocketAddr, timeout: Duration) -> bool {
-    let probed = probe(address, timeout).await;
-    probed.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    match probe(address, timeout).await {
+        Ok(()) => false,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => true,
+        Err(error) => {
+            log::info!(runner_address:% = address, error:% = error; "presence_unknown");
+            false
+        }
+    }
 }
 
 /// Sets the socket options of a connection. It is lost when sent bytes stay unacknowledged for
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -208,7 +208,7 @@
     pub tried: Vec<id::Runner>,
     /// Addresses to which it was sent.
     pub sent_to: Vec<SocketAddr>,
-    /// The processes at which an attempt was lost before its response had gone on for a moment.
+    /// The processes at which an attempt was lost before its response had shown that its request is sound.
     pub lost_at: Vec<Instance>,
     /// Runners that were not reached for it.
     pub unreached: Vec<id::Runner>,
--- a/crates/relay/src/crash/evidence.rs
+++ b/crates/relay/src/crash/evidence.rs
@@ -83,9 +83,7 @@
     pub fn is_zero(self) -> bool {
         self.crashes == 0
     }
-}
 
-impl Count {
     fn less(self, other: Self) -> Self {
         Self {
             crashes: self.crashes.saturating_sub(other.crashes),
@@ -193,6 +191,10 @@
     /// Records that a response to a request with a feature went on for a moment, so that it is less suspect. Returns the
     /// crashes at which that makes it less suspect.
     pub fn record_begun(&mut self, feature: Feature, at: Duration) -> Count {
+        if !self.is_suspect(feature) {
+            self.begun.insert(feature, at);
+            return Count::default();
+        }
         let before = self.tally(feature).strong.total();
         self.begun.insert(feature, at);
         before.less(self.tally(feature).strong.total())
@@ -200,6 +202,11 @@
 
     /// Records that a request with a feature is sound; returns the crashes of which that clears it.
     pub fn clear(&mut self, feature: Feature, at: Duration) -> Count {
+        if !self.is_suspect(feature) {
+            self.begun.insert(feature, at);
+            self.sound.insert(feature, at);
+            return Count::default();
+        }
         let before = self.count(feature);
         self.begun.insert(feature, at);
         self.sound.insert(feature, at);
@@ -244,9 +251,17 @@
         crashes.sort_by_key(|(crash, _)| crash.at);
         let unexplained = crashes.iter().filter(|(_, by)| by.is_none());
         let unexplained: Vec<&Observed> = unexplained.map(|(crash, _)| *crash).collect();
+        if unexplained.is_empty() {
+            return None;
+        }
         let all: Vec<&Observed> = crashes.into_iter().map(|(crash, _)| crash).collect();
         let candidates = self.count_crashes(&unexplained, |_| true);
-        let of_parts = self.count_crashes(&all, |feature| !feature.is_request());
+        // Where no request explains any, the parts are counted already.
+        let of_parts = if all.len() > unexplained.len() {
+            self.count_crashes(&all, |feature| !feature.is_request())
+        } else {
+            BTreeMap::new()
+        };
         let culprits = candidates.into_iter().flat_map(|(feature, candidate)| {
             // Requests with a part that crashes runners come again too, each of which explains its own crashes.
             let is_wider = candidate.all.crashes() >= UNEXPLAINED_MIN;
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! A request may crash each runner that begins to respond to it, and come again; or a part of a prompt does, so
 //! that a few requests with it take down a whole pool. What a runner had been given when it crashed is suspect:
-//! the requests that it had not begun to respond to, or only just, and the shared parts of their prompts. VMs
-//! tell each other of crashes and suspects, and a crash that several of them see is one. Responses that go on
-//! clear their requests and parts of earlier crashes. What was there at several crashes, and nothing has cleared,
-//! is quarantined: such requests are refused by all VMs.
+//! the requests that it had not begun to respond to, or only just, and the shared parts of their prompts; less so those
+//! whose responses had gone on for a moment. VMs tell each other of crashes and suspects, and a crash that several of
+//! them see is one. Responses that end, or go on for long, clear their requests and parts of earlier crashes. What was
+//! there at several crashes, and nothing has cleared, is quarantined: such requests are refused by all VMs.
 //!
 //! What is sound and quarantined by mistake can't clear itself, so at times one VM lets one request through.
 
@@ -59,7 +59,7 @@
     }
 }
 
-/// Something of a request that a runner had when it crashed, and had not begun to respond to.
+/// Something of a request that a runner had when it crashed, and whose response had not shown that it is sound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspect {
     /// What it is.
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -59,12 +59,12 @@
     pub(super) fn record_loss(&mut self, ended: &EndedAttempt) {
         let in_flight = &ended.in_flight;
         let instance = &in_flight.instance;
-        let verdict = if in_flight.shows_soundness(self.now) {
-            "response went on"
-        } else if self.serving_address(instance).is_none() {
-            "not listed as ready"
-        } else {
-            "may have ended"
+        let is_sound = in_flight.shows_soundness(self.now);
+        let is_serving = self.serving_address(instance).is_some();
+        let verdict = match (is_sound, is_serving) {
+            (true, _) => "response went on",
+            (false, false) => "not listed as ready",
+            (false, true) => "may have ended",
         };
         self.log(
             Entry::new(Kind::LossExamined)
@@ -74,7 +74,7 @@
                 .outcome(verdict)
                 .age(self.now.saturating_sub(in_flight.sent_at)),
         );
-        if in_flight.shows_soundness(self.now) || self.serving_address(instance).is_none() {
+        if is_sound || !is_serving {
             return;
         }
         let Some(suspects) = self.find_suspects(ended.number, in_flight) else {
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Records an attempt that was given up before its response had gone on for a moment.
+    /// Records an attempt that was given up before its response had shown that its request is sound.
     pub(super) fn record_abandoned(&mut self, number: id::Call, attempt: id::Attempt) {
         let now = self.now;
         let Some(in_flight) = self.state.in_flight.get(&attempt) else {
@@ -212,10 +212,8 @@
 
     /// Whether a runner responded to this VM well after something was lost there: it ended later than that, if at all.
     fn has_outlived(&self, instance: &Instance, loss: &Loss) -> bool {
-        let runner = self.state.pool.find(instance);
-        let heard_at = runner.and_then(|runner| runner.last_seen_at);
         let is_late = loss.at + PROMPT_VERDICT_TIME < self.now;
-        is_late && heard_at.is_some_and(|at| at > loss.at + OUTLIVED_MARGIN)
+        is_late && self.has_responded_after(instance, loss.at + OUTLIVED_MARGIN)
     }
 
     /// Records that a runner has ended when something was lost there, unless it is known to have lived on.
@@ -263,9 +261,13 @@
     /// runners seem to have ended that serve others.
     fn has_responded_since(&self, crash: &Crash) -> bool {
         let crashed_at = self.now.saturating_sub(crash.age);
-        let runner = self.state.pool.find(&crash.instance);
+        self.has_responded_after(&crash.instance, crashed_at)
+    }
+
+    fn has_responded_after(&self, instance: &Instance, time: Duration) -> bool {
+        let runner = self.state.pool.find(instance);
         let heard_at = runner.and_then(|runner| runner.last_seen_at);
-        heard_at.is_some_and(|at| at > crashed_at)
+        heard_at.is_some_and(|at| at > time)
     }
 
     /// Adds a crash; returns whether anything of it is new.
@@ -451,23 +453,23 @@
 
     /// Records that a call is sound, which clears what it has.
     pub(super) fn clear_features(&mut self, number: id::Call) {
-        let now = self.now;
-        for (id, feature) in self.features_of(number) {
-            let cleared = self.state.evidence.clear(feature, now);
-            self.log_cleared(&id, feature, cleared);
-            self.release(&id, feature);
-        }
+        self.clear_if(number, |_| true);
     }
 
     /// Records that a call as a whole has crashed no runner, which says nothing of the parts of its prompt.
     pub(super) fn clear_request(&mut self, number: id::Call) {
+        self.clear_if(number, Feature::is_request);
+    }
+
+    fn clear_if(&mut self, number: id::Call, is_cleared: impl Fn(Feature) -> bool) {
         let now = self.now;
         for (id, feature) in self.features_of(number) {
-            if feature.is_request() {
-                let cleared = self.state.evidence.clear(feature, now);
-                self.log_cleared(&id, feature, cleared);
-                self.release(&id, feature);
+            if !is_cleared(feature) {
+                continue;
             }
+            let cleared = self.state.evidence.clear(feature, now);
+            self.log_cleared(&id, feature, cleared);
+            self.release(&id, feature);
         }
     }
 
