http: a small request body finds the memory that the head of its request finds

Cause: a request without a body needs 44 KB, and may take them until all memory is in use; a body of 2 KB that is not complete could be taken only while 7/8 were in use, and was refused at once where a head waits 300 ms. Once some 390 calls without a body waited for their responses, every request with a body was refused.

Change: a small incomplete body has the ceiling of heads, and waits as they do. It can be dropped for work that has begun, so nothing is kept from that.

Result: receive_small_beside_requests_without_body and wait_to_receive_small_until_room failed before.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -107,7 +107,7 @@
     }
     // The length fits, as it is at most `max_bytes`.
     let declared = size.exact().map(|length| length as usize);
-    let incoming = budget.receive(declared)?;
+    let incoming = budget.wait_to_receive(declared).await?;
     let received = receive_bounded(body, declared.unwrap_or(max_bytes), &incoming);
     let ended = match select(pin!(received), pin!(watch_rate(&incoming, timeout))).await {
         Either::Left((ended, _)) => ended,
--- a/crates/http/src/memory/incoming.rs
+++ b/crates/http/src/memory/incoming.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::{Budget, Exhausted, Guard, Holder};
+use super::{Budget, Exhausted, Guard, Holder, SMALL_BYTES};
 
 /// A body of which nothing has been received for this time may be dropped for another one. A sender whose packet was
 /// lost needs some 200 ms to repeat it.
@@ -55,13 +55,32 @@
     ///
     /// [`Exhausted`] if there is no room for it.
     pub fn receive(&self, declared: Option<usize>) -> Result<Incoming, Exhausted> {
+        let guard = self.take(Holder::Incoming, declared.unwrap_or(FIRST_BYTES))?;
+        Ok(self.begin_body(guard))
+    }
+
+    /// Takes room for a body as [`Budget::receive`] does; a small one waits for a while for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] if there is no room for it.
+    pub async fn wait_to_receive(&self, declared: Option<usize>) -> Result<Incoming, Exhausted> {
         let bytes = declared.unwrap_or(FIRST_BYTES);
-        let guard = self.take(Holder::Incoming, bytes)?;
+        if bytes > SMALL_BYTES {
+            return self.receive(declared);
+        }
+        let mut guard = self.empty_guard(Holder::Incoming);
+        self.wait_to_resize(&mut guard, bytes).await?;
+        Ok(self.begin_body(guard))
+    }
+
+    /// Keeps a body for which there is room, until it is complete or dropped.
+    fn begin_body(&self, guard: Guard) -> Incoming {
         let now = Instant::now();
         let entry = Rc::new(Entry {
             content: RefCell::new(Some(Content {
                 // Pages that nothing is written to cost no memory.
-                buffer: BytesMut::with_capacity(bytes),
+                buffer: BytesMut::with_capacity(guard.bytes),
                 guard,
             })),
             received: Cell::new(0),
@@ -72,11 +91,11 @@
         let id = self.0.last_id.get() + 1;
         self.0.last_id.set(id);
         self.0.incoming.borrow_mut().insert(id, entry.clone());
-        Ok(Incoming {
+        Incoming {
             budget: self.clone(),
             id,
             entry,
-        })
+        }
     }
 }
 
--- a/crates/http/src/memory/mod.rs
+++ b/crates/http/src/memory/mod.rs
@@ -51,13 +51,14 @@
 
 impl Holder {
     /// How much of the capacity, in eighths, may be in use when a holder of `bytes` takes some. What a lower ceiling
-    /// leaves is kept for those with a higher one: for what is small, the store, and then work that has begun.
+    /// leaves is kept for those with a higher one: for what is small, the store, and then work that has begun. A small body
+    /// may take as much as the head of its request: all of both belong to one call, and the body can be dropped.
     fn ceiling_parts(self, bytes: usize) -> usize {
         match self {
-            Self::Incoming if bytes > SMALL_BYTES => 5,
-            Self::Incoming => 7,
-            Self::Request | Self::Response | Self::Stream if bytes > SMALL_BYTES => 6,
-            Self::Request | Self::Response | Self::Stream | Self::Control => PARTS,
+            Self::Control => PARTS,
+            _ if bytes <= SMALL_BYTES => PARTS,
+            Self::Incoming => 5,
+            Self::Request | Self::Response | Self::Stream => 6,
         }
     }
 }
--- a/crates/http/tests/memory.rs
+++ b/crates/http/tests/memory.rs
@@ -1,9 +1,11 @@
 //! The memory budget: it is never exceeded, and everything is given back.
 
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hornbeamtiller_http::memory::{Budget, Exhausted, Guard, Holder, Incoming};
+use hornbeamtiller_http::runtime::block_on;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -162,6 +164,36 @@
     assert_eq!(budget.evicted(), 0);
 }
 
+/// Guards against requests without a body that leave room for further ones, and none for small bodies.
+#[test]
+fn receive_small_beside_requests_without_body() {
+    let budget = Budget::new(CAPACITY);
+    let head = 44 << 10;
+    let take = || budget.take(Holder::Request, head).ok();
+    let mut requests: Vec<_> = std::iter::from_fn(take).collect();
+    requests.pop();
+    assert!(budget.take(Holder::Request, head).is_ok());
+    assert!(budget.receive(Some(2 << 10)).is_ok());
+}
+
+/// Guards against small bodies that are refused at once, while the head of their request waits for memory.
+#[test]
+fn wait_to_receive_small_until_room() {
+    block_on(async {
+        let budget = Budget::new(CAPACITY);
+        let all = budget.take(Holder::Control, CAPACITY).expect("room");
+        let waiting = monoio::spawn({
+            let budget = budget.clone();
+            async move { budget.wait_to_receive(Some(2 << 10)).await.is_ok() }
+        });
+        monoio::time::sleep(Duration::ZERO).await;
+        assert!(budget.receive(Some(2 << 10)).is_err());
+        drop(all);
+        assert!(waiting.await);
+    })
+    .expect("a runtime");
+}
+
 /// Guards against memory that is given back while a clone of the body is still held.
 #[test]
 fn finish_held_until_last_clone() {
