relay: a look for another purpose does not take the place of one after a loss

Cause, first of two: each result of a check of a runner was counted as a look of the loss that is watched there, also where the check had been asked for to find out what this VM reaches. Two results within 9 ms used up the look that is due 100 ms after the loss, so that the VM that had sent the part found the crash after 302 ms to 314 ms, and the others did not know of the part until then, while they knew the crash with what they had had there.

Change: a look counts if it was asked for; the result of another one stands for those that are due by then.

Result: lost_attempt_other_looks_replace_none failed before.

--- a/crates/relay/src/crash/loss.rs
+++ b/crates/relay/src/crash/loss.rs
@@ -61,10 +61,14 @@
         merge(&mut self.suspects, suspects);
     }
 
-    /// Records that a look did not find that the process has ended.
-    pub fn end_look(&mut self) {
-        self.looks += 1;
-        self.is_looking = false;
+    /// Records that a look did not find that the process has ended. A look for another purpose stands for those that are due.
+    pub fn end_look(&mut self, now: Duration) {
+        let is_own = std::mem::take(&mut self.is_looking);
+        let due = LOOKS_AFTER.iter().filter(|after| self.at + **after <= now);
+        self.looks = match is_own {
+            true => self.looks + 1,
+            false => self.looks.max(1 + due.count()),
+        };
     }
 
     /// Begins the next look if it is due; returns whether it is.
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -162,7 +162,7 @@
             return;
         };
         let is_early = loss.is_unclear();
-        loss.end_look();
+        loss.end_look(self.now);
         let age = self.now.saturating_sub(loss.at);
         self.log(
             Entry::new(Kind::RunnerChecked)
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -173,6 +173,18 @@
     assert_eq!((looks, harness.state.losses.len()), (4, 0));
 }
 
+/// Guards against looks that are skipped as the results of others, at the same runner, are counted for them.
+#[test]
+fn lost_attempt_other_looks_replace_none() {
+    let mut harness = Harness::new(1);
+    let instance = lose_listening(&mut harness);
+    for _ in 0..3 {
+        report(&mut harness, &instance, Presence::Listening);
+    }
+    let effects = harness.advance(ms(120));
+    assert_eq!(checks(&effects), std::slice::from_ref(&instance));
+}
+
 fn lose_after(harness: &mut Harness, run: &Dispatch, time: Duration) -> Vec<Effect> {
     let attempt = run.attempt;
     harness.apply(Event::StreamStarted { attempt });
