relay: a later part that explains nearly as many crashes goes before an earlier one

Cause, second of two: each request with the deadly part has the first part too, so that the first part is at every crash of the deadly one, and at more of them as soon as of one crash a VM does not know (yet) what the sender of the deadly part had there. The candidate with the most crashes was blamed; the later one won ties alone.

Change: a later part at three quarters of the crashes of an earlier one goes before it, and while it is not certain itself the earlier one waits. What is proven sound is no rival, as its crashes do not count.

--- a/crates/relay/src/crash/evidence.rs
+++ b/crates/relay/src/crash/evidence.rs
@@ -18,6 +18,8 @@
 const SHARE_MIN: f64 = 0.5;
 /// The same for one that explains as many crashes as a doubtful one has to.
 const SHARE_MIN_MANY: f64 = 0.25;
+/// Share of the crashes that a part explains from which on a later part is the likelier cause.
+const RIVAL_SHARE_MIN: f64 = 0.75;
 /// Crashes that no quarantined request explains, at which a part has to be suspect before those that one explains count for
 /// it too.
 const UNEXPLAINED_MIN: u32 = 2;
@@ -262,12 +264,13 @@
         } else {
             BTreeMap::new()
         };
-        let culprits = candidates.into_iter().flat_map(|(feature, candidate)| {
+        let culprits = candidates.iter().flat_map(|(feature, candidate)| {
+            let feature = *feature;
             // Requests with a part that crashes runners come again too, each of which explains its own crashes.
             let is_wider = candidate.all.crashes() >= UNEXPLAINED_MIN;
             let wider = of_parts.get(&feature).filter(|_| is_wider);
-            let own = candidate.culprit(feature, &unexplained, is_partial);
-            let wider = wider.and_then(|wider| wider.culprit(feature, &all, is_partial));
+            let own = candidate.culprit(feature, &candidates, &unexplained, is_partial);
+            let wider = wider.and_then(|wider| wider.culprit(feature, &of_parts, &all, is_partial));
             [own, wider]
         });
         culprits.flatten().max_by_key(Culprit::order)
@@ -409,6 +412,13 @@
         }
     }
 
+    /// Whether this is the tally of a later part that explains nearly as much. Of a few crashes a VM may know only what others
+    /// than the sender of that part had there, which an earlier part is in too.
+    fn is_rival_of(&self, earlier: &Self) -> bool {
+        let explained = f64::from(self.crashes()) / f64::from(earlier.crashes().max(1));
+        self.position > earlier.position && explained >= RIVAL_SHARE_MIN
+    }
+
     /// The share of the crashes of its time at which it was there.
     fn share(&self, crashes: &[&Observed], margin: Duration) -> f64 {
         let (Some(first_at), Some(last_at)) = (self.times.first(), self.times.last()) else {
@@ -439,21 +449,29 @@
         }
     }
 
-    /// What it is found to explain, if that is enough: by strong suspicion, or by any if it was never sound.
+    /// What it is found to explain, if that is enough: by strong suspicion, or by any if it was never sound. A later part
+    /// that explains nearly as much goes before it, and is waited for.
     fn culprit(
         &self,
         feature: Feature,
+        candidates: &BTreeMap<Feature, Self>,
         crashes: &[&Observed],
         is_partial: bool,
     ) -> Option<Culprit> {
+        let has_rival = |tally: fn(&Self) -> &Tally| {
+            let parts = candidates.iter().filter(|(other, _)| !other.is_request());
+            let mut rivals = parts.map(|(_, candidate)| tally(candidate));
+            !feature.is_request() && rivals.any(|rival| rival.is_rival_of(tally(self)))
+        };
         let strong = self.describe(&self.strong, self.had_begun, feature, crashes);
-        if strong.is_certain(is_partial) {
+        if strong.is_certain(is_partial) && !has_rival(|candidate| &candidate.strong) {
             return Some(strong);
         }
         let any = self.describe(&self.all, false, feature, crashes);
         let is_certain = any.crashes >= CRASHES_MIN_DOUBTFUL && any.share >= SHARE_MIN;
         let may_be_sound = self.was_sound || is_partial;
-        (is_certain && !may_be_sound).then_some(any)
+        let is_culprit = is_certain && !may_be_sound && !has_rival(|candidate| &candidate.all);
+        is_culprit.then_some(any)
     }
 
     fn describe(
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -417,6 +417,46 @@
     dispatch(&arrive(&mut harness, &[FIRST, 0xb, 1]));
 }
 
+/// What VMs know of crashes at which the first part was there each time, and the second one but once.
+fn crashes_without_second_once(crashes: u64) -> Evidence {
+    let mut evidence = Evidence::default();
+    let suspect = |feature: id::Part, position| Suspect {
+        feature: feature.into(),
+        circumstance: support::circumstance(position),
+        had_begun: false,
+        was_sound: false,
+    };
+    for number in 0..crashes {
+        let mut suspects = vec![suspect(FIRST, 0), suspect(0xc0 + number, 1)];
+        suspects.extend((number > 0).then(|| suspect(SECOND, 1)));
+        let crash = Crash {
+            instance: Instance {
+                runner: format!("runner-{number}").into(),
+                started_at_ms: 1,
+            },
+            age: Duration::ZERO,
+            suspects,
+        };
+        evidence.merge(crash, ms(200 * number));
+    }
+    evidence
+}
+
+/// Guards against a first part that is taken for the cause since of one crash its VM knows only what others had there.
+#[test]
+fn first_part_is_not_quarantined_if_later_explains_nearly_all() {
+    for is_partial in [false, true] {
+        for crashes in 4..12 {
+            let evidence = crashes_without_second_once(crashes);
+            let culprit = evidence.find_culprit(ms(60_000), |_| false, is_partial);
+            let culprit = culprit.map(|culprit| culprit.feature);
+            let is_known = !is_partial || crashes > 5;
+            let expected = is_known.then(|| SECOND.into());
+            assert_eq!(culprit, expected, "{crashes} crashes, {is_partial}");
+        }
+    }
+}
+
 /// A first part is taken for the cause once crashes go on without the later one.
 #[test]
 fn first_part_quarantined_after_more_crashes() {
--- a/crates/relay/tests/crash_fleet.rs
+++ b/crates/relay/tests/crash_fleet.rs
@@ -15,6 +15,9 @@
     never: &[Reason::PromptQuarantined],
 };
 
+/// Seeds of engines whose listeners outlive their connections at the start: at 4 the first part was quarantined.
+const SEEDS_AT_START: u64 = 4;
+
 /// Guards against requests with a part under which five runners have crashed, sent to runners by any VM.
 #[test]
 fn fleet_sends_no_more_crashing_requests() {
@@ -192,6 +195,26 @@
     }
 }
 
+/// Guards against a sound first part that is taken for the cause, at the start of a fleet whose VMs learn of a crash one after
+/// the other.
+#[test]
+fn fleet_listener_outlives_connections_at_start() {
+    for time in [20, 80, 300] {
+        let check = Check {
+            seeds: SEEDS_AT_START,
+            ..CHECK
+        };
+        check.seeds("listener outlives at start", |seed| Play {
+            seed,
+            poison: 8.0,
+            poisoned: vec![ms(100)..ms(15_000)],
+            listening_time: ms(time),
+            length: ms(15_000),
+            ..Play::default()
+        });
+    }
+}
+
 /// Guards against crashes some time after the first event that clear the part which caused them.
 #[test]
 fn fleet_late_crashes() {
