http: a body without a length that ends before its request was received is no whole

Cause: such a body ends with its connection, and the end of the runner's side was taken for the end of the body, however much of the request was still to be sent. The reset that follows meets the write, after the body has ended.

Change: when a server ends its side, the client notes whether bytes of the request were not written or not acknowledged; the end acknowledges all that the server had received. A body without a length or chunks that ended so is lost (`ended_early`).

Not covered: a runner that has received all of an upload without reading it.

--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -27,6 +27,9 @@
     /// invalid.
     #[error("response in a form that was not asked for")]
     Unexpected,
+    /// The body ended with the connection, and the server had not received all of the request: it may be a part only.
+    #[error("connection ended before the server had received the request")]
+    EndedEarly,
     /// Nothing was received within the timeout.
     #[error("nothing received for {0:?}")]
     TimedOut(Duration),
@@ -54,6 +57,8 @@
     Closed,
     /// The bytes received are no HTTP response, or one in a form that was not asked for.
     Malformed,
+    /// The server ended the connection, and with it the body, before it had received all of the request.
+    EndedEarly,
     /// Nothing was received within the timeout of the client.
     TimedOut,
     /// The body exceeds the limit.
@@ -80,6 +85,7 @@
             Self::Lost(error) if error.is_parse() => Cause::Malformed,
             Self::Unexpected => Cause::Malformed,
             Self::Lost(_) => Cause::Closed,
+            Self::EndedEarly => Cause::EndedEarly,
             Self::TimedOut(_) => Cause::TimedOut,
             Self::TooLarge(_) => Cause::TooLarge,
             Self::Exhausted(_) => Cause::Exhausted,
--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::body::{Source, Truncated};
 use crate::cancel;
+use crate::delivery::Delivery;
 use crate::idle_timeout;
 use crate::memory::{grow, grown_capacity, Budget, Holder};
 use crate::pulse::Pulse;
@@ -90,6 +91,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     turn: Turn,
+    delivery: Delivery,
     /// Whether the last exchange has its complete response.
     is_answered: Rc<Cell<bool>>,
     /// Closes the socket immediately when dropped, even with an exchange in progress.
@@ -143,6 +145,7 @@
     /// Status line and headers.
     pub head: http::response::Parts,
     body: Incoming,
+    ends_with_connection: bool,
     idle_timer: idle_timeout::Timer,
     connection: Option<Connection>,
     /// How long the connection may stay in the pool after this exchange.
@@ -255,8 +258,9 @@
         socket::configure(&stream, self.settings.user_timeout).map_err(connect_error)?;
         let socket = stream.as_raw_fd();
         let turn = Turn::default();
+        let delivery = Delivery::default();
         let io = MonoioIo::new(stream.into_poll_io().map_err(connect_error)?);
-        let io = Bounded::new(io, turn.clone(), socket);
+        let io = Bounded::new(io, turn.clone(), delivery.clone(), socket);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(io)
@@ -273,6 +277,7 @@
         Ok(Connection {
             sender,
             turn,
+            delivery,
             is_answered,
             _guard: guard,
         })
@@ -311,6 +316,7 @@
                     .min(self.settings.idle_timeout)
             });
         Ok(Response {
+            ends_with_connection: ends_with_connection(&head),
             head,
             body,
             idle_timer,
@@ -342,22 +348,31 @@
     /// Whether the body has neither a length nor chunks and ends with the connection. The end of such a body
     /// looks the same if the server's process has ended.
     pub fn ends_with_connection(&self) -> bool {
-        let headers = &self.head.headers;
-        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+        self.ends_with_connection
+    }
+
+    /// Whether the body, which has ended, ended with the connection before the server had received all of the request.
+    fn ended_early(&self) -> bool {
+        let connection = self.connection.as_ref();
+        let is_cut_short = connection.is_some_and(|connection| connection.delivery.is_cut_short());
+        self.ends_with_connection && is_cut_short
     }
 
     /// Waits for the next chunk of the body; `None` at its end.
     ///
     /// # Errors
     ///
-    /// [`Error::Lost`] if the body is incomplete, [`Error::TimedOut`] if nothing is received for
-    /// `timeout`.
+    /// [`Error::Lost`] if the body is incomplete, [`Error::EndedEarly`] if it may be, [`Error::TimedOut`] if nothing is
+    /// received for `timeout`.
     pub async fn chunk(&mut self, timeout: Duration) -> Result<Option<Bytes>, Error> {
         loop {
             self.idle_timer.set_timeout(timeout);
             let frame = self.idle_timer.wait(self.body.frame()).await;
             let frame = frame.map_err(|_| Error::TimedOut(timeout))?;
             let Some(frame) = frame else {
+                if self.ended_early() {
+                    return Err(Error::EndedEarly);
+                }
                 self.release_connection();
                 return Ok(None);
             };
@@ -450,6 +465,12 @@
     }
 }
 
+/// Whether a body with this head has neither a length nor chunks, so that it ends with the connection, if there is one.
+fn ends_with_connection(head: &http::response::Parts) -> bool {
+    let headers = &head.headers;
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Whether a response has a form that requests ask for: no other protocol, and no transfer coding but chunks. Another
 /// coding is lost on the way to the client, and `hyper` takes an unknown one for a body that ends with its connection.
 fn is_expected(head: &http::response::Parts) -> bool {
@@ -487,6 +508,7 @@
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Truncated>>> {
         loop {
             match std::task::ready!(Pin::new(&mut self.0.body).poll_frame(cx)) {
+                None if self.0.ended_early() => return Poll::Ready(Some(Err(Truncated))),
                 None => {
                     self.0.release_connection();
                     return Poll::Ready(None);
--- a/crates/http/src/connection/mod.rs
+++ b/crates/http/src/connection/mod.rs
@@ -16,6 +16,7 @@
 use socket2::SockRef;
 
 use crate::memory::Cut;
+use crate::socket;
 
 pub(crate) use monitored::{Monitored, Tracked};
 
@@ -336,11 +337,7 @@
 
     /// Bytes that were written and that the client's system has not acknowledged; none of a connection that is lost.
     fn undelivered(&self) -> u64 {
-        let mut bytes: libc::c_int = 0;
-        // SAFETY: The socket is closed only after the connection is no longer registered, and the call writes one `c_int`.
-        let failed = unsafe { libc::ioctl(self.socket, libc::TIOCOUTQ, &mut bytes) } != 0;
-        let bytes = if failed { 0 } else { bytes };
-        u64::try_from(bytes).unwrap_or(0)
+        socket::unacknowledged_bytes(self.socket())
     }
 
     /// Lets the system hold as much of the response as it may, so that the client can receive it after this process has
--- a/crates/http/src/connection/monitored.rs
+++ b/crates/http/src/connection/monitored.rs
@@ -13,6 +13,7 @@
 
 use super::{Control, Phase};
 use crate::body::Truncated;
+use crate::turn::count_taken;
 
 /// A socket that tells its [`Control`] what happens, and from which nothing is read while a response is left unread.
 pub(crate) struct Monitored<T> {
@@ -54,10 +55,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        let taken = match &written {
-            Poll::Ready(Ok(bytes)) => *bytes,
-            Poll::Ready(Err(_)) | Poll::Pending => 0,
-        };
+        let taken = count_taken(&written);
         self.control.unwritten.set(buf.len() - taken);
         let before = self.control.written.get();
         self.control.written.set(before + taken as u64);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cancel;
 pub mod client;
 mod connection;
+mod delivery;
 pub mod idle_timeout;
 pub mod memory;
 mod parse_refusal;
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -154,6 +154,15 @@
         .with_retries(KEEPALIVE_PROBES)
 }
 
+/// Bytes that were written to a connection and that its other side has not acknowledged; none of one that is lost.
+pub(crate) fn unacknowledged_bytes(socket: BorrowedFd<'_>) -> u64 {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: The socket is open while it is borrowed, and the call writes one `c_int`.
+    let failed = unsafe { libc::ioctl(socket.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) } != 0;
+    let bytes = if failed { 0 } else { bytes };
+    u64::try_from(bytes).unwrap_or(0)
+}
+
 /// Lets the close of a connection reset it, so that nothing more is sent, not even bytes that the
 /// system has accepted already.
 ///
--- a/crates/http/src/turn.rs
+++ b/crates/http/src/turn.rs
@@ -1,16 +1,18 @@
 //! Bounds what one connection reads in one turn of its task, so that a peer that sends without end takes no more than
-//! its share of the only thread.
+//! its share of the only thread. Also notes how far its requests were sent when the peer ends the connection.
 
 use std::cell::Cell;
 use std::io::{self, Read as _};
 use std::os::fd::{BorrowedFd, RawFd};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use socket2::SockRef;
 
+use crate::delivery::Delivery;
+
 /// Reads of a connection in one turn, each of at most the size of its buffer.
 const READS_MAX: usize = 8;
 
@@ -43,15 +45,17 @@
 pub(crate) struct Bounded<T> {
     inner: T,
     turn: Turn,
+    delivery: Delivery,
     /// The socket of `inner`.
     socket: RawFd,
 }
 
 impl<T> Bounded<T> {
-    pub(crate) fn new(inner: T, turn: Turn, socket: RawFd) -> Self {
+    pub(crate) fn new(inner: T, turn: Turn, delivery: Delivery, socket: RawFd) -> Self {
         Self {
             inner,
             turn,
+            delivery,
             socket,
         }
     }
@@ -60,10 +64,14 @@
         self.inner
     }
 
+    fn socket(&self) -> BorrowedFd<'_> {
+        // SAFETY: The socket is open as long as `inner`.
+        unsafe { BorrowedFd::borrow_raw(self.socket) }
+    }
+
     /// Reads what has arrived, without the driver.
     fn read_arrived(&self, buf: &mut ReadBufCursor<'_>) -> Poll<io::Result<()>> {
-        // SAFETY: The socket is open as long as `inner`.
-        let socket = unsafe { BorrowedFd::borrow_raw(self.socket) };
+        let socket = self.socket();
         let mut bytes = [0; UNASKED_BYTES_MAX];
         let length = bytes.len().min(buf.remaining());
         match (&*SockRef::from(&socket)).read(&mut bytes[..length]) {
@@ -96,7 +104,18 @@
                 return arrived;
             }
         }
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        // SAFETY: Nothing that is initialized is uninitialized here; `inner` only writes.
+        let space = unsafe { buf.as_mut() };
+        let has_space = !space.is_empty();
+        let mut own = ReadBuf::uninit(space);
+        ready!(Pin::new(&mut self.inner).poll_read(cx, own.unfilled()))?;
+        let count = own.filled().len();
+        // SAFETY: `inner` has filled so many bytes of the space.
+        unsafe { buf.advance(count) };
+        if has_space && count == 0 {
+            self.delivery.record_end(self.socket());
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -106,7 +125,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.delivery.record_write(buf.len(), count_taken(&written));
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -126,6 +147,17 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        let bytes = bufs.iter().map(|buf| buf.len()).sum();
+        self.delivery.record_write(bytes, count_taken(&written));
+        written
+    }
+}
+
+/// The bytes that a write has handed to the system.
+pub(crate) fn count_taken(written: &Poll<io::Result<usize>>) -> usize {
+    match written {
+        Poll::Ready(Ok(bytes)) => *bytes,
+        Poll::Ready(Err(_)) | Poll::Pending => 0,
     }
 }
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hornbeamtiller_http::client::{Client, Reuse, Settings};
+use hornbeamtiller_http::client::{Client, Error, Reuse, Settings};
 use hornbeamtiller_http::runtime::block_on;
 use http::Request;
 use http_body_util::Full;
-use monoio::io::{AsyncReadRent as _, AsyncWriteRentExt as _};
+use monoio::io::{AsyncReadRent as _, AsyncWriteRent as _, AsyncWriteRentExt as _};
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
 /// Receive buffer of the server, far smaller than a request, so that most of it waits at the client.
@@ -153,6 +153,42 @@
 }
 
 /// Answers one request on each connection, in its own thread. Closes the first one when asked to, and confirms that.
+/// Has a server send a response that ends with its connection, before or after it has read the request; returns the body.
+async fn collect_ended(reads_request: bool) -> Result<Bytes, Error> {
+    let (listener, address) = listen();
+    let serving = monoio::spawn(async move {
+        let mut stream = accept(&listener).await;
+        let mut received = 0;
+        while reads_request && received < BODY_BYTES {
+            let (read, part) = stream.read(Vec::with_capacity(64 << 10)).await;
+            read.expect("a part of the request");
+            received += part.iter().filter(|byte| **byte == b'x').count();
+        }
+        let (written, _) = stream.write_all("HTTP/1.1 200 OK\r\n\r\npart").await;
+        written.expect("a response");
+        stream.shutdown().await.expect("an end");
+        stream
+    });
+    let client = client();
+    let sent = client.send_once(address, request(), Reuse::Fresh, STEP_TIMEOUT);
+    let (_, body) = sent.await?.collect(BODY_BYTES, STEP_TIMEOUT).await?;
+    drop(serving.await);
+    Ok(body)
+}
+
+/// Guards against a part of a response that is taken for all of it, as the server has ended the connection while the request
+/// was still on its way.
+#[test]
+fn collect_ended_before_request_received() {
+    block_on(async {
+        let early = collect_ended(false).await;
+        assert!(matches!(early, Err(Error::EndedEarly)), "{early:?}");
+        let whole = collect_ended(true).await;
+        assert_eq!(whole.expect("a body"), "part");
+    })
+    .expect("a runtime");
+}
+
 fn serve_blocking(
     listener: &std::net::TcpListener,
     close: &mpsc::Receiver<()>,
--- a/crates/node/src/attempt/mod.rs
+++ b/crates/node/src/attempt/mod.rs
@@ -86,7 +86,9 @@
 fn classify_error(error: &client::Error) -> Failure {
     match error {
         client::Error::Connect { .. } | client::Error::Unwritten => Failure::NotWritten,
-        client::Error::Lost(_) | client::Error::Unexpected => Failure::Lost,
+        client::Error::Lost(_) | client::Error::Unexpected | client::Error::EndedEarly => {
+            Failure::Lost
+        }
         client::Error::TimedOut(_) => Failure::TimedOut,
         client::Error::TooLarge(_) | client::Error::Exhausted(_) => Failure::TooLarge,
     }
