relay: what explains crashes stands apart from what is known of them

What was there at crashes, how much of them it explains and whether that is enough moves to crash/candidate.rs, which needs the times of crashes alone. No change of behaviour: tests of crashes and of fleets passed as before.

--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! What is sound and quarantined by mistake can't clear itself, so at times one VM lets one request through.
 
+mod candidate;
 mod evidence;
 mod feature;
 mod loss;
@@ -19,7 +20,8 @@
 
 use crate::pool::Instance;
 
-pub use evidence::{Count, Culprit, Evidence};
+pub use candidate::{Count, Culprit};
+pub use evidence::Evidence;
 pub use feature::{shared_parts, Feature};
 pub use loss::{Abandoned, Loss, Suspects};
 pub use quarantine::Quarantine;
