http: one end of a response's body; a test's comment stands at its function again

Response::chunk and Passthrough asked whether a body had ended early and then gave the connection back, each by itself; Response::finish does both. The comment of serve_blocking had come to stand at a function put before it. No change of behaviour: client and server tests of http passed.

--- a/crates/http/src/client/mod.rs
+++ b/crates/http/src/client/mod.rs
@@ -351,13 +351,6 @@
         self.ends_with_connection
     }
 
-    /// Whether the body, which has ended, ended with the connection before the server had received all of the request.
-    fn ended_early(&self) -> bool {
-        let connection = self.connection.as_ref();
-        let is_cut_short = connection.is_some_and(|connection| connection.delivery.is_cut_short());
-        self.ends_with_connection && is_cut_short
-    }
-
     /// Waits for the next chunk of the body; `None` at its end.
     ///
     /// # Errors
@@ -370,11 +363,7 @@
             let frame = self.idle_timer.wait(self.body.frame()).await;
             let frame = frame.map_err(|_| Error::TimedOut(timeout))?;
             let Some(frame) = frame else {
-                if self.ended_early() {
-                    return Err(Error::EndedEarly);
-                }
-                self.release_connection();
-                return Ok(None);
+                return self.finish().map(|()| None);
             };
             if let Ok(chunk) = frame?.into_data() {
                 return Ok(Some(chunk));
@@ -455,13 +444,20 @@
         Passthrough(self)
     }
 
-    /// Returns the connection to the pool after the complete body was read.
-    fn release_connection(&mut self) {
+    /// Returns the connection to the pool after the end of the body was read, unless the body may be a part only: it ended
+    /// with the connection before the server had received all of the request.
+    fn finish(&mut self) -> Result<(), Error> {
+        let connection = self.connection.as_ref();
+        let is_cut_short = connection.is_some_and(|connection| connection.delivery.is_cut_short());
+        if self.ends_with_connection && is_cut_short {
+            return Err(Error::EndedEarly);
+        }
         if let Some(connection) = self.connection.take() {
             connection.is_answered.set(true);
             self.client
                 .put_idle(self.address, connection, self.pool_timeout);
         }
+        Ok(())
     }
 }
 
@@ -508,10 +504,9 @@
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Truncated>>> {
         loop {
             match std::task::ready!(Pin::new(&mut self.0.body).poll_frame(cx)) {
-                None if self.0.ended_early() => return Poll::Ready(Some(Err(Truncated))),
                 None => {
-                    self.0.release_connection();
-                    return Poll::Ready(None);
+                    let finished = self.0.finish();
+                    return Poll::Ready(finished.err().map(|_| Err(Truncated)));
                 }
                 Some(Err(_)) => return Poll::Ready(Some(Err(Truncated))),
                 Some(Ok(frame)) => {
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -152,7 +152,6 @@
     .expect("a runtime");
 }
 
-/// Answers one request on each connection, in its own thread. Closes the first one when asked to, and confirms that.
 /// Has a server send a response that ends with its connection, before or after it has read the request; returns the body.
 async fn collect_ended(reads_request: bool) -> Result<Bytes, Error> {
     let (listener, address) = listen();
@@ -189,6 +188,7 @@
     .expect("a runtime");
 }
 
+/// Answers one request on each connection, in its own thread. Closes the first one when asked to, and confirms that.
 fn serve_blocking(
     listener: &std::net::TcpListener,
     close: &mpsc::Receiver<()>,
