http, gateway: one reading of what a probe of an address shows

Whether a refusal, an error or a connection was met was told apart twice, in gateway::presence::check and in socket::refuses, each with its log line. socket::probe says it now, and both ask it. No change of behaviour; tests of http (client, socket), node (answer_end) and clippy passed.

--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -1,10 +1,9 @@
 //! Whether the process of a runner has ended.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hornbeamtiller_http::socket;
+use hornbeamtiller_http::socket::{self, Finding};
 use hornbeamtiller_relay::event::Presence;
 
 /// Timeout of the connection that shows whether anything listens.
@@ -18,11 +17,8 @@
 /// Tries to connect to a runner. Only a refusal proves that it has ended.
 pub async fn check(address: SocketAddr) -> Presence {
     match socket::probe(address, TIMEOUT).await {
-        Ok(()) => Presence::Listening,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Refused,
-        Err(error) => {
-            log::info!(runner_address:% = address, error:% = error; "presence_unknown");
-            Presence::Unknown
-        }
+        Finding::Listening => Presence::Listening,
+        Finding::Refused => Presence::Refused,
+        Finding::Unknown => Presence::Unknown,
     }
 }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -78,16 +78,28 @@
     TcpListener::bind_with_config(address, &options)
 }
 
-/// Opens a connection and closes it.
-///
-/// # Errors
-///
-/// The error of the operating system, or [`io::ErrorKind::TimedOut`].
-pub async fn probe(address: SocketAddr, timeout: Duration) -> io::Result<()> {
+/// What a connection that is opened and closed shows of its address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// Something listens there.
+    Listening,
+    /// The connection was refused: nothing does.
+    Refused,
+    /// Nothing was learnt: it took too long, or failed in another way.
+    Unknown,
+}
+
+/// Opens a connection and closes it; logs an error that tells nothing.
+pub async fn probe(address: SocketAddr, timeout: Duration) -> Finding {
     let connecting = TcpStream::connect_addr(address);
-    match monoio::time::timeout(timeout, connecting).await {
-        Ok(connected) => connected.map(drop),
-        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    let connected = monoio::time::timeout(timeout, connecting).await;
+    match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+        Ok(_) => Finding::Listening,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Finding::Refused,
+        Err(error) => {
+            log::info!(runner_address:% = address, error:% = error; "presence_unknown");
+            Finding::Unknown
+        }
     }
 }
 
@@ -95,22 +107,11 @@
 /// listener of a process that ends one after the other, so it is looked twice. A `timeout` or another error of a look
 /// tells nothing.
 pub async fn has_stopped_listening(address: SocketAddr, timeout: Duration) -> bool {
-    if refuses(address, timeout).await {
+    if probe(address, timeout).await == Finding::Refused {
         return true;
     }
     monoio::time::sleep(LISTENER_MARGIN).await;
-    refuses(address, timeout).await
-}
-
-async fn refuses(address: SocketAddr, timeout: Duration) -> bool {
-    match probe(address, timeout).await {
-        Ok(()) => false,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => true,
-        Err(error) => {
-            log::info!(runner_address:% = address, error:% = error; "presence_unknown");
-            false
-        }
-    }
+    probe(address, timeout).await == Finding::Refused
 }
 
 /// Sets the socket options of a connection. It is lost when sent bytes stay unacknowledged for
