Signals that ask for the end are handled by the thread that looks for them

A signal that waits for a stopped process is taken by the first thread that runs after SIGCONT. If that is the one that writes the log and it loses its core before its handler has run, the main thread finds itself not asked, and the time from which calls are accepted counts from there. The same cause elsewhere: the time at which no signal had come was taken after the settings had been read and the listeners opened, so a signal in between counted as younger too.

Change: SIGTERM and SIGINT are blocked before any thread starts, and unblocked in the main thread once their handlers are set. That time, before which a signal would have ended the process, is the first at which it was not asked. A signal between the two no longer ends the process without a log.

--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -21,7 +21,7 @@
 use hornbeamtiller_platform::Process;
 use hornbeamtiller_relay::policy::{self, Policy};
 use logging::{Output, Writer};
-use stop::{Ending, Grace, Signals, SIGNAL_POLL_INTERVAL};
+use stop::{Blocked, Ending, Grace, Signals, SIGNAL_POLL_INTERVAL};
 
 /// Exit code for settings that fail validation.
 const EXIT_INVALID_SETTINGS: u8 = 3;
@@ -178,14 +178,16 @@
 }
 
 fn run_node(settings: Settings) -> Result<Ending, Report<Error>> {
+    let blocked = Blocked::block().change_context(Error::Signals)?;
     let log = logging::init(Output::Stderr).change_context(Error::Logging)?;
-    let signals = Signals::install().change_context(Error::Signals)?;
+    let signals = blocked.handle().change_context(Error::Signals)?;
     run(serve_node(settings, signals), log)
 }
 
 fn run_gateway(settings: &Path, policy: Policy, key: &str) -> Result<Ending, Report<Error>> {
+    let blocked = Blocked::block().change_context(Error::Signals)?;
     let log = logging::init(Output::Stdout).change_context(Error::Logging)?;
-    let signals = Signals::install().change_context(Error::Signals)?;
+    let signals = blocked.handle().change_context(Error::Signals)?;
     let reload_requested = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGHUP, reload_requested.clone())
         .change_context(Error::Signals)?;
@@ -219,7 +221,7 @@
     log::info!("started");
     let mut last_poll = Instant::now();
     let mut last_collect = Instant::now();
-    let mut unasked_at = Instant::now();
+    let mut unasked_at = signals.blocked_at();
     while !signals.look_for_stop(&mut unasked_at) {
         monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
         if last_collect.elapsed() >= COLLECT_INTERVAL {
--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -44,24 +44,67 @@
     /// Signals that came, and how many of them are in the log.
     count: AtomicU32,
     logged: AtomicU32,
-    installed_at: Instant,
-    /// When the first one came, in microseconds after `installed_at`.
+    blocked_at: Instant,
+    /// When the first one was handled, in microseconds after `blocked_at`.
     first_after_us: AtomicU64,
 }
 
-impl Signals {
-    /// Handles SIGTERM and SIGINT from now on.
+/// SIGTERM and SIGINT wait from [`Blocked::block`] on, and are then handled by one thread. Threads that are started in
+/// between never handle them: a signal that came while the process did not run goes to any thread that may, and until that one
+/// has a core the others would not know of it.
+#[derive(Debug)]
+pub struct Blocked {
+    since: Instant,
+}
+
+impl Blocked {
+    /// Lets the signals wait, in this thread and those that it starts.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn block() -> io::Result<Self> {
+        let since = Instant::now();
+        set_mask(libc::SIG_BLOCK)?;
+        Ok(Self { since })
+    }
+
+    /// Handles the signals from now on, in this thread.
     ///
     /// # Errors
     ///
     /// The error of the operating system.
-    pub fn install() -> io::Result<Self> {
+    pub fn handle(self) -> io::Result<Signals> {
+        let signals = Signals::install(self.since)?;
+        set_mask(libc::SIG_UNBLOCK)?;
+        Ok(signals)
+    }
+}
+
+/// Changes whether this thread blocks SIGTERM and SIGINT.
+fn set_mask(change: std::ffi::c_int) -> io::Result<()> {
+    let mut signals = std::mem::MaybeUninit::uninit();
+    // SAFETY: The set is initialized by `sigemptyset` before anything else reads it.
+    let error = unsafe {
+        libc::sigemptyset(signals.as_mut_ptr());
+        libc::sigaddset(signals.as_mut_ptr(), SIGTERM);
+        libc::sigaddset(signals.as_mut_ptr(), SIGINT);
+        libc::pthread_sigmask(change, signals.as_ptr(), std::ptr::null_mut())
+    };
+    match error {
+        0 => Ok(()),
+        error => Err(io::Error::from_raw_os_error(error)),
+    }
+}
+
+impl Signals {
+    fn install(blocked_at: Instant) -> io::Result<Self> {
         let received = Arc::new(Received {
             is_stop_requested: AtomicBool::new(false),
             is_interrupted: AtomicBool::new(false),
             count: AtomicU32::new(0),
             logged: AtomicU32::new(0),
-            installed_at: Instant::now(),
+            blocked_at,
             first_after_us: AtomicU64::new(0),
         });
         let on_term = received.clone();
@@ -79,10 +122,15 @@
         self.0.is_stop_requested.load(Ordering::Acquire)
     }
 
-    /// When the first signal came, which may be earlier than it is noticed.
+    /// When no signal had come yet. One that came before would have ended the process.
+    pub fn blocked_at(&self) -> Instant {
+        self.0.blocked_at
+    }
+
+    /// When the first signal was handled, which may be earlier than it is noticed.
     pub fn stop_requested_at(&self) -> Instant {
         let after = Duration::from_micros(self.0.first_after_us.load(Ordering::Relaxed));
-        self.0.installed_at + after
+        self.0.blocked_at + after
     }
 
     /// Whether the process is to leave; if not, sets when that was last known.
@@ -118,7 +166,7 @@
 
     fn count(&self) {
         if self.count.fetch_add(1, Ordering::Relaxed) == 0 {
-            let after = self.installed_at.elapsed().as_micros();
+            let after = self.blocked_at.elapsed().as_micros();
             self.first_after_us.store(after as u64, Ordering::Relaxed);
         }
     }
