node: beats beside an endless answer are not bounded by the call's time limit

Nothing that callers saw.

The 20 beats took longer than the call may, so the flood ended before they could be counted; the test's own bound, 20 s of flood, never applied.

Change: the call of this test may take as long as the flood. 20 beats within one flood are still asked for, and a process whose timers stand still has none of them.

--- a/crates/node/tests/endless_bytes.rs
+++ b/crates/node/tests/endless_bytes.rs
@@ -40,7 +40,7 @@
 }
 
 async fn flood(fleet: &Fleet) -> u32 {
-    let runner = Runner::open(fleet).await;
+    let runner = Runner::open_with(fleet, FLOOD_TIME_MAX).await;
     let is_over = Rc::new(Cell::new(false));
     let id = format!("{}.a", fleet.token(0).await);
     let beside = async {
