Claims of other VMs: no figure in them overflows

A claim whose numbers were wrong (from a VM of another release with a fault, or memory gone bad) could give its organisation and priority a wrapped tag, so that calls went out of order, and wrapped the numbers of grants, so that those after it counted as old; a build with checks of overflows ends.

- the tokens that an ask names went unbounded into the shares of organisations (order/share.rs).
They are bounded as those of arrivals are.
- a `last_grant` at the end of its range was counted on from (allocator.rs).
It stays at the end.

--- a/crates/relay/src/allocation/allocator.rs
+++ b/crates/relay/src/allocation/allocator.rs
@@ -45,12 +45,13 @@
 
 impl Allocator {
     /// Records a claim, unless a newer one of the same VM is known.
-    pub fn record(&mut self, claim: Claim, now: Duration) {
+    pub fn record(&mut self, mut claim: Claim, now: Duration) {
         let known = self.clients.get(&claim.vm);
         let is_same = known.is_some_and(|known| known.claim.incarnation == claim.incarnation);
         if is_same && known.is_some_and(|known| known.claim.sequence >= claim.sequence) {
             return;
         }
+        claim.asks.iter_mut().for_each(Ask::bound_tokens);
         let excluded = claim.asks.iter().flat_map(|ask| &ask.excluded);
         self.exclusions.record(&claim.vm, excluded, now);
         let known = self.clients.remove(&claim.vm).filter(|_| is_same);
@@ -200,7 +201,7 @@
 impl Client {
     /// Records that a call got capacity.
     fn grant(&mut self, ask: &Ask, placement: Placement) -> Grant {
-        self.last_grant += 1;
+        self.last_grant = self.last_grant.saturating_add(1);
         self.claim.asks.retain(|other| other.call != ask.call);
         self.unreported.push((self.last_grant, placement.added));
         Grant {
--- a/crates/relay/src/allocation/mod.rs
+++ b/crates/relay/src/allocation/mod.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::call::TOKENS_MAX;
 use crate::id;
 use crate::pool::Load;
 use crate::speed::Reading;
@@ -61,6 +62,14 @@
     pub patience: Option<Duration>,
 }
 
+impl Ask {
+    /// Bounds the tokens that count; another VM may name any number.
+    fn bound_tokens(&mut self) {
+        self.tokens = self.tokens.min(2 * TOKENS_MAX);
+        self.prefill_tokens = self.prefill_tokens.min(TOKENS_MAX);
+    }
+}
+
 /// What a VM has in flight at the engines of an allocator, and what it asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -15,6 +15,10 @@
 use crate::origin::Search;
 use crate::pool::Instance;
 
+/// Most tokens of a prompt, or of its response, that count: more than an engine has room for, and sums of such numbers do not
+/// overflow.
+pub(crate) const TOKENS_MAX: u64 = 1 << 32;
+
 /// Whether any attempt of a call may have been executed by a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -5,7 +5,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::budget::Budget;
-use crate::call::{Call, Execution, Phase, Progress};
+use crate::call::{Call, Execution, Phase, Progress, TOKENS_MAX};
 use crate::cap::{Charge, Entrance};
 use crate::decision_log::{Entry, Kind};
 use crate::event::{Arrival, Effect, Ending, Prompt};
@@ -22,10 +22,7 @@
 /// A caller that states no limit is assumed to wait for the route's timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
-/// A caller may name any number of tokens. This many are more than an engine has room for, and sums of such numbers do not
-/// overflow.
-const TOKENS_MAX: u64 = 1 << 32;
-
+/// A caller may name any number of tokens.
 fn bound_tokens(prompt: Prompt) -> Prompt {
     Prompt {
         tokens: prompt.tokens.min(TOKENS_MAX),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod fleet;
 pub mod limits;
+pub mod observe;
 pub mod order;
 pub mod overload;
 pub mod poison;
