Tests of peers' messages: what stood twice

Readability; no assertion changes. How a drawn attempt ends and which harness a seed gets stand once for reduce_any_figures and reduce_any_peer_bytes (support/observe.rs); the sample report and admission once for overload and peer_bytes (wire/tests/samples).

--- a/crates/relay/tests/extreme.rs
+++ b/crates/relay/tests/extreme.rs
@@ -10,7 +10,7 @@
 use hornbeamtiller_relay::pool::{Descriptor, Load, Report};
 use proptest::prelude::*;
 use proptest::sample::select;
-use support::observe::{arrive, check_end, numbers, outcome, Observer};
+use support::observe::{self, arrive, check_end, numbers, Observer};
 use support::{dispatch, ms, prefilled, refusal, stream_arrival, Harness, STREAM};
 
 #[test]
@@ -209,10 +209,7 @@
         }),
         Step::ArriveUsual(path) => arrive(harness, observer, path, |arrival| arrival),
         Step::End(which, how, reported) => {
-            let attempt = observer.pick(which)?;
-            let known = observer.attempts.get_mut(&attempt)?;
-            let outcome = outcome(how, known.is_prefill);
-            known.end(&outcome);
+            let (attempt, outcome) = observer.end_one(which, how)?;
             harness.apply(Event::AttemptEnded {
                 attempt,
                 outcome,
@@ -278,11 +275,7 @@
     /// nothing is left at the end.
     #[test]
     fn reduce_any_figures(seed in any::<u64>(), steps in steps()) {
-        let mut harness = if seed % 4 == 0 {
-            Harness::with_shared_loads(seed)
-        } else {
-            Harness::new(seed)
-        };
+        let mut harness = observe::open(seed);
         let mut observer = Observer::default();
         for step in steps {
             if let Some(effects) = apply_step(&mut harness, &mut observer, step) {
--- a/crates/relay/tests/support/observe.rs
+++ b/crates/relay/tests/support/observe.rs
@@ -43,14 +43,6 @@
     may_have_run: bool,
 }
 
-impl Attempt {
-    /// Records how it ends.
-    pub fn end(&mut self, outcome: &Outcome) {
-        self.is_open = false;
-        self.may_have_run = !matches!(outcome, Outcome::Unwritten | Outcome::Declined(_));
-    }
-}
-
 /// Checks that nothing runs twice and that refusals are true.
 #[derive(Default)]
 pub struct Observer {
@@ -107,6 +99,16 @@
         assert_eq!(*responses, 1, "a second final response");
     }
 
+    /// Ends one of the open attempts, by drawn numbers; returns which, and how.
+    pub fn end_one(&mut self, which: usize, how: usize) -> Option<(id::Attempt, Outcome)> {
+        let attempt = self.pick(which)?;
+        let known = self.attempts.get_mut(&attempt)?;
+        let outcome = outcome(how, known.is_prefill);
+        known.is_open = false;
+        known.may_have_run = !matches!(outcome, Outcome::Unwritten | Outcome::Declined(_));
+        Some((attempt, outcome))
+    }
+
     /// One of the open attempts.
     pub fn pick(&self, which: usize) -> Option<id::Attempt> {
         let open = self.attempts.iter().filter(|(_, known)| known.is_open);
@@ -116,7 +118,7 @@
 }
 
 /// How an attempt ends, by a drawn number.
-pub fn outcome(how: usize, is_prefill: bool) -> Outcome {
+fn outcome(how: usize, is_prefill: bool) -> Outcome {
     match how % 7 {
         0 => Outcome::Unwritten,
         1 => Outcome::Declined(Decline::Full),
@@ -146,6 +148,15 @@
     harness.apply(Event::Arrived(arrival))
 }
 
+/// A VM, which for one seed in four places calls by shared loads.
+pub fn open(seed: u64) -> Harness {
+    if seed % 4 == 0 {
+        Harness::with_shared_loads(seed)
+    } else {
+        Harness::new(seed)
+    }
+}
+
 /// Waits until all calls are over, and checks that nothing is left of them.
 pub fn check_end(harness: &mut Harness, observer: &mut Observer) {
     for _ in 0..40 {
--- a/crates/wire/tests/overload.rs
+++ b/crates/wire/tests/overload.rs
@@ -1,36 +1,11 @@
 //! Load reports and admissions survive the encoding.
 
-use std::time::Duration;
+mod samples;
 
-use hornbeamtiller_relay::overload::{Admission, Class, Demand, Fraction, Report, Sample};
+use hornbeamtiller_relay::overload::{Admission, Report};
 use hornbeamtiller_wire::fleet_capnp::{admission, load_report};
 use hornbeamtiller_wire::overload::{read_admission, read_report, write_admission, write_report};
-
-const CLASS: Class = Class {
-    priority: 2,
-    organisation: u64::MAX,
-};
-
-fn report() -> Report {
-    Report {
-        vm: "vm-1".into(),
-        endpoint: "pay".into(),
-        demand: vec![Demand {
-            class: CLASS,
-            rate: 7.5,
-        }],
-        served: 4.25,
-        declined: 0.5,
-        work: Duration::from_micros(30_250),
-        samples: vec![Sample {
-            runner: 1 << 63,
-            running: 6,
-            waiting: 24,
-            slots: 6,
-            age: Duration::from_millis(140),
-        }],
-    }
-}
+use samples::report;
 
 fn round_trip(report: &Report) -> Report {
     let mut message = capnp::message::Builder::new_default();
@@ -65,14 +40,7 @@
 
 #[test]
 fn admission_complete() {
-    let known = Admission {
-        fractions: vec![Fraction {
-            class: CLASS,
-            fraction: 0.75,
-        }],
-        rate: 590.5,
-        part: 0.5,
-    };
+    let known = samples::admission();
     assert_eq!(round_trip_admission(Some(&known)), Some(known));
 }
 
--- a/crates/wire/tests/peer_bytes.rs
+++ b/crates/wire/tests/peer_bytes.rs
@@ -3,6 +3,7 @@
 //!
 //! `HORNBEAMTILLER_CASES` sets the number of cases, `HORNBEAMTILLER_SEED` the seed.
 
+mod samples;
 #[path = "../../relay/tests/support/mod.rs"]
 mod support;
 
@@ -18,7 +19,6 @@
 use hornbeamtiller_relay::event::{Effect, Event};
 use hornbeamtiller_relay::limit;
 use hornbeamtiller_relay::origin::{self, Origin};
-use hornbeamtiller_relay::overload::{self, Admission, Class, Demand, Fraction, Sample};
 use hornbeamtiller_relay::pool::{Instance, Load};
 use hornbeamtiller_relay::speed::Reading;
 use hornbeamtiller_wire::fleet_capnp as schema;
@@ -28,7 +28,7 @@
 use proptest::prelude::*;
 use proptest::sample::select;
 use support::caps;
-use support::observe::{arrive, check_end, numbers, outcome, Observer};
+use support::observe::{self, arrive, check_end, numbers, Observer};
 use support::{member, ms, Harness};
 
 /// The peer that sends.
@@ -219,43 +219,6 @@
         .to_vec()
 }
 
-fn sample_report() -> overload::Report {
-    let class = Class {
-        priority: 2,
-        organisation: 3,
-    };
-    overload::Report {
-        vm: PEER.into(),
-        endpoint: "pay".into(),
-        demand: vec![Demand { class, rate: 7.5 }],
-        served: 4.25,
-        declined: 0.5,
-        work: Duration::from_micros(30_250),
-        samples: vec![Sample {
-            runner: 1 << 63,
-            running: 6,
-            waiting: 24,
-            slots: 6,
-            age: ms(140),
-        }],
-    }
-}
-
-fn sample_admission() -> Admission {
-    let class = Class {
-        priority: 2,
-        organisation: 3,
-    };
-    Admission {
-        fractions: vec![Fraction {
-            class,
-            fraction: 0.75,
-        }],
-        rate: 590.5,
-        part: 0.5,
-    }
-}
-
 /// The bytes of a message as a sound peer sends it.
 fn encode(kind: Kind) -> Vec<u8> {
     let mut message = Builder::<HeapAllocator>::new_default();
@@ -285,9 +248,9 @@
             let params = message.init_root::<fleet::credit_params::Builder<'_>>();
             cap_wire::write_answers(&answers, params.init_answers(answers.len() as u32));
         }
-        Kind::LoadReport => overload_wire::write_report(&sample_report(), message.init_root()),
+        Kind::LoadReport => overload_wire::write_report(&samples::report(), message.init_root()),
         Kind::Admission => {
-            overload_wire::write_admission(Some(&sample_admission()), message.init_root());
+            overload_wire::write_admission(Some(&samples::admission()), message.init_root());
         }
     }
     write_message_to_words(&message)
@@ -410,24 +373,17 @@
             arrival
         }),
         Step::End(which, how) => {
-            let Some(attempt) = observer.pick(which) else {
-                return Vec::new();
-            };
-            let known = observer.attempts.get_mut(&attempt).expect("an attempt");
-            let outcome = outcome(how, known.is_prefill);
-            known.end(&outcome);
-            harness.end_attempt(attempt, outcome)
+            let ended = observer.end_one(which, how);
+            ended.map_or_else(Vec::new, |(attempt, outcome)| {
+                harness.end_attempt(attempt, outcome)
+            })
         }
         Step::Advance(time) => harness.advance(ms(time)),
     }
 }
 
 fn open(seed: u64) -> Harness {
-    let mut harness = if seed % 4 == 0 {
-        Harness::with_shared_loads(seed)
-    } else {
-        Harness::new(seed)
-    };
+    let mut harness = observe::open(seed);
     harness.state.settings.overload_control = seed & 4 != 0;
     if seed & 8 != 0 {
         let quota = Some(caps::cap(QUOTA_RATE, QUOTA_BURST_S));
