Origins by engines: a lost engine speaks against other versions where sessions move

Cause: an engine that holds the last part of a prompt counts as proof of its version unless another version has lost all its engines, or none of that version has listed what it holds. The part belongs to the session, whose earlier request may have run at the other version. Where one engine of several is lost with what it held, the engines that are left of its version never had the part, and did not contradict.

Ruled out: entries that arrive late (the engine's entry was still listed, and its refused listing was known), the VMs' own records (none was left).

Change: the VM that asks the engines notes whether the prompt of a stream that is looked for is held at two versions. If one is, sessions move between versions there, and what other versions hold counts only while each engine of the rest has listed what it holds: not one that is listed and mute, one that was dropped from the list before it had listed, or one that the store's history names. Where no session is seen to have moved, a lost engine speaks against nothing, as before.

--- a/crates/gateway/src/peer/service.rs
+++ b/crates/gateway/src/peer/service.rs
@@ -142,9 +142,9 @@
             key,
             endpoint: params.get_endpoint()?.to_str()?.into(),
         };
-        if matches!(question.key, Key::Part(_)) {
+        if let Key::Part(part) = question.key {
             let endpoint = question.endpoint.clone();
-            self.driver.apply(Event::EnginesAsked { endpoint });
+            self.driver.apply(Event::EnginesAsked { endpoint, part });
         }
         let now = self.driver.now();
         let answer = self
--- a/crates/relay/src/cache_index.rs
+++ b/crates/relay/src/cache_index.rs
@@ -8,6 +8,11 @@
 //! too, and so may those of a version that has lost all of them since the stream may have begun. A prefill engine proves nothing,
 //! as it begins no stream.
 //!
+//! A version that has lost some of its engines may have lost the one that began the stream. That matters only where sessions
+//! move between versions, as a session of one version is held by no other. Once engines of two versions are found
+//! to hold the prompt of one stream, sessions do move, and what other versions hold counts only while each engine of
+//! the rest has listed what it holds.
+//!
 //! Engines work more slowly while they list what they hold, so one VM asks them for all others, all of an endpoint at
 //! once and at most once per interval. What an engine has held still counts after it has dropped it, for as long as
 //! a stream may go on.
@@ -55,6 +60,10 @@
     /// Where parts are held or were, by the number of the part.
     origins: Table,
     listings: HashMap<id::Endpoint, Listing>,
+    /// Until when sessions of an endpoint count as ones that move between software versions.
+    moving_until: HashMap<id::Endpoint, Duration>,
+    /// When an engine was dropped from the pool that never listed what it held, by endpoint and software version.
+    dropped_unlisted: BTreeMap<(id::Endpoint, id::Build), Duration>,
 }
 
 impl Index {
@@ -74,6 +83,12 @@
         now: Duration,
     ) {
         let last = self.listings.get(endpoint);
+        let unlisted = last.into_iter().flat_map(|last| &last.unlisted);
+        let dropped = unlisted.filter(|(engine, _)| !engines.contains_key(*engine));
+        for (_, build) in dropped {
+            let key = (endpoint.clone(), build.clone());
+            self.dropped_unlisted.insert(key, now);
+        }
         let is_unlisted = |engine: &Instance| {
             last.is_none_or(|last| {
                 !last.known.contains(engine) || last.unlisted.contains_key(engine)
@@ -118,6 +133,40 @@
         })
     }
 
+    /// Records that the origin of a stream with this prompt is looked for. If engines of two software versions hold its last part, or
+    /// held it, sessions move between versions, for all that `lifetime` says of evidence.
+    pub fn note_question(
+        &mut self,
+        endpoint: &id::Endpoint,
+        part: id::Part,
+        lifetime: Duration,
+        now: Duration,
+    ) {
+        if self.origins.is_contradictory(part, now) {
+            self.moving_until.insert(endpoint.clone(), now + lifetime);
+        }
+    }
+
+    /// Whether sessions of an endpoint have lately moved between software versions.
+    pub fn has_moving_sessions(&self, endpoint: &id::Endpoint, now: Duration) -> bool {
+        let until = self.moving_until.get(endpoint);
+        until.is_some_and(|until| *until > now)
+    }
+
+    /// Whether an engine of another software version has not listed what it holds, or has been gone since a time without
+    /// having done so.
+    pub fn lacks_engine_elsewhere(&self, origin: &Origin, since: Duration) -> bool {
+        let listing = self.listings.get(&origin.endpoint);
+        let unlisted = listing
+            .into_iter()
+            .flat_map(|listing| listing.unlisted.values());
+        let dropped = self.dropped_unlisted.iter();
+        let dropped =
+            dropped.filter(|((endpoint, _), at)| *endpoint == origin.endpoint && **at >= since);
+        let mut builds = unlisted.chain(dropped.map(|((_, build), _)| build));
+        builds.any(|build| *build != origin.build)
+    }
+
     /// Records the parts that an engine holds, as evidence that counts for `lifetime`.
     pub fn record(
         &mut self,
@@ -169,8 +218,10 @@
         self.origins.is_empty()
     }
 
-    /// Drops the evidence that has expired.
-    pub fn evict(&mut self, now: Duration) {
+    /// Drops the evidence that has expired, and what was noticed of engines before `since`.
+    pub fn evict(&mut self, now: Duration, since: Duration) {
         self.origins.evict(now);
+        self.moving_until.retain(|_, until| *until > now);
+        self.dropped_unlisted.retain(|_, at| *at >= since);
     }
 }
--- a/crates/relay/src/event/mod.rs
+++ b/crates/relay/src/event/mod.rs
@@ -276,6 +276,8 @@
     EnginesAsked {
         /// The endpoint.
         endpoint: id::Endpoint,
+        /// The last part of the stream's prompt.
+        part: id::Part,
     },
     /// An engine lists the parts of prompts that it holds, or does not in time.
     PartsListed {
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -169,6 +169,12 @@
         entry.origin.as_ref().filter(|_| entry.expires_at > now)
     }
 
+    /// Whether different origins of a stream were told.
+    pub fn is_contradictory(&self, stream: id::Stream, now: Duration) -> bool {
+        let entry = self.entries.get(&stream);
+        entry.is_some_and(|entry| entry.origin.is_none() && entry.expires_at > now)
+    }
+
     /// All records, with the lifetime that is left.
     pub fn records(&self, now: Duration) -> Vec<Record> {
         let entries = self.entries.iter();
--- a/crates/relay/src/pool/mod.rs
+++ b/crates/relay/src/pool/mod.rs
@@ -343,14 +343,28 @@
 
     /// Whether another software version of the same endpoint is known to have lost since all engines that it had, with what
     /// they held. While a version is replaced, the engines that it still has hold most of its streams.
-    pub fn has_lost_elsewhere(&self, origin: &Origin, since: Duration) -> bool {
+    pub fn has_lost_build_elsewhere(&self, origin: &Origin, since: Duration) -> bool {
+        let mut builds: BTreeSet<&id::Build> = self.lost_elsewhere(origin, since).collect();
+        builds.retain(|build| !self.has_lasting_engine(&origin.endpoint, build));
+        !builds.is_empty()
+    }
+
+    /// Whether another software version of the same endpoint is known to have lost an engine since, with what it held.
+    pub fn has_lost_engine_elsewhere(&self, origin: &Origin, since: Duration) -> bool {
+        self.lost_elsewhere(origin, since).next().is_some()
+    }
+
+    /// The other software versions of the engines of an endpoint that are known to be lost since.
+    fn lost_elsewhere<'a>(
+        &'a self,
+        origin: &'a Origin,
+        since: Duration,
+    ) -> impl Iterator<Item = &'a id::Build> {
         let lost = self.lost_engines.values();
-        let lost = lost.filter(|(engine, at)| {
+        let lost = lost.filter(move |(engine, at)| {
             engine.endpoint == origin.endpoint && engine.build != origin.build && *at >= since
         });
-        let mut builds: BTreeSet<&id::Build> = lost.map(|(engine, _)| &engine.build).collect();
-        builds.retain(|build| !self.has_lasting_engine(&origin.endpoint, build));
-        !builds.is_empty()
+        lost.map(|(engine, _)| &engine.build)
     }
 
     /// Whether an engine of a software version is listed that is no new process of one that was lost.
--- a/crates/relay/src/reduce/listing.rs
+++ b/crates/relay/src/reduce/listing.rs
@@ -69,7 +69,9 @@
 
     /// Asks the engines from here; returns whether they have still to answer, or have told.
     fn ask_engines_here(&mut self, number: id::Call, question: &Question) -> bool {
-        self.list_engines(&question.endpoint);
+        if let Key::Part(part) = question.key {
+            self.handle_engine_question(&question.endpoint, part);
+        }
         match self.state.answer_origin(self.now, question) {
             Answer::Held(holding) => self.bind_by_engines(number, holding),
             Answer::Pending => {
@@ -183,6 +185,14 @@
         }
     }
 
+    /// Has the engines of an endpoint asked, as the origin of a stream with this last part of its prompt is looked for.
+    pub(super) fn handle_engine_question(&mut self, endpoint: &id::Endpoint, part: id::Part) {
+        self.list_engines(endpoint);
+        let lifetime = self.state.origin_lifetime();
+        let index = &mut self.state.cache_index;
+        index.note_question(endpoint, part, lifetime, self.now);
+    }
+
     /// Asks the engines of an endpoint what they hold, if they are known and were not asked lately.
     pub(super) fn list_engines(&mut self, endpoint: &id::Endpoint) {
         if !self.state.pool_loaded || !self.state.cache_index.is_due(endpoint, self.now) {
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -85,7 +85,7 @@
             address,
             answer,
         } => reducer.handle_origin_answer(call, address, answer),
-        Event::EnginesAsked { endpoint } => reducer.list_engines(&endpoint),
+        Event::EnginesAsked { endpoint, part } => reducer.handle_engine_question(&endpoint, part),
         Event::PartsListed {
             endpoint,
             engine,
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -64,7 +64,8 @@
     /// Tells other VMs the origins recorded since the last tick.
     pub(super) fn tick_origins(&mut self) {
         self.state.origins.evict(self.now);
-        self.state.cache_index.evict(self.now);
+        let since = self.state.stream_age_limit(self.now);
+        self.state.cache_index.evict(self.now, since);
         let records = std::mem::take(&mut self.state.untold_origins);
         self.spread_origins(records, origin::replicas);
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -456,7 +456,21 @@
     fn may_be_held_elsewhere(&self, origin: &Origin, now: Duration) -> bool {
         let since = self.stream_age_limit(now);
         self.cache_index.is_unlisted_elsewhere(origin)
-            || self.pool.has_lost_elsewhere(origin, since)
+            || self.pool.has_lost_build_elsewhere(origin, since)
+            || self.may_have_moved_from_lost_engine(origin, since, now)
+    }
+
+    /// Whether sessions move between software versions, and an engine of another one that may have begun the stream is gone with what
+    /// it held, or does not say.
+    fn may_have_moved_from_lost_engine(
+        &self,
+        origin: &Origin,
+        since: Duration,
+        now: Duration,
+    ) -> bool {
+        self.cache_index.has_moving_sessions(&origin.endpoint, now)
+            && (self.cache_index.lacks_engine_elsewhere(origin, since)
+                || self.pool.has_lost_engine_elsewhere(origin, since))
     }
 
     /// Streams that began before can't go on any more.
--- a/crates/relay/tests/cache_index.rs
+++ b/crates/relay/tests/cache_index.rs
@@ -129,7 +129,7 @@
     );
     assert!(index.find(1, seconds(37)).is_some());
     assert!(index.find(1, seconds(38)).is_none());
-    index.evict(seconds(38));
+    index.evict(seconds(38), seconds(10));
     assert!(index.is_empty());
 }
 
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -352,6 +352,82 @@
     assert!(resume_all(&mut fleet, &streams) >= of_v2);
 }
 
+/// A fleet of nine engines of two versions, with streams of all VMs, some of which began at the engine `make-0` of `v1`.
+fn begin_at_nine_engines(seed: u64) -> (Fleet, Vec<(String, id::Build)>) {
+    let builds = ["v1", "v1", "v1", "v1", "v1", "v1", "v2", "v2", "v2"];
+    let mut fleet = Fleet::new(4, &builds, seed);
+    fleet.has_history = true;
+    let streams = (0..54)
+        .map(|number| begin(&mut fleet, 1 + number % 4))
+        .collect();
+    (fleet, streams)
+}
+
+/// Takes all streams up again; returns how many go on, and how many of these at another version than the one that began them.
+fn count_resumed(fleet: &mut Fleet, streams: &[(String, id::Build)]) -> (usize, usize) {
+    let (mut gone_on, mut joined) = (0, 0);
+    for (request, build) in streams {
+        if let Resumption::Bound(at) = fleet.resume(2, Some(request)) {
+            gone_on += 1;
+            joined += usize::from(at.as_ref() != Some(build));
+        }
+    }
+    (gone_on, joined)
+}
+
+/// Most streams that may hold events of two versions.
+const JOINED_MAX: usize = 2;
+
+/// Guards against streams that go on at the version of an earlier request of their session, since one of several engines of
+/// the version that began them is lost with what it held.
+#[test]
+fn resume_all_vms_killed_one_engine_lost_session_at_other_build() {
+    for seed in 0..8 {
+        for is_listed in [true, false] {
+            let (mut fleet, streams) = begin_at_nine_engines(seed);
+            fleet.hold_sessions("make-6", &streams);
+            if is_listed {
+                fleet.mute.insert("make-0".into());
+            } else {
+                fleet.unlist("make-0");
+            }
+            restart_all(&mut fleet, 4);
+            let (_, joined) = count_resumed(&mut fleet, &streams);
+            assert!(joined <= JOINED_MAX, "seed {seed}: {joined}");
+        }
+    }
+}
+
+/// The same where the entry of the engine is removed after the VMs are back, and callers come later.
+#[test]
+fn resume_all_vms_killed_one_engine_lost_entry_removed_later() {
+    for seed in 0..8 {
+        let (mut fleet, streams) = begin_at_nine_engines(seed);
+        fleet.hold_sessions("make-6", &streams);
+        fleet.mute.insert("make-0".into());
+        restart_all(&mut fleet, 4);
+        fleet.advance(ms(3_000));
+        fleet.unlist("make-0");
+        fleet.advance(ms(4_000));
+        let (_, joined) = count_resumed(&mut fleet, &streams);
+        assert!(joined <= JOINED_MAX, "seed {seed}: {joined}");
+    }
+}
+
+/// Guards against streams that are refused because an engine is lost, though no session has had requests at two versions.
+#[test]
+fn resume_all_vms_killed_one_engine_lost_sessions_at_one_build_go_on() {
+    let (mut fleet, streams) = begin_at_nine_engines(1);
+    let lost = fleet.held.get("make-0").cloned().unwrap_or_default();
+    fleet.mute.insert("make-0".into());
+    restart_all(&mut fleet, 4);
+    let (gone_on, joined) = count_resumed(&mut fleet, &streams);
+    let lost = streams
+        .iter()
+        .filter(|(stream, _)| lost.contains(&origin::stream(stream)));
+    assert_eq!((gone_on, joined), (streams.len() - lost.count(), 0));
+}
+
 /// An engine that has left proves nothing against streams of its own version.
 #[test]
 fn resume_all_vms_killed_engine_left_same_build_go_on() {
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -434,9 +434,9 @@
                     self.apply(vm, Event::OriginsReceived { records });
                 }
                 Message::Question(call, question) => {
-                    if matches!(question.key, Key::Part(_)) {
+                    if let Key::Part(part) = question.key {
                         let endpoint = question.endpoint.clone();
-                        self.apply(vm, Event::EnginesAsked { endpoint });
+                        self.apply(vm, Event::EnginesAsked { endpoint, part });
                     }
                     let harness = &self.vms[&vm].harness;
                     let process_time = now - self.vms[&vm].started_at;
