Sessions stay at the software version of their last request while it has room

Cause: after such a loss what engines hold is all that tells which version began a stream. A session whose requests run at one version and then at another is held by both, and proves nothing. Placement chose versions by load alone.

Change: a VM remembers by the last part of its prompt at which version a session's last request ran (relay::session, 16,384 sessions for 10 minutes), and tells it to others in the record of the stream's origin, 8 bytes more. While engines of another version serve too, a request that can be taken up again asks for engines of its session's version alone, until that has no room, or none was granted in a quarter of the target latency; then it goes anywhere, and others leave that version without waiting for 0.5 s. A VM that leaves tells the latest 2,048 sessions; one that has just started in a fleet of up to 8 is told them; the VM that asks the engines after a loss tells what they hold. With one version served nothing is asked or decided. In fleets above 8 VMs a session is known at the four VMs that know its last stream; a VM that is none of them does not ask.

Evidence: log line session (stays, full, too_late), sessions_total; relay/tests/session.rs, of which resume_all_vms_killed_one_engine_lost_sessions_go_on, arrived_session_stays and begin_all_vms_replaced_in_turn_sessions_stay fail without the change.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     origins: IntCounterVec,
+    sessions: IntCounterVec,
     caps: IntCounterVec,
     caps_granted: IntGauge,
     overload_refusals: IntCounterVec,
@@ -85,6 +86,13 @@
             ),
             &["source"],
         )?;
+        let sessions = IntCounterVec::new(
+            Opts::new(
+                "sessions_total",
+                "Requests of known sessions while several software versions serve, by whether they stay at that of the session.",
+            ),
+            &["decision"],
+        )?;
         let caps = IntCounterVec::new(
             Opts::new(
                 "caps_total",
@@ -182,6 +190,7 @@
         registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(origins.clone()))?;
+        registry.register(Box::new(sessions.clone()))?;
         registry.register(Box::new(caps.clone()))?;
         registry.register(Box::new(overload_refusals.clone()))?;
         registry.register(Box::new(admitted.clone()))?;
@@ -206,6 +215,7 @@
             refusals,
             attempts,
             origins,
+            sessions,
             caps,
             caps_granted,
             overload_refusals,
@@ -372,6 +382,11 @@
         ] {
             self.events.with_label_values(&[event]).inc_by(count);
         }
+        self.sessions.reset();
+        for (decision, count) in &counters.sessions {
+            let counter = self.sessions.with_label_values::<&str>(&[decision.into()]);
+            counter.inc_by(*count);
+        }
         self.origins.reset();
         for (source, count) in &counters.origins {
             let counter = self.origins.with_label_values::<&str>(&[source.into()]);
--- a/crates/relay/src/cache_index.rs
+++ b/crates/relay/src/cache_index.rs
@@ -172,20 +172,21 @@
         &mut self,
         engine: &id::Runner,
         origin: &Origin,
-        parts: Vec<id::Part>,
+        parts: &[id::Part],
         lifetime: Duration,
         now: Duration,
     ) {
-        for part in &parts {
+        for part in parts {
             let record = Record {
                 stream: *part,
+                session: None,
                 origin: origin.clone(),
                 lifetime,
             };
             self.origins.insert(record, now);
         }
         if let Some(listing) = self.listings.get_mut(&origin.endpoint) {
-            let parts = parts.into_iter().collect();
+            let parts = parts.iter().copied().collect();
             listing.held.insert(engine.clone(), parts);
         }
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -192,6 +192,9 @@
     /// Software version that began the stream, at which alone it may go on; none while nothing binds
     /// it to one.
     pub build: Option<id::Build>,
+    /// Software version that has the prompts of its session, at which it runs while there is room; none if it is not known, or
+    /// does not matter.
+    pub session_build: Option<id::Build>,
     /// The attempt at a silent runner, while another runner is prepared; the phase has an attempt then.
     pub standby: Option<Standby>,
     /// The stream that it begins or goes on with.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -36,6 +36,8 @@
     Paused,
     /// It was found out, or not, which software version began a stream that is to go on.
     Origin,
+    /// A request stays at the software version that has the prompts of its session, or does not, while others serve too.
+    Session,
     /// An engine was asked which parts of prompts it holds.
     PartsListed,
     /// The history of the list of runners was read, for engines that have left.
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -8,12 +8,12 @@
 //! goes on if no other version can have begun it, or if the engines that still hold its prompt are all of
 //! one version; see [`crate::cache_index`]. Else its caller loses the rest of the stream.
 
-use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::allocation::hash;
 use crate::cache_index::Holding;
+use crate::expiry;
 use crate::id;
 
 /// Number of VMs that are told the origin of a stream, in a large fleet.
@@ -36,7 +36,10 @@
 /// Maximum number of streams whose origin is kept.
 const STREAMS_MAX: usize = 1 << 16;
 
-/// Number of the stream whose first event a request brought; never 0.
+/// Number that no stream has.
+pub const NO_STREAM: id::Stream = 0;
+
+/// Number of the stream whose first event a request brought; never [`NO_STREAM`].
 pub fn stream(request: &str) -> id::Stream {
     hash(request.as_bytes(), 0).max(1)
 }
@@ -72,14 +75,26 @@
 /// The origin of one stream, as recorded and told to other VMs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
-    /// The stream.
+    /// The stream; [`NO_STREAM`] if the record is of its session alone.
     pub stream: id::Stream,
+    /// The last part of its prompt, by which its session is known (see [`crate::session`]); none if it has no prompt.
+    pub session: Option<id::Part>,
     /// Where it began.
     pub origin: Origin,
     /// How long the caller may still go on with it.
     pub lifetime: Duration,
 }
 
+impl Record {
+    /// Number by which the VMs that are told are ranked.
+    pub fn key(&self) -> u64 {
+        match (self.stream, self.session) {
+            (NO_STREAM, Some(session)) => session,
+            (stream, _) => stream,
+        }
+    }
+}
+
 /// What a VM is asked to find the origin by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Key {
@@ -138,92 +153,70 @@
     Unreachable,
 }
 
+/// The origins of streams that a VM knows.
 #[derive(Debug)]
-struct Entry {
-    /// None if different origins were told, so that none can be relied on.
-    origin: Option<Origin>,
-    expires_at: Duration,
+pub struct Table {
+    /// None if different origins of a stream were told, so that none can be relied on.
+    origins: expiry::Map<Option<Origin>>,
 }
 
-/// The origins of streams that a VM knows.
-#[derive(Debug, Default)]
-pub struct Table {
-    entries: HashMap<id::Stream, Entry>,
-    expiries: BTreeSet<(Duration, id::Stream)>,
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            origins: expiry::Map::new(STREAMS_MAX),
+        }
+    }
 }
 
 impl Table {
     /// Number of streams.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.origins.len()
     }
 
     /// Whether no stream is known.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.origins.is_empty()
     }
 
     /// The origin of a stream, if it is known.
     pub fn get(&self, stream: id::Stream, now: Duration) -> Option<&Origin> {
-        let entry = self.entries.get(&stream)?;
-        entry.origin.as_ref().filter(|_| entry.expires_at > now)
+        self.origins.get(stream, now)?.as_ref()
     }
 
     /// Whether different origins of a stream were told.
     pub fn is_contradictory(&self, stream: id::Stream, now: Duration) -> bool {
-        let entry = self.entries.get(&stream);
-        entry.is_some_and(|entry| entry.origin.is_none() && entry.expires_at > now)
+        matches!(self.origins.get(stream, now), Some(None))
     }
 
     /// All records, with the lifetime that is left.
     pub fn records(&self, now: Duration) -> Vec<Record> {
-        let entries = self.entries.iter();
-        let records = entries.filter_map(|(stream, entry)| {
+        let known = self.origins.iter(now);
+        let records = known.filter_map(|(stream, origin, expires_at)| {
             Some(Record {
-                stream: *stream,
-                origin: entry.origin.clone()?,
-                lifetime: entry.expires_at.checked_sub(now)?,
+                stream,
+                session: None,
+                origin: origin.clone()?,
+                lifetime: expires_at.saturating_sub(now),
             })
         });
         records.collect()
     }
 
-    /// Adds a record, or extends the lifetime of an earlier one.
+    /// Adds the origin of a stream, or extends the lifetime of an earlier one.
     pub fn insert(&mut self, record: Record, now: Duration) {
-        let Record {
-            stream,
-            origin,
-            lifetime,
-        } = record;
-        let mut entry = Entry {
-            origin: Some(origin),
-            expires_at: now + lifetime,
-        };
-        if let Some(known) = self.entries.remove(&stream) {
-            self.expiries.remove(&(known.expires_at, stream));
-            entry.expires_at = entry.expires_at.max(known.expires_at);
-            entry.origin = entry
-                .origin
-                .filter(|new| known.origin.as_ref() == Some(new));
-        }
-        self.expiries.insert((entry.expires_at, stream));
-        self.entries.insert(stream, entry);
-        if self.entries.len() > STREAMS_MAX {
-            self.remove_first();
+        let mut origin = Some(record.origin);
+        let mut expires_at = now + record.lifetime;
+        if let Some((known, known_until)) = self.origins.remove(record.stream) {
+            expires_at = expires_at.max(known_until);
+            origin = origin.filter(|new| known.as_ref() == Some(new));
         }
+        self.origins.insert(record.stream, origin, expires_at);
     }
 
     /// Drops the records that have expired.
     pub fn evict(&mut self, now: Duration) {
-        while self.expiries.first().is_some_and(|(at, _)| *at <= now) {
-            self.remove_first();
-        }
-    }
-
-    fn remove_first(&mut self) {
-        if let Some((_, stream)) = self.expiries.pop_first() {
-            self.entries.remove(&stream);
-        }
+        self.origins.evict(now);
     }
 }
 
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -229,6 +229,16 @@
         .any(|runner| is_ready(runner) || is_draining_usable(runner, query, now))
 }
 
+/// Whether a runner that accepts requests has room for the call now.
+pub fn has_room(pool: &Pool, query: &Query<'_>, now: Duration) -> bool {
+    eligible(pool, query, now).any(|runner| {
+        runner.status == Status::Ready
+            && !query.tried.contains(&runner.descriptor.runner)
+            && !is_cooling_down(runner, query.purpose, now)
+            && has_capacity(runner, query)
+    })
+}
+
 /// Whether the runners that may get the call are all cooling down, some of them though they respond.
 pub fn is_awaiting_cooldown(pool: &Pool, query: &Query<'_>, now: Duration) -> bool {
     let responds = |runner: &&Runner| !runner.breaker.is_open(now);
--- a/crates/relay/src/reduce/allocate.rs
+++ b/crates/relay/src/reduce/allocate.rs
@@ -14,6 +14,7 @@
 use crate::placement::{self, Purpose};
 use crate::pool::{self, Load, Role, Runner};
 use crate::refusal::Reason;
+use crate::session::Decision;
 
 use super::Reducer;
 
@@ -342,6 +343,9 @@
         if asks_other && self.ask_other_group(number) {
             return;
         }
+        if self.leave_full_session(number, Decision::Full) {
+            return self.advance(number);
+        }
         self.fail_call_until(number, Reason::Full, Some(refusal.retry_after));
     }
 
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -93,6 +93,7 @@
             fingerprint: arrival.fingerprint,
             phase: Phase::Waiting { retry_at: self.now },
             build: None,
+            session_build: None,
             standby: None,
             stream: origin::stream(&arrival.id),
             search: None,
@@ -163,6 +164,7 @@
             self.start_search(number, entrance.resumes.as_deref());
         } else {
             self.start_trial(number);
+            self.stay_with_session(number);
             self.admit(number);
         }
     }
--- a/crates/relay/src/reduce/build.rs
+++ b/crates/relay/src/reduce/build.rs
@@ -8,13 +8,14 @@
 use super::Reducer;
 
 impl Reducer<'_> {
-    /// The build that the decode runner of a call must have, if its stream or its KV cache binds it to
+    /// The build that the decode runner of a call must have, if its stream, its KV cache or its session binds it to
     /// one.
     pub(super) fn required_build(&self, number: id::Call) -> Option<&id::Build> {
         let call = self.state.calls.get(&number)?;
         let kv = call.kv.as_ref().filter(|kv| kv.is_fresh(self.now));
         let kv = kv.filter(|_| !self.state.policy.kv_across_builds);
-        call.build.as_ref().or(kv.map(|kv| &kv.build))
+        let bound = call.build.as_ref().or(kv.map(|kv| &kv.build));
+        bound.or(call.session_build.as_ref())
     }
 
     /// The build that a prefill runner must have for a decode runner, if it matters.
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -328,13 +328,20 @@
         if descriptor.vm == self.state.local.vm {
             return self.refute(&descriptor);
         }
-        let known = self
-            .state
-            .members
-            .get(&descriptor.vm)
-            .map(|member| member.descriptor.status);
-        let (vm, status) = (descriptor.vm.clone(), descriptor.status);
-        if !self.state.members.merge(descriptor, self.now) || known == Some(status) {
+        let known = self.state.members.get(&descriptor.vm);
+        let known = known.map(|member| (member.descriptor.incarnation, member.descriptor.status));
+        let (vm, incarnation, status) = (
+            descriptor.vm.clone(),
+            descriptor.incarnation,
+            descriptor.status,
+        );
+        if !self.state.members.merge(descriptor, self.now) {
+            return;
+        }
+        if known.is_none_or(|(before, _)| before != incarnation) && status < Status::Leaving {
+            self.tell_sessions(&vm);
+        }
+        if known.is_some_and(|(_, before)| before == status) {
             return;
         }
         self.log(Entry::new(Kind::Member).outcome(format!("{vm} {status}")));
--- a/crates/relay/src/reduce/listing.rs
+++ b/crates/relay/src/reduce/listing.rs
@@ -278,6 +278,7 @@
         };
         let lifetime = self.state.origin_lifetime();
         let index = &mut self.state.cache_index;
-        index.record(&engine.runner, &origin, parts, lifetime, self.now);
+        index.record(&engine.runner, &origin, &parts, lifetime, self.now);
+        self.learn_sessions(&origin, &parts);
     }
 }
--- a/crates/relay/src/reduce/mod.rs
+++ b/crates/relay/src/reduce/mod.rs
@@ -24,6 +24,7 @@
 mod reach;
 mod rest;
 mod retry;
+mod session;
 mod source;
 mod speed;
 mod standby;
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -44,21 +44,24 @@
         };
         let record = Record {
             stream: call.stream,
+            session: call.parts.last().copied(),
             origin: Origin {
                 endpoint: call.endpoint.clone(),
                 build,
             },
             lifetime,
         };
-        self.state.origins.insert(record.clone(), self.now);
+        self.handle_origins(vec![record.clone()]);
         self.state.untold_origins.push(record);
     }
 
-    /// Tells other VMs all origins that this one knows, so that they are still known once each VM has been
+    /// Tells other VMs all origins that this one knows and the latest sessions, so that they are still known once each VM has been
     /// replaced in its turn. All of a small fleet know them but those that have just started, so a few are told.
     pub(super) fn hand_over_origins(&mut self) {
         let records = self.state.origins.records(self.now);
         self.spread_origins(records, |_| REPLICAS);
+        let sessions = self.session_records();
+        self.spread_origins(sessions, origin::replicas);
     }
 
     /// Tells other VMs the origins recorded since the last tick.
@@ -66,6 +69,7 @@
         self.state.origins.evict(self.now);
         let since = self.state.stream_age_limit(self.now);
         self.state.cache_index.evict(self.now, since);
+        self.state.sessions.evict(self.now);
         let records = std::mem::take(&mut self.state.untold_origins);
         self.spread_origins(records, origin::replicas);
     }
@@ -75,7 +79,7 @@
     fn spread_origins(&mut self, records: Vec<Record>, replicas: fn(usize) -> usize) {
         let mut messages: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in records {
-            let ranked = self.rank_members(record.stream, Member::is_serving);
+            let ranked = self.rank_members(record.key(), Member::is_serving);
             let count = replicas(ranked.len());
             for member in ranked.into_iter().take(count) {
                 let records = messages.entry(member.descriptor.peer_address).or_default();
@@ -107,7 +111,7 @@
         }
         let mut messages: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in records {
-            let mut ranked = self.rank_members(record.stream, Member::is_serving);
+            let mut ranked = self.rank_members(record.key(), Member::is_serving);
             ranked.retain(|member| member.descriptor.peer_address != address);
             // The first of those that remain were told already; in a small fleet all were.
             if let Some(member) = ranked.get(REPLICAS - 1) {
@@ -120,7 +124,13 @@
 
     pub(super) fn handle_origins(&mut self, records: Vec<Record>) {
         for record in records {
-            self.state.origins.insert(record, self.now);
+            if let Some(session) = record.session {
+                let origin = record.origin.clone();
+                self.state.sessions.insert(session, origin, self.now);
+            }
+            if record.stream != origin::NO_STREAM {
+                self.state.origins.insert(record, self.now);
+            }
         }
     }
 
@@ -138,12 +148,12 @@
         candidates.max_by_key(|descriptor| origin::rank(&descriptor.vm, key))
     }
 
-    /// The other VMs that pass the filter, those that rank highest for a stream first.
-    fn rank_members(&self, stream: id::Stream, filter: fn(&Member) -> bool) -> Vec<&Member> {
+    /// The other VMs that pass the filter, those that rank highest for a key first.
+    fn rank_members(&self, key: u64, filter: fn(&Member) -> bool) -> Vec<&Member> {
         let members = self.state.members.iter();
         let mut ranked: Vec<&Member> = members.filter(|member| filter(member)).collect();
         ranked.sort_by_cached_key(|member| {
-            std::cmp::Reverse(origin::rank(&member.descriptor.vm, stream))
+            std::cmp::Reverse(origin::rank(&member.descriptor.vm, key))
         });
         ranked
     }
--- /dev/null
+++ b/crates/relay/src/session.rs
@@ -0,0 +1,110 @@
+//! Which software version has the prompts of a session.
+//!
+//! The last part of a prompt belongs to the request or to its session. While engines of several software versions serve, a
+//! session stays at the version that ran its last request: after the loss of all VMs, what engines hold of its prompts
+//! is all that tells which version began a stream (see [`crate::cache_index`]), and it tells that only if one version
+//! holds them. The VM that sends a request to an engine records the session, and tells it to others with the
+//! origin of the stream (see [`crate::origin`]). Nothing is agreed upon.
+//!
+//! A session leaves its version when no engine there has room for it, or none grants it room in a fraction of the target
+//! latency: a caller is not kept waiting for the sake of a loss that may not come. The version counts as full for a
+//! moment then, in which other sessions leave it without waiting.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::expiry;
+use crate::id;
+use crate::origin::Origin;
+
+/// How long a session is remembered after its last request. Engines drop the prompts of idle sessions when they
+/// need the memory.
+const LIFETIME: Duration = Duration::from_secs(600);
+/// Maximum number of sessions that are remembered.
+const SESSIONS_MAX: usize = 1 << 14;
+/// Most sessions that a VM that leaves tells others of.
+const HANDED_OVER_MAX: usize = 1 << 11;
+/// How long a request waits for an engine of its session's version, as a fraction of its target latency.
+pub const PATIENCE_FRACTION: f64 = 0.25;
+
+/// How long a version counts as full after it had no room for a request.
+const FULL_TIME: Duration = Duration::from_millis(500);
+
+/// Why a session stays at a software version, or does not.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Decision {
+    /// Its request is for engines of the version alone.
+    Stays,
+    /// No engine of the version has room.
+    Full,
+    /// No engine of the version granted room in time.
+    TooLate,
+}
+
+/// The sessions that a VM knows, by the last part of their prompts.
+#[derive(Debug)]
+pub struct Table {
+    origins: expiry::Map<Origin>,
+    /// Until when software versions count as full, by endpoint.
+    full_until: BTreeMap<(id::Endpoint, id::Build), Duration>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            origins: expiry::Map::new(SESSIONS_MAX),
+            full_until: BTreeMap::new(),
+        }
+    }
+}
+
+impl Table {
+    /// Number of sessions.
+    pub fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Whether no session is known.
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty()
+    }
+
+    /// Where the last request of a session ran, if that is known.
+    pub fn get(&self, session: id::Part, now: Duration) -> Option<&Origin> {
+        self.origins.get(session, now)
+    }
+
+    /// Records where a request of a session runs.
+    pub fn insert(&mut self, session: id::Part, origin: Origin, now: Duration) {
+        self.origins.insert(session, origin, now + LIFETIME);
+    }
+
+    /// The sessions that are handed over when this VM leaves, those of the latest requests first.
+    pub fn latest(&self, now: Duration) -> impl Iterator<Item = (id::Part, &Origin)> {
+        let latest = self.origins.iter(now).take(HANDED_OVER_MAX);
+        latest.map(|(session, origin, _)| (session, origin))
+    }
+
+    /// Records that a software version has no room.
+    pub fn mark_full(&mut self, endpoint: &id::Endpoint, build: &id::Build, now: Duration) {
+        let key = (endpoint.clone(), build.clone());
+        self.full_until.insert(key, now + FULL_TIME);
+    }
+
+    /// Whether a software version had no room a moment ago.
+    pub fn is_full(&self, origin: &Origin, now: Duration) -> bool {
+        let mut full = self.full_until.iter();
+        full.any(|((endpoint, build), until)| {
+            *until > now && *endpoint == origin.endpoint && *build == origin.build
+        })
+    }
+
+    /// Drops the sessions that have expired.
+    pub fn evict(&mut self, now: Duration) {
+        self.origins.evict(now);
+        self.full_until.retain(|_, until| *until > now);
+    }
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -25,6 +25,7 @@
 use crate::overload;
 use crate::policy::Policy;
 use crate::pool::{History, Instance, Load, Pool};
+use crate::session;
 use crate::settings::Settings;
 use crate::speed::Pace;
 
@@ -64,6 +65,8 @@
     pub attempts: BTreeMap<(id::Endpoint, Charge), u64>,
     /// Streams that were to go on, by what told which software version began them.
     pub origins: BTreeMap<origin::Source, u64>,
+    /// Requests of known sessions while several software versions serve, by what became of them.
+    pub sessions: BTreeMap<session::Decision, u64>,
     /// Requests of organisations with a cap, by how the cap decided.
     pub caps: BTreeMap<id::Organisation, CapCounter>,
     /// Requests refused because of overload, by endpoint and priority.
@@ -283,6 +286,8 @@
     pub claims: Claims,
     /// Which software versions began streams.
     pub origins: origin::Table,
+    /// Which software versions have the prompts of sessions.
+    pub sessions: session::Table,
     /// Whether the engines were asked after the start what they hold, if this VM was the one to do so.
     pub has_listed: bool,
     /// What engines hold, as far as this VM has asked them.
@@ -368,6 +373,7 @@
             allocator: Allocator::default(),
             claims: Claims::default(),
             origins: origin::Table::default(),
+            sessions: session::Table::default(),
             has_listed: false,
             cache_index: cache_index::Index::default(),
             history: History::default(),
--- a/crates/relay/tests/build.rs
+++ b/crates/relay/tests/build.rs
@@ -400,6 +400,7 @@
     let first = "request-of-the-first-event";
     let record = Record {
         stream: origin::stream(first),
+        session: None,
         origin: Origin {
             endpoint: "llm".into(),
             build: build.into(),
--- a/crates/relay/tests/cache_index.rs
+++ b/crates/relay/tests/cache_index.rs
@@ -107,11 +107,11 @@
 fn find_two_builds_none() {
     let mut index = Index::default();
     let now = seconds(10);
-    index.record(&engine(1).runner, &origin("v1"), vec![1, 2], LIFETIME, now);
-    index.record(&engine(1).runner, &origin("v1"), vec![2], LIFETIME, now);
+    index.record(&engine(1).runner, &origin("v1"), &[1, 2], LIFETIME, now);
+    index.record(&engine(1).runner, &origin("v1"), &[2], LIFETIME, now);
     let build = |part| index.find(part, now).map(|holding| holding.origin.build);
     assert_eq!(build(2), Some("v1".into()));
-    index.record(&engine(1).runner, &origin("v2"), vec![2], LIFETIME, now);
+    index.record(&engine(1).runner, &origin("v2"), &[2], LIFETIME, now);
     let build = |part| index.find(part, now).map(|holding| holding.origin.build);
     assert_eq!(build(1), Some("v1".into()));
     assert_eq!(build(2), None);
@@ -123,7 +123,7 @@
     index.record(
         &engine(1).runner,
         &origin("v1"),
-        vec![1],
+        &[1],
         LIFETIME,
         seconds(10),
     );
@@ -139,7 +139,7 @@
     index.record(
         &engine(1).runner,
         &origin("v1"),
-        (0..100_000).collect(),
+        &(0..100_000).collect::<Vec<_>>(),
         LIFETIME,
         seconds(10),
     );
@@ -154,7 +154,7 @@
     for (number, parts) in [(1, vec![1, 2]), (2, vec![2])] {
         let now = now + LISTING_INTERVAL * number;
         start(&mut index, BTreeSet::from([engine(1)]), now);
-        index.record(&engine(1).runner, &origin("v1"), parts, LIFETIME, now);
+        index.record(&engine(1).runner, &origin("v1"), &parts, LIFETIME, now);
         index.end(&endpoint(), &engine(1), true);
     }
     let now = now + LISTING_INTERVAL * 2;
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -44,6 +44,7 @@
 fn record(stream: id::Stream, build: &str) -> Record {
     Record {
         stream,
+        session: None,
         origin: Origin {
             endpoint: "llm".into(),
             build: build.into(),
--- /dev/null
+++ b/crates/relay/tests/session.rs
@@ -0,0 +1,397 @@
+//! Sessions: at which software version their requests run while several serve.
+
+mod support;
+
+use hornbeamtiller_relay::allocation::{self, Batch};
+use hornbeamtiller_relay::event::{Effect, Event, Operation};
+use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::origin::{self, Origin, NO_STREAM};
+use hornbeamtiller_relay::pool::{Descriptor, Load, Role};
+use hornbeamtiller_relay::session::{Decision, Table};
+use support::resume::{Fleet, Resumption};
+use support::{
+    descriptor, dispatch, dispatches, has, ms, prefilled, Harness, BUILD, KV_TOKENS, STREAM,
+    STREAM_NOT_RESUMABLE,
+};
+
+/// The software version that serves beside that of the harness.
+const OTHER: &str = "v1.2";
+/// Parts of a prompt: one that all have in common, and that of the session.
+const SHARED: id::Part = 1;
+const SESSION: id::Part = 7;
+/// Sessions of a fleet, as many as callers of the operators' case.
+const SESSIONS: usize = 54;
+
+fn engine(runner: &str, host: u8, role: Role) -> Descriptor {
+    Descriptor {
+        build: OTHER.into(),
+        revision: 11,
+        started_at_ms: 11,
+        ..descriptor(runner, "llm", host, Some(role))
+    }
+}
+
+/// A process beside whose engines `make-1` and `make-2` four others serve at another version.
+fn with_two_versions() -> Harness {
+    let mut harness = Harness::new(1);
+    for entry in [
+        engine("read-3", 23, Role::Prefill),
+        engine("make-3", 33, Role::Decode),
+        engine("make-4", 34, Role::Decode),
+        engine("make-5", 35, Role::Decode),
+        engine("make-6", 36, Role::Decode),
+    ] {
+        harness.apply(Event::RunnerUpdated { descriptor: entry });
+    }
+    harness
+}
+
+fn record(harness: &mut Harness, session: id::Part, build: &str) {
+    let origin = Origin {
+        endpoint: "llm".into(),
+        build: build.into(),
+    };
+    harness.state.sessions.insert(session, origin, harness.now);
+}
+
+/// The software version of the engine that a request of the session is sent to; none while it waits.
+fn build_of_request(harness: &mut Harness, path: &str) -> Option<id::Build> {
+    let effects = harness.arrive_with_parts(path, &[SHARED, SESSION]);
+    build_of_dispatch(harness, &effects)
+}
+
+/// The version of the engine at which the only attempt of these effects has room reserved, or runs.
+fn build_of_dispatch(harness: &mut Harness, effects: &[Effect]) -> Option<id::Build> {
+    if dispatches(effects).is_empty() {
+        return None;
+    }
+    let first = dispatch(effects);
+    let run = if first.operation == Operation::Prefill {
+        dispatch(&harness.end_attempt(first.attempt, prefilled()))
+    } else {
+        first
+    };
+    let engine = harness.state.pool.get(&run.runner).expect("an engine");
+    Some(engine.descriptor.build.clone())
+}
+
+/// Lets another VM have these engines full.
+fn fill(harness: &mut Harness, engines: &[&str]) {
+    let full = Load {
+        requests: 16,
+        tokens: KV_TOKENS,
+        prefill_tokens: 0,
+    };
+    for engine in engines {
+        harness.receive_claim(engine, full);
+    }
+}
+
+fn decided(harness: &Harness, decision: Decision) -> u64 {
+    let counts = &harness.state.counters.sessions;
+    counts.get(&decision).copied().unwrap_or(0)
+}
+
+/// Guards against sessions whose prompts are held at two versions, so that nothing tells at which a stream began once all
+/// VMs are lost.
+#[test]
+fn arrived_session_stays() {
+    for build in [BUILD, OTHER] {
+        for _ in 0..10 {
+            let mut harness = with_two_versions();
+            record(&mut harness, SESSION, build);
+            let ran_at = build_of_request(&mut harness, STREAM);
+            assert_eq!(ran_at.as_deref(), Some(build));
+            assert_eq!(decided(&harness, Decision::Stays), 1);
+        }
+    }
+}
+
+/// A process remembers the sessions of its own requests.
+#[test]
+fn arrived_session_of_own_request_stays() {
+    let mut harness = with_two_versions();
+    let first = build_of_request(&mut harness, STREAM);
+    assert!(first.is_some());
+    for _ in 0..10 {
+        assert_eq!(build_of_request(&mut harness, STREAM), first);
+    }
+}
+
+/// With one version there is nothing to decide.
+#[test]
+fn arrived_session_one_version_unbound() {
+    let mut harness = Harness::new(1);
+    record(&mut harness, SESSION, BUILD);
+    build_of_request(&mut harness, STREAM);
+    assert!(harness.state.counters.sessions.is_empty());
+    assert_eq!(harness.state.calls[&1].session_build, None);
+}
+
+/// A stream that can't be taken up again needs no proof of where it began.
+#[test]
+fn arrived_session_not_resumable_unbound() {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, OTHER);
+    build_of_request(&mut harness, STREAM_NOT_RESUMABLE);
+    assert!(harness.state.counters.sessions.is_empty());
+}
+
+/// Guards against requests that wait for the version of their session after it has gone.
+#[test]
+fn arrived_session_version_gone_runs_elsewhere() {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, BUILD);
+    for runner in ["make-1", "make-2"] {
+        harness.apply(Event::RunnerRemoved {
+            runner: runner.into(),
+            revision: 20,
+        });
+    }
+    assert_eq!(
+        build_of_request(&mut harness, STREAM).as_deref(),
+        Some(OTHER)
+    );
+}
+
+/// Guards against prompts that decode engines read by themselves, since the version has no prefill engine any more.
+#[test]
+fn arrived_session_version_without_prefill_runs_elsewhere() {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, BUILD);
+    for runner in ["read-1", "read-2"] {
+        harness.apply(Event::RunnerRemoved {
+            runner: runner.into(),
+            revision: 20,
+        });
+    }
+    assert_eq!(
+        build_of_request(&mut harness, STREAM).as_deref(),
+        Some(OTHER)
+    );
+}
+
+/// Guards against callers who wait for a full version until they are late, though another one has room.
+#[test]
+fn arrived_session_version_full_leaves_in_time() {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, OTHER);
+    fill(&mut harness, &["make-3"]);
+    let full = ["make-3", "make-4", "make-5", "make-6"];
+    for runner in full {
+        let runner = harness.state.pool.get_mut(&runner.into()).expect("listed");
+        runner.peer_load.tokens = KV_TOKENS;
+        runner.peer_load.requests = 16;
+    }
+    assert_eq!(
+        build_of_request(&mut harness, STREAM).as_deref(),
+        Some(BUILD)
+    );
+    assert_eq!(decided(&harness, Decision::Full), 1);
+}
+
+/// The same where this VM does not know that they are full: it asks their allocator for a while, and the requests after it
+/// don't.
+#[test]
+fn tick_session_not_granted_leaves_in_time() {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, BUILD);
+    for runner in ["make-1", "make-2"] {
+        fill_at_allocator(&mut harness, runner);
+    }
+    assert_eq!(build_of_request(&mut harness, STREAM), None);
+    let mut ran_at = None;
+    let mut waited = ms(0);
+    while ran_at.is_none() && waited < ms(600) {
+        waited += ms(15);
+        let effects = harness.advance(ms(15));
+        ran_at = build_of_dispatch(&mut harness, &effects);
+    }
+    assert_eq!(ran_at.as_deref(), Some(OTHER));
+    assert!(waited >= ms(200) && waited <= ms(300), "{waited:?}");
+    assert_eq!(decided(&harness, Decision::TooLate), 1);
+    record(&mut harness, SESSION, BUILD);
+    let next = build_of_request(&mut harness, STREAM);
+    assert_eq!(next.as_deref(), Some(OTHER));
+}
+
+/// Lets the allocator know one more engine to be full, beside those before.
+fn fill_at_allocator(harness: &mut Harness, engine: &str) {
+    let full = Load {
+        requests: 16,
+        tokens: KV_TOKENS,
+        prefill_tokens: 0,
+    };
+    harness.state.last_attempt += 1;
+    let mut claim = harness
+        .state
+        .claims
+        .sent
+        .get("vm-1")
+        .map(|sent| sent.claim.clone());
+    let mut loads = claim.take().map(|claim| claim.loads).unwrap_or_default();
+    loads.push((engine.into(), full));
+    harness.last_claim += 1;
+    let claim = allocation::Claim {
+        vm: format!("vm-{engine}").into(),
+        incarnation: 1,
+        peer_address: support::member("vm-2", 2, 1).peer_address,
+        sequence: harness.last_claim,
+        last_grant: 0,
+        loads,
+        asks: Vec::new(),
+        readings: Vec::new(),
+    };
+    harness.apply(Event::ClaimReceived { claim });
+}
+
+/// Guards against a refusal by the allocator of a version that is full, while another one has room.
+#[test]
+fn grants_received_refusal_leaves_session() {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, BUILD);
+    for runner in ["make-1", "make-2"] {
+        fill_at_allocator(&mut harness, runner);
+    }
+    assert_eq!(build_of_request(&mut harness, STREAM), None);
+    let group = harness.state.calls[&1].ask.as_ref().expect("an ask").group;
+    let refusal = allocation::Refusal {
+        call: 1,
+        group,
+        retry_after: ms(1_234),
+    };
+    let batch = Batch {
+        allocator: "vm-1".into(),
+        incarnation: 100,
+        grants: Vec::new(),
+        refusals: vec![refusal],
+    };
+    let mut effects = harness.apply(Event::GrantsReceived { batch });
+    effects.extend(harness.advance(ms(15)));
+    assert!(!has(&effects, |effect| matches!(
+        effect,
+        Effect::Refuse { .. }
+    )));
+    let ran_at = build_of_dispatch(&mut harness, &effects);
+    assert_eq!(ran_at.as_deref(), Some(OTHER));
+}
+
+/// Fleets with engines of a first version, and of a second one that opens after the first request of each session.
+fn begin_sessions_before_second_version(vms: usize) -> (Fleet, Vec<String>) {
+    let mut fleet = Fleet::new(vms, &["v2", "v2", "v2"], 1);
+    fleet.list("read-2", "v2", Role::Prefill);
+    fleet.has_history = true;
+    let sessions: Vec<String> = (0..SESSIONS)
+        .map(|number| format!("session-{number}"))
+        .collect();
+    for (number, session) in sessions.iter().enumerate() {
+        fleet.begin_of_session(1 + number % vms, session);
+        fleet.advance(ms(15));
+    }
+    for number in 0..6 {
+        fleet.list(&format!("older-{number}"), "v1", Role::Decode);
+    }
+    (fleet, sessions)
+}
+
+/// The second request of each session, at another VM than the first.
+fn begin_again(fleet: &mut Fleet, sessions: &[String], vms: usize) -> Vec<(String, id::Build)> {
+    let mut streams = Vec::new();
+    for (number, session) in sessions.iter().enumerate() {
+        streams.extend(fleet.begin_of_session(1 + (number + 1) % vms, session));
+        fleet.advance(ms(15));
+    }
+    assert_eq!(streams.len(), sessions.len());
+    streams
+}
+
+fn restart_all(fleet: &mut Fleet, vms: usize) {
+    for vm in fleet.running() {
+        fleet.kill(vm);
+    }
+    for vm in 1..=vms {
+        fleet.start(vm);
+    }
+}
+
+/// Streams that go on, and whether each does so at the version that began it.
+fn resume_all(fleet: &mut Fleet, sessions: &[String], streams: &[(String, id::Build)]) -> usize {
+    let mut gone_on = 0;
+    for (session, (stream, build)) in sessions.iter().zip(streams) {
+        if let Resumption::Bound(at) = fleet.resume_of_session(2, stream, session) {
+            assert_eq!(at.as_ref(), Some(build), "{stream}");
+            gone_on += 1;
+        }
+    }
+    gone_on
+}
+
+/// Guards against streams that are refused, or joined from two versions, after the loss of all VMs and of an engine, since
+/// their sessions have had requests at both.
+#[test]
+fn resume_all_vms_killed_one_engine_lost_sessions_go_on() {
+    for lost in [None, Some("older-0"), Some("make-0")] {
+        let (mut fleet, sessions) = begin_sessions_before_second_version(2);
+        let streams = begin_again(&mut fleet, &sessions, 2);
+        assert!(streams.iter().all(|(_, build)| &**build == "v2"));
+        fleet.mute.extend(lost.map(id::Runner::from));
+        restart_all(&mut fleet, 2);
+        let gone_on = resume_all(&mut fleet, &sessions, &streams);
+        assert!(2 * gone_on >= SESSIONS, "{lost:?}: {gone_on}");
+    }
+}
+
+/// Guards against sessions that are forgotten because each VM is replaced in its turn.
+#[test]
+fn begin_all_vms_replaced_in_turn_sessions_stay() {
+    let (mut fleet, sessions) = begin_sessions_before_second_version(6);
+    for vm in 1..=6 {
+        fleet.leave(vm);
+        fleet.start(vm);
+    }
+    let streams = begin_again(&mut fleet, &sessions, 6);
+    assert!(streams.iter().all(|(_, build)| &**build == "v2"));
+}
+
+/// A record of a session alone is no origin of a stream.
+#[test]
+fn origins_received_of_session_alone() {
+    let mut fleet = Fleet::new(2, &["v2"], 1);
+    fleet.begin_of_session(1, "session");
+    fleet.advance(ms(30));
+    fleet.leave(1);
+    let state = &fleet.harness(2).state;
+    let session = origin::stream("session");
+    assert!(state.sessions.get(session, ms(0)).is_some());
+    assert_eq!(state.origins.len(), 1);
+    assert_eq!(state.origins.get(NO_STREAM, ms(0)), None);
+}
+
+#[test]
+fn table_latest_counts() {
+    let mut table = Table::default();
+    let origin = |build: &str| Origin {
+        endpoint: "llm".into(),
+        build: build.into(),
+    };
+    table.insert(SESSION, origin("v1"), ms(0));
+    table.insert(SESSION, origin("v2"), ms(10));
+    assert_eq!(table.get(SESSION, ms(20)), Some(&origin("v2")));
+    assert_eq!(table.get(SESSION, ms(601_000)), None);
+    table.evict(ms(601_000));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn table_bounded() {
+    let mut table = Table::default();
+    let origin = Origin {
+        endpoint: "llm".into(),
+        build: "v1".into(),
+    };
+    for session in 0..100_000 {
+        table.insert(session, origin.clone(), ms(session));
+    }
+    assert_eq!(table.len(), 16_384);
+    assert_eq!(table.latest(ms(100_000)).count(), 2_048);
+}
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -90,6 +90,8 @@
     pub has_history: bool,
     /// All entries that were ever written.
     written: Vec<Descriptor>,
+    /// Number of times that each VM was started.
+    starts: BTreeMap<usize, id::Incarnation>,
 }
 
 /// The part that all prompts have in common.
@@ -125,6 +127,7 @@
             isolated: BTreeSet::new(),
             has_history: false,
             written: Vec::new(),
+            starts: BTreeMap::new(),
         };
         fleet.list("read-1", "v1", Role::Prefill);
         for (index, build) in builds.iter().enumerate() {
@@ -229,7 +232,8 @@
     pub fn start_alone(&mut self, vm: usize) {
         let mut settings = settings();
         settings.vm = peer(vm).vm;
-        let mut state = State::new(settings, peer(vm), Vec::new(), vm as u64);
+        *self.starts.entry(vm).or_default() += 1;
+        let mut state = State::new(settings, self.process(vm), Vec::new(), vm as u64);
         state.policy.allocators = false;
         let harness = Harness {
             state,
@@ -258,11 +262,21 @@
 
     /// Lets a VM learn of another one.
     pub fn introduce(&mut self, vm: usize, other: usize) {
+        let introduced = self.process(other);
         let Some(known) = self.vms.get_mut(&vm) else {
             return;
         };
         known.harness.now = self.now - known.started_at;
-        known.harness.receive_view(peer(other), false);
+        let effects = known.harness.receive_view(introduced, false);
+        self.send(vm, &effects);
+    }
+
+    /// What the process of a VM that was started last tells of itself.
+    fn process(&self, vm: usize) -> MemberDescriptor {
+        MemberDescriptor {
+            incarnation: self.starts.get(&vm).copied().unwrap_or(1),
+            ..peer(vm)
+        }
     }
 
     /// Kills a VM with all that it knows. The others notice when they reach it in vain.
@@ -300,7 +314,6 @@
         };
         known.harness.now = self.now - known.started_at;
         let effects = known.harness.apply(event);
-        let sender_start = known.started_at;
         let mut lists = Vec::new();
         let mut all = effects.iter();
         let reads_history = all.any(|effect| matches!(effect, Effect::ReadHistory));
@@ -314,6 +327,29 @@
             {
                 lists.push((endpoint.clone(), engine.clone()));
             }
+        }
+        self.send(vm, &effects);
+        for (endpoint, engine) in lists {
+            self.list_parts(vm, endpoint, engine);
+        }
+        let mut all = effects.iter();
+        if all.any(|effect| matches!(effect, Effect::CheckList)) {
+            let checked = self.check_list(vm);
+            self.run_attempts(peer(vm).peer_address, checked);
+        }
+        if reads_history {
+            let entries = self.has_history.then(|| self.written.clone());
+            self.apply(vm, Event::HistoryRead { entries });
+        }
+        effects
+    }
+
+    /// Sends the messages that come out of an event at a VM.
+    fn send(&mut self, vm: usize, effects: &[Effect]) {
+        let Some(sender_start) = self.vms.get(&vm).map(|known| known.started_at) else {
+            return;
+        };
+        for effect in effects {
             let (to, message) = match effect {
                 Effect::TellOrigins {
                     address,
@@ -336,19 +372,6 @@
             };
             self.post(letter);
         }
-        for (endpoint, engine) in lists {
-            self.list_parts(vm, endpoint, engine);
-        }
-        let mut all = effects.iter();
-        if all.any(|effect| matches!(effect, Effect::CheckList)) {
-            let checked = self.check_list(vm);
-            self.run_attempts(peer(vm).peer_address, checked);
-        }
-        if reads_history {
-            let entries = self.has_history.then(|| self.written.clone());
-            self.apply(vm, Event::HistoryRead { entries });
-        }
-        effects
     }
 
     /// Tells a VM of all runners that are listed, and that it has heard of all.
@@ -550,9 +573,24 @@
     /// event.
     pub fn begin(&mut self, vm: usize) -> Option<(String, id::Build)> {
         let request = self.next_request();
+        self.begin_with(vm, request.clone(), parts(&request))
+    }
+
+    /// Begins a stream of a session at a VM, as [`Fleet::begin`] does.
+    pub fn begin_of_session(&mut self, vm: usize, session: &str) -> Option<(String, id::Build)> {
+        let request = self.next_request();
+        self.begin_with(vm, request, parts(session))
+    }
+
+    fn begin_with(
+        &mut self,
+        vm: usize,
+        request: String,
+        parts: Arc<[id::Part]>,
+    ) -> Option<(String, id::Build)> {
         let arrival = Arrival {
             id: request.as_str().into(),
-            parts: parts(&request),
+            parts,
             ..stream_arrival(0, STREAM)
         };
         let number = self.arrive(vm, arrival)?;
@@ -580,6 +618,11 @@
         self.resume_prompt(vm, None, parts(stream))
     }
 
+    /// Goes on with a stream of a session at a VM, as a caller that names the request.
+    pub fn resume_of_session(&mut self, vm: usize, stream: &str, session: &str) -> Resumption {
+        self.resume_prompt(vm, Some(stream), parts(session))
+    }
+
     fn resume_prompt(
         &mut self,
         vm: usize,
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -237,9 +237,12 @@
 
 struct OriginRecord {
   stream @0 :UInt64;
+  # 0 if the record is of the session alone.
   endpoint @1 :Text;
   build @2 :Text;
   lifetimeMillis @3 :UInt32;
+  session @4 :UInt64;
+  # Last part of the prompt; 0 for none.
 }
 
 struct OriginAnswer {
--- a/crates/wire/src/origin.rs
+++ b/crates/wire/src/origin.rs
@@ -11,6 +11,8 @@
 
 /// Number on the wire in place of a stream that is not named.
 const STREAM_UNNAMED: id::Stream = 0;
+/// Number on the wire in place of a session that is not known.
+const SESSION_NONE: id::Part = 0;
 
 /// Encodes records.
 pub fn write_records(
@@ -23,6 +25,7 @@
         out.set_endpoint(&*record.origin.endpoint);
         out.set_build(&*record.origin.build);
         out.set_lifetime_millis(millis(record.lifetime));
+        out.set_session(record.session.unwrap_or(SESSION_NONE));
     }
 }
 
@@ -40,6 +43,7 @@
 fn read_record(record: schema::origin_record::Reader<'_>) -> Result<Record, Error> {
     Ok(Record {
         stream: record.get_stream(),
+        session: Some(record.get_session()).filter(|session| *session != SESSION_NONE),
         origin: Origin {
             endpoint: record.get_endpoint()?.to_str()?.into(),
             build: record.get_build()?.to_str()?.into(),
--- a/crates/wire/tests/origin.rs
+++ b/crates/wire/tests/origin.rs
@@ -27,6 +27,7 @@
 fn records_complete() {
     let record = |stream, build| Record {
         stream,
+        session: Some(5),
         origin: origin(build),
         lifetime: Duration::from_secs(28),
     };
--- a/crates/wire/tests/peer_bytes.rs
+++ b/crates/wire/tests/peer_bytes.rs
@@ -229,6 +229,7 @@
         Kind::Origins => {
             let record = origin::Record {
                 stream: 7,
+                session: Some(9),
                 origin: Origin {
                     endpoint: "llm".into(),
                     build: support::BUILD.into(),
