Delegated calls: only the word of the VM that ran them says that they did not run

Cause: of an answer that another VM gave to a delegated call, each 400 to 499 and each 503 without a seal counted as that VM's own refusal. Seals are asked for only with a success, so it was often a runner's answer, passed on.

Ruled out: refusals by the VM that ran the call (its log has answered), calls sent again on broken connections (each run has its own 409).

Change: a VM marks what it sends back in hornbeamtiller-outcome, answered or the claim of its refusal, and removes that header and hornbeamtiller-refusal from what runners send. A call counts as not run only by the word not_run with a status that no release passes on from a runner (408, 429, 503). Answers of earlier releases without the word are read so that nothing runs twice. What is invalid by an earlier manifest is refused as not run to a VM that delegates, as 4xx no longer says so.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -163,8 +163,11 @@
     fn finish_head(&self, head: &mut response::Parts) {
         let protocol = self.driver.protocol();
         protocol.strip_response_head(head);
-        let is_for_vm = self.caller_request.metadata.delegated_by.is_some();
-        if !is_for_vm || !protocol.says_departure(head) {
+        if self.caller_request.metadata.delegated_by.is_none() {
+            return;
+        }
+        protocol.mark_answered(head);
+        if !protocol.says_departure(head) {
             return;
         }
         let attempt = self.dispatch.attempt;
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -162,7 +162,12 @@
             return Ok(response);
         }
         let received = self.receive_body(body, expects_continue, connection.as_ref());
-        let body = received.await?;
+        let body = received
+            .await
+            .map_err(|refusal| match metadata.delegated_by {
+                Some(_) => refusal.for_delegation(),
+                None => refusal,
+            })?;
         Ok(self.answer(head, body, metadata, connection, guard).await)
     }
 
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -107,6 +107,10 @@
     /// Whether a response says that its runner leaves.
     fn says_departure(&self, head: &response::Parts) -> bool;
 
+    /// Marks a response as a runner's, for the VM that has delegated the request. What a VM says of itself it marks in
+    /// [`Protocol::build_refusal`]; no runner can set either mark.
+    fn mark_answered(&self, head: &mut response::Parts);
+
     /// Names the runner that leaves in a response to the VM that has delegated the request.
     fn add_departure(&self, head: &mut response::Parts, runner: &Instance);
 
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -61,10 +61,10 @@
             return self.refuse_arrival(&arrival, refusal);
         }
         let Some(route) = route else {
-            return self.refuse_arrival(&arrival, Refusal::invalid(Reason::NoRoute));
+            return self.refuse_unroutable(&arrival);
         };
         let Some(endpoint) = route.pick_endpoint(&mut self.state.rng).cloned() else {
-            return self.refuse_arrival(&arrival, Refusal::invalid(Reason::NoRoute));
+            return self.refuse_unroutable(&arrival);
         };
         let limit = arrival.time_limit.unwrap_or(route.timeout);
         let limit = route.timeout.min(limit.saturating_sub(RESPONSE_MARGIN));
@@ -199,6 +199,16 @@
         );
     }
 
+    /// Refuses a request without a route. The VM that delegates one may have a later manifest.
+    fn refuse_unroutable(&mut self, arrival: &Arrival) {
+        let refusal = Refusal::invalid(Reason::NoRoute);
+        let refusal = match arrival.delegated_by {
+            Some(_) => refusal.for_delegation(),
+            None => refusal,
+        };
+        self.refuse_arrival(arrival, refusal);
+    }
+
     fn refuse_arrival(&mut self, arrival: &Arrival, refusal: Refusal) {
         self.count_refusal(refusal);
         self.log(
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -64,7 +64,9 @@
 }
 
 /// What a refusal guarantees about the execution of the request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr, strum::EnumString,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Claim {
     /// The request can't be served as it is, by this or any other VM.
@@ -121,6 +123,18 @@
         }
     }
 
+    /// The same refusal for the VM that has delegated the request: what is invalid here, such as by an earlier manifest, was
+    /// not run, and another VM may run it.
+    pub fn for_delegation(self) -> Self {
+        match self.claim {
+            Claim::Invalid => Self {
+                claim: Claim::NotRun,
+                ..self
+            },
+            Claim::NotRun | Claim::Unknown | Claim::UnknownTimedOut => self,
+        }
+    }
+
     /// Creates the refusal of a request that was not sent to any runner.
     pub fn not_run(reason: Reason, retry_after: Duration) -> Self {
         Self::for_call(Execution::NotRun, reason, retry_after)
