Sessions of fleets above 8 VMs stay at their version too

What callers would see: in a fleet above 8 VMs a session was known at four VMs, those that know its last stream, so most requests of known sessions went to any version; after a loss of all VMs their streams were refused or, with an engine lost, could be joined.

Change: while several versions serve, a session is also told to the three VMs that rank highest for it, and a VM that does not know it asks two of these, for 50 ms at most. When a second version opens, each VM tells the sessions of its own requests. With one version served nothing is sent or asked.

Tests: begin_at_other_vm_of_large_fleet_sessions_stay (12 and 70 VMs; fails without the change), begin_asked_vms_silent_runs_soon.

--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -391,6 +391,10 @@
             params.set_asks_engines(true);
             params.set_part(part);
         }
+        Key::Session(session) => {
+            params.set_asks_session(true);
+            params.set_part(session);
+        }
     }
     let response = request.send().promise.await?;
     Ok(origin::read_answer(response.get()?.get_answer()?)?)
--- a/crates/gateway/src/peer/service.rs
+++ b/crates/gateway/src/peer/service.rs
@@ -135,6 +135,8 @@
         let params = params.get()?;
         let key = if params.get_asks_engines() {
             Key::Part(params.get_part())
+        } else if params.get_asks_session() {
+            Key::Session(params.get_part())
         } else {
             Key::Stream(origin::read_stream(params.get_stream()))
         };
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -102,6 +102,8 @@
     Stream(Option<id::Stream>),
     /// The last part of its prompt, by what engines hold.
     Part(id::Part),
+    /// The last part of the prompts of its session, by what VMs were told.
+    Session(id::Part),
 }
 
 /// A question for the origin of a stream.
@@ -230,6 +232,8 @@
         /// Until when it has to answer.
         until: Duration,
     },
+    /// The VMs that may know the session of a request that begins a stream.
+    Session,
     /// A VM that asks the engines.
     Engines {
         /// Until when it has to find out.
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -164,8 +164,7 @@
             self.start_search(number, entrance.resumes.as_deref());
         } else {
             self.start_trial(number);
-            self.stay_with_session(number);
-            self.admit(number);
+            self.enter_session(number);
         }
     }
 
--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -269,7 +269,7 @@
                 endpoint: runner.descriptor.endpoint.clone(),
                 build: runner.descriptor.build.clone(),
             };
-            self.state.sessions.insert(session, origin, self.now);
+            self.state.sessions.insert_own(session, origin, self.now);
         }
         let instance = runner.descriptor.instance();
         self.state.permits.take(&instance, self.now);
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -71,12 +71,13 @@
         self.state.cache_index.evict(self.now, since);
         self.state.sessions.evict(self.now);
         let records = std::mem::take(&mut self.state.untold_origins);
+        self.spread_sessions(&records);
         self.spread_origins(records, origin::replicas);
     }
 
     /// Tells origins to the VMs that rank highest, as many as `replicas` says of the others that serve, with one message to
     /// each.
-    fn spread_origins(&mut self, records: Vec<Record>, replicas: fn(usize) -> usize) {
+    pub(super) fn spread_origins(&mut self, records: Vec<Record>, replicas: fn(usize) -> usize) {
         let mut messages: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in records {
             let ranked = self.rank_members(record.key(), Member::is_serving);
@@ -149,7 +150,7 @@
     }
 
     /// The other VMs that pass the filter, those that rank highest for a key first.
-    fn rank_members(&self, key: u64, filter: fn(&Member) -> bool) -> Vec<&Member> {
+    pub(super) fn rank_members(&self, key: u64, filter: fn(&Member) -> bool) -> Vec<&Member> {
         let members = self.state.members.iter();
         let mut ranked: Vec<&Member> = members.filter(|member| filter(member)).collect();
         ranked.sort_by_cached_key(|member| {
@@ -262,6 +263,7 @@
         match search.stage {
             Stage::Vms => {}
             Stage::Source { .. } => return self.conclude(number),
+            Stage::Session => return self.end_session_search(number),
             Stage::Engines { .. } => return self.advance_engine_search(number),
         }
         search.has_unresponsive |= !search.awaited.is_empty();
@@ -278,6 +280,9 @@
         let Some(search) = call.and_then(|call| call.search.as_mut()) else {
             return;
         };
+        if search.stage == Stage::Session {
+            return self.handle_session_answer(number, address, answer);
+        }
         let is_awaited = search.awaited.contains(&address);
         if search.stage != Stage::Vms {
             match answer {
--- a/crates/relay/src/reduce/session.rs
+++ b/crates/relay/src/reduce/session.rs
@@ -1,22 +1,112 @@
 //! Keeps the requests of a session at one software version while that has room. See [`crate::session`].
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::call::Phase;
 use crate::decision_log::{Entry, Kind};
 use crate::duration::Scale as _;
 use crate::event::Effect;
 use crate::id;
 use crate::manifest::Kind as RouteKind;
 use crate::member::Member;
-use crate::origin::{self, Origin, Record};
+use crate::origin::{self, Answer, Key, Origin, Question, Record, Search, Stage};
 use crate::placement::{self, Purpose};
 use crate::pool::{Role, Status};
-use crate::session::{Decision, PATIENCE_FRACTION};
+use crate::session::{Decision, ANSWER_TIMEOUT, ASKED, PATIENCE_FRACTION};
 
 use super::Reducer;
 
 impl Reducer<'_> {
+    /// Lets a call that begins a stream go on at the software version that has the prompts of its session, once that is known.
+    pub(super) fn enter_session(&mut self, number: id::Call) {
+        if self.ask_session(number) {
+            return;
+        }
+        self.stay_with_session(number);
+        self.admit(number);
+    }
+
+    /// Asks other VMs for the session of a call, if it matters and they may know more; returns whether it did.
+    fn ask_session(&mut self, number: id::Call) -> bool {
+        let Some(session) = self.session(number) else {
+            return false;
+        };
+        let Some(call) = self.state.calls.get(&number) else {
+            return false;
+        };
+        let endpoint = call.endpoint.clone();
+        let is_known = self.state.sessions.get(session, self.now).is_some();
+        if is_known || !self.state.mixed_endpoints.contains(&endpoint) {
+            return false;
+        }
+        let ranked = self.rank_members(session, Member::is_serving);
+        if knows_all_sessions(ranked.len()) {
+            return false;
+        }
+        let asked = ranked.into_iter().take(ASKED);
+        let asked: Vec<SocketAddr> = asked.map(|member| member.descriptor.peer_address).collect();
+        let deadline = self.now + ANSWER_TIMEOUT;
+        if let Some(call) = self.state.calls.get_mut(&number) {
+            call.phase = Phase::Waiting { retry_at: deadline };
+            call.search = Some(Search {
+                stage: Stage::Session,
+                awaited: asked.clone(),
+                deadline,
+                ..Search::new(None)
+            });
+        }
+        let question = Question {
+            key: Key::Session(session),
+            endpoint,
+        };
+        for address in asked {
+            self.emit(Effect::AskOrigin {
+                address,
+                call: number,
+                question: question.clone(),
+            });
+        }
+        true
+    }
+
+    /// Takes what a VM knows of the session of a call.
+    pub(super) fn handle_session_answer(
+        &mut self,
+        number: id::Call,
+        address: SocketAddr,
+        answer: Answer,
+    ) {
+        let session = self.session(number);
+        if let (Some(session), Answer::Known(origin)) = (session, answer) {
+            self.state.sessions.insert(session, origin, self.now);
+            return self.end_session_search(number);
+        }
+        let call = self.state.calls.get_mut(&number);
+        let Some(search) = call.and_then(|call| call.search.as_mut()) else {
+            return;
+        };
+        search.awaited.retain(|awaited| *awaited != address);
+        if search.awaited.is_empty() {
+            self.end_session_search(number);
+        }
+    }
+
+    /// Goes on with a call whose session was asked for.
+    pub(super) fn end_session_search(&mut self, number: id::Call) {
+        if let Some(call) = self.state.calls.get_mut(&number) {
+            call.search = None;
+            call.phase = Phase::Waiting {
+                retry_at: call.arrived_at,
+            };
+        }
+        self.stay_with_session(number);
+        self.admit(number);
+    }
+
     /// Lets a call that begins a stream stay at the software version that has the prompts of its session, if another
     /// one serves too.
-    pub(super) fn stay_with_session(&mut self, number: id::Call) {
+    fn stay_with_session(&mut self, number: id::Call) {
         let Some(origin) = self.session_origin(number) else {
             return;
         };
@@ -34,13 +124,19 @@
         }
     }
 
+    /// The last part of the prompt of a call that begins a stream which can be taken up again.
+    fn session(&self, number: id::Call) -> Option<id::Part> {
+        let call = self.state.calls.get(&number)?;
+        let can_be_resumed = call.route.kind == RouteKind::Streaming && call.route.resumable;
+        call.prompt.filter(|_| can_be_resumed)?;
+        call.parts.last().copied()
+    }
+
     /// Where the session of a call is, if that is known and the call may go there.
     fn session_origin(&self, number: id::Call) -> Option<Origin> {
+        let session = self.session(number)?;
         let call = self.state.calls.get(&number)?;
-        let can_be_resumed = call.route.kind == RouteKind::Streaming && call.route.resumable;
-        let session = call.parts.last().filter(|_| can_be_resumed)?;
-        call.prompt?;
-        let origin = self.state.sessions.get(*session, self.now)?;
+        let origin = self.state.sessions.get(session, self.now)?;
         (origin.endpoint == call.endpoint).then(|| origin.clone())
     }
 
@@ -119,6 +215,58 @@
         self.drop_grant(number);
     }
 
+    /// Notes at which endpoints several software versions accept requests. Where that begins, the VMs of a large fleet tell
+    /// those that rank highest for a session what they know of it, as these are asked from now on.
+    pub(super) fn note_versions(&mut self) {
+        let mut builds: BTreeMap<&id::Endpoint, BTreeSet<&id::Build>> = BTreeMap::new();
+        let engines = self.state.pool.iter().filter(|engine| {
+            engine.status == Status::Ready && engine.descriptor.role == Some(Role::Decode)
+        });
+        for engine in engines {
+            let descriptor = &engine.descriptor;
+            let known = builds.entry(&descriptor.endpoint).or_default();
+            known.insert(&descriptor.build);
+        }
+        let mixed = builds.into_iter().filter(|(_, builds)| builds.len() > 1);
+        let mixed: BTreeSet<id::Endpoint> = mixed.map(|(endpoint, _)| endpoint.clone()).collect();
+        let before = std::mem::replace(&mut self.state.mixed_endpoints, mixed);
+        let opened: Vec<id::Endpoint> = self
+            .state
+            .mixed_endpoints
+            .difference(&before)
+            .cloned()
+            .collect();
+        for endpoint in opened {
+            let own: Vec<Record> = self
+                .state
+                .sessions
+                .own(&endpoint, self.now)
+                .map(|(session, origin)| self.session_record(session, origin))
+                .collect();
+            self.spread_sessions(&own);
+        }
+    }
+
+    /// Tells the VMs of a large fleet that rank highest for the sessions of these records, while several versions serve. In a small
+    /// one all are told with the streams.
+    pub(super) fn spread_sessions(&mut self, records: &[Record]) {
+        let members = self.state.members.iter();
+        let others = members.filter(|member| member.is_serving()).count();
+        if knows_all_sessions(others) {
+            return;
+        }
+        let is_mixed = |record: &&Record| {
+            let endpoint = &record.origin.endpoint;
+            record.session.is_some() && self.state.mixed_endpoints.contains(endpoint)
+        };
+        let sessions = records.iter().filter(is_mixed).map(|record| Record {
+            stream: origin::NO_STREAM,
+            ..record.clone()
+        });
+        let sessions = sessions.collect();
+        self.spread_origins(sessions, origin::replicas);
+    }
+
     /// Tells a VM that has just started the latest sessions, if all VMs of the fleet know them and this is the one to tell.
     pub(super) fn tell_sessions(&mut self, vm: &id::Vm) {
         let is_other = |member: &Member| member.is_serving() && member.descriptor.vm != *vm;
@@ -128,7 +276,7 @@
             .iter()
             .filter(|member| is_other(member))
             .count();
-        if origin::replicas(others) < others {
+        if !knows_all_sessions(others) {
             return;
         }
         let is_ready = self.state.is_ready();
@@ -152,20 +300,22 @@
 
     /// Records of the latest sessions, which are no origins of streams.
     pub(super) fn session_records(&self) -> Vec<Record> {
-        let lifetime = self.state.origin_lifetime();
         let sessions = self.state.sessions.latest(self.now);
-        let records = sessions.map(|(session, origin)| Record {
+        let records = sessions.map(|(session, origin)| self.session_record(session, origin));
+        records.collect()
+    }
+
+    fn session_record(&self, session: id::Part, origin: &Origin) -> Record {
+        Record {
             stream: origin::NO_STREAM,
             session: Some(session),
             origin: origin.clone(),
-            lifetime,
-        });
-        records.collect()
+            lifetime: self.state.origin_lifetime(),
+        }
     }
 
     /// Takes the parts that an engine holds for sessions of its version, as far as none of them is known, and tells other VMs.
     pub(super) fn learn_sessions(&mut self, origin: &Origin, parts: &[id::Part]) {
-        let lifetime = self.state.origin_lifetime();
         for part in parts {
             let is_known = self.state.sessions.get(*part, self.now).is_some();
             let is_held = self.state.cache_index.find(*part, self.now).is_some();
@@ -174,12 +324,8 @@
             }
             let sessions = &mut self.state.sessions;
             sessions.insert(*part, origin.clone(), self.now);
-            self.state.untold_origins.push(Record {
-                stream: origin::NO_STREAM,
-                session: Some(*part),
-                origin: origin.clone(),
-                lifetime,
-            });
+            let record = self.session_record(*part, origin);
+            self.state.untold_origins.push(record);
         }
     }
 
@@ -199,3 +345,8 @@
         });
     }
 }
+
+/// Whether all VMs of a fleet with so many others are told all sessions.
+fn knows_all_sessions(others: usize) -> bool {
+    origin::replicas(others) == others
+}
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -43,6 +43,7 @@
         if changed {
             self.find_replaced();
         }
+        self.note_versions();
         if changed || !self.state.pool_loaded {
             self.log(
                 Entry::new(Kind::RunnerListed)
@@ -82,6 +83,7 @@
                     .outcome(format!("{role}, {state}")),
             );
             self.find_replaced();
+            self.note_versions();
         }
     }
 
@@ -94,6 +96,7 @@
                     .version(revision)
                     .outcome("gone"),
             );
+            self.note_versions();
         }
     }
 
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -4,7 +4,9 @@
 //! session stays at the version that ran its last request: after the loss of all VMs, what engines hold of its prompts
 //! is all that tells which version began a stream (see [`crate::cache_index`]), and it tells that only if one version
 //! holds them. The VM that sends a request to an engine records the session, and tells it to others with the
-//! origin of the stream (see [`crate::origin`]). Nothing is agreed upon.
+//! origin of the stream (see [`crate::origin`]): to all VMs of a small fleet. In a larger one, while several versions
+//! serve, those that rank highest for the session (rendezvous hashing) are told too, and a VM that does not know a session asks
+//! two of them. Nothing is agreed upon.
 //!
 //! A session leaves its version when no engine there has room for it, or none grants it room in a fraction of the target
 //! latency: a caller is not kept waiting for the sake of a loss that may not come. The version counts as full for a
@@ -22,10 +24,14 @@
 const LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum number of sessions that are remembered.
 const SESSIONS_MAX: usize = 1 << 14;
-/// Most sessions that a VM that leaves tells others of.
+/// Most sessions that are told at a time.
 const HANDED_OVER_MAX: usize = 1 << 11;
 /// How long a request waits for an engine of its session's version, as a fraction of its target latency.
 pub const PATIENCE_FRACTION: f64 = 0.25;
+/// Number of VMs that are asked for a session.
+pub const ASKED: usize = 2;
+/// How long they have to answer.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// How long a version counts as full after it had no room for a request.
 const FULL_TIME: Duration = Duration::from_millis(500);
@@ -44,10 +50,19 @@
     TooLate,
 }
 
+/// What is known of a session.
+#[derive(Debug)]
+struct Session {
+    /// Where its last request ran.
+    origin: Origin,
+    /// Whether this VM sent it there.
+    is_own: bool,
+}
+
 /// The sessions that a VM knows, by the last part of their prompts.
 #[derive(Debug)]
 pub struct Table {
-    origins: expiry::Map<Origin>,
+    sessions: expiry::Map<Session>,
     /// Until when software versions count as full, by endpoint.
     full_until: BTreeMap<(id::Endpoint, id::Build), Duration>,
 }
@@ -55,7 +70,7 @@
 impl Default for Table {
     fn default() -> Self {
         Self {
-            origins: expiry::Map::new(SESSIONS_MAX),
+            sessions: expiry::Map::new(SESSIONS_MAX),
             full_until: BTreeMap::new(),
         }
     }
@@ -64,28 +79,55 @@
 impl Table {
     /// Number of sessions.
     pub fn len(&self) -> usize {
-        self.origins.len()
+        self.sessions.len()
     }
 
     /// Whether no session is known.
     pub fn is_empty(&self) -> bool {
-        self.origins.is_empty()
+        self.sessions.is_empty()
     }
 
     /// Where the last request of a session ran, if that is known.
     pub fn get(&self, session: id::Part, now: Duration) -> Option<&Origin> {
-        self.origins.get(session, now)
+        let known = self.sessions.get(session, now)?;
+        Some(&known.origin)
+    }
+
+    /// Records where a request of a session runs that this VM has sent there.
+    pub fn insert_own(&mut self, session: id::Part, origin: Origin, now: Duration) {
+        let is_own = true;
+        let known = Session { origin, is_own };
+        self.sessions.insert(session, known, now + LIFETIME);
+    }
+
+    /// Records where a request of a session runs, as told by another VM or an engine. Returns whether the session was not
+    /// known to be there.
+    pub fn insert(&mut self, session: id::Part, origin: Origin, now: Duration) -> bool {
+        let known = self.sessions.get(session, now);
+        let is_own = known.is_some_and(|known| known.is_own && known.origin == origin);
+        let is_new = known.is_none_or(|known| known.origin != origin);
+        let known = Session { origin, is_own };
+        self.sessions.insert(session, known, now + LIFETIME);
+        is_new
     }
 
-    /// Records where a request of a session runs.
-    pub fn insert(&mut self, session: id::Part, origin: Origin, now: Duration) {
-        self.origins.insert(session, origin, now + LIFETIME);
+    /// The sessions whose last requests this VM sent to an endpoint, the latest first, as far as they are told at a time.
+    pub fn own<'a>(
+        &'a self,
+        endpoint: &'a id::Endpoint,
+        now: Duration,
+    ) -> impl Iterator<Item = (id::Part, &'a Origin)> {
+        let sessions = self.sessions.iter(now);
+        let own =
+            sessions.filter(|(_, known, _)| known.is_own && known.origin.endpoint == *endpoint);
+        own.map(|(session, known, _)| (session, &known.origin))
+            .take(HANDED_OVER_MAX)
     }
 
     /// The sessions that are handed over when this VM leaves, those of the latest requests first.
     pub fn latest(&self, now: Duration) -> impl Iterator<Item = (id::Part, &Origin)> {
-        let latest = self.origins.iter(now).take(HANDED_OVER_MAX);
-        latest.map(|(session, origin, _)| (session, origin))
+        let latest = self.sessions.iter(now).take(HANDED_OVER_MAX);
+        latest.map(|(session, known, _)| (session, &known.origin))
     }
 
     /// Records that a software version has no room.
@@ -104,7 +146,7 @@
 
     /// Drops the sessions that have expired.
     pub fn evict(&mut self, now: Duration) {
-        self.origins.evict(now);
+        self.sessions.evict(now);
         self.full_until.retain(|_, until| *until > now);
     }
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -288,6 +288,8 @@
     pub origins: origin::Table,
     /// Which software versions have the prompts of sessions.
     pub sessions: session::Table,
+    /// The endpoints at which decode engines of several software versions accept requests.
+    pub mixed_endpoints: BTreeSet<id::Endpoint>,
     /// Whether the engines were asked after the start what they hold, if this VM was the one to do so.
     pub has_listed: bool,
     /// What engines hold, as far as this VM has asked them.
@@ -374,6 +376,7 @@
             claims: Claims::default(),
             origins: origin::Table::default(),
             sessions: session::Table::default(),
+            mixed_endpoints: BTreeSet::new(),
             has_listed: false,
             cache_index: cache_index::Index::default(),
             history: History::default(),
@@ -424,6 +427,7 @@
         let stream = match question.key {
             origin::Key::Stream(stream) => stream,
             origin::Key::Part(part) => return self.answer_by_part(now, question, part),
+            origin::Key::Session(session) => return self.answer_by_session(now, question, session),
         };
         let known = stream.and_then(|stream| self.origins.get(stream, now));
         if let Some(origin) = known {
@@ -443,6 +447,18 @@
         }
     }
 
+    fn answer_by_session(
+        &self,
+        now: Duration,
+        question: &origin::Question,
+        session: id::Part,
+    ) -> origin::Answer {
+        let known = self.sessions.get(session, now);
+        let known = known.filter(|origin| origin.endpoint == question.endpoint);
+        let known = known.cloned();
+        known.map_or(origin::Answer::Unknown, origin::Answer::Known)
+    }
+
     fn answer_by_part(
         &self,
         now: Duration,
--- a/crates/relay/tests/session.rs
+++ b/crates/relay/tests/session.rs
@@ -353,6 +353,28 @@
     assert!(streams.iter().all(|(_, build)| &**build == "v2"));
 }
 
+/// Guards against sessions of larger fleets that move, as the VM that gets a request is none of those that know its session.
+#[test]
+fn begin_at_other_vm_of_large_fleet_sessions_stay() {
+    for vms in [12, 70] {
+        let (mut fleet, sessions) = begin_sessions_before_second_version(vms);
+        let streams = begin_again(&mut fleet, &sessions, vms);
+        assert!(streams.iter().all(|(_, build)| &**build == "v2"), "{vms}");
+        restart_all(&mut fleet, vms);
+        fleet.mute.insert("older-0".into());
+        assert_eq!(resume_all(&mut fleet, &sessions, &streams), SESSIONS);
+    }
+}
+
+/// Guards against requests that wait for VMs which do not answer for their sessions.
+#[test]
+fn begin_asked_vms_silent_runs_soon() {
+    let (mut fleet, _) = begin_sessions_before_second_version(12);
+    fleet.network.late = 100;
+    let begun = fleet.begin_of_session(1, "new");
+    assert!(begun.is_some());
+}
+
 /// A record of a session alone is no origin of a stream.
 #[test]
 fn origins_received_of_session_alone() {
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -27,6 +27,8 @@
 const FIRST_AGE: Duration = Duration::from_secs(40);
 /// Time in which a search ends, whatever is lost.
 const SEARCH_TIME: Duration = Duration::from_millis(1_400);
+/// Time in which a request that begins a stream learns where its session is, or goes on without.
+const BEGIN_TIME: Duration = Duration::from_millis(75);
 /// Time after which another unanswered message counts as another sign that a VM is down.
 const OUTAGE_TIME: Duration = Duration::from_millis(330);
 
@@ -594,6 +596,11 @@
             ..stream_arrival(0, STREAM)
         };
         let number = self.arrive(vm, arrival)?;
+        self.deliver();
+        let start = self.now;
+        while self.now < start + BEGIN_TIME && self.is_searching(vm, number) {
+            self.advance(TICK);
+        }
         let call = self.vms[&vm].harness.state.calls.get(&number)?;
         let (_, runner) = call.phase.attempt()?;
         let build = self.runners.get(runner)?.build.clone();
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -13,9 +13,10 @@
   # Takes grants of the caller.
   recordOrigins @3 (records :List(OriginRecord)) -> ();
   # Takes where streams began.
-  findOrigin @4 (stream :UInt64, endpoint :Text, asksEngines :Bool, part :UInt64) -> (answer :OriginAnswer);
+  findOrigin @4 (stream :UInt64, endpoint :Text, asksEngines :Bool, part :UInt64, asksSession :Bool) -> (answer :OriginAnswer);
   # Says where a stream began, by the number of the stream (0 if the caller did not name it) and the
-  # endpoint at which it is to go on; or, if the engines are to be asked, by the last part of its prompt.
+  # endpoint at which it is to go on; or, if the engines are to be asked, by the last part of its prompt;
+  # or where the last request of a session ran, by that part.
   askPermit @5 (runner :Text, born :UInt64, vm :Text, peerAddress :Text) -> ();
   # Asks for a permit for a request to a runner that names a limit. It comes as a call the other way.
   permit @6 (runner :Text, born :UInt64, isReturned :Bool) -> ();
