Crash evidence: what was given up at a runner expires one by one, and is bounded

Cause: the suspects of all requests that were given up at a runner stood in one set, dropped 500 ms after the latest of them, and without a bound; those of what was lost there, watched for 6 s, had no bound either.

Change: each expires by itself; 1,024 suspects a runner at most.

--- a/crates/relay/src/crash/loss.rs
+++ b/crates/relay/src/crash/loss.rs
@@ -1,6 +1,6 @@
 //! What was lost at a runner, and how long it is watched for signs that its process has ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +9,9 @@
 /// What may have crashed a runner, and how the runner had it.
 pub type Suspects = BTreeMap<Feature, Circumstance>;
 
+/// Maximum number of suspects that are kept for a runner. Callers may name 1,500 parts with each request.
+pub const SUSPECTS_MAX: usize = 1_024;
+
 /// When it is looked again whether a process has ended, since the loss. A system closes the connections and the listener of
 /// a process one after the other.
 const LOOKS_AFTER: [Duration; 4] = [
@@ -93,25 +96,70 @@
 }
 
 /// What was given up at a runner a moment ago.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Abandoned {
-    /// When the latest attempt was given up.
-    pub at: Duration,
-    /// What may have crashed the runner, if it has crashed.
-    pub suspects: Suspects,
+    /// What may have crashed the runner, if it has crashed, by when it was given up; the earliest first.
+    given_up: VecDeque<(Duration, Suspects)>,
+    /// Number of suspects, counted for each attempt.
+    count: usize,
 }
 
 impl Abandoned {
-    /// Adds the suspects of another request that was given up.
-    pub fn add(&mut self, at: Duration, suspects: Suspects) {
-        self.at = at;
-        merge(&mut self.suspects, suspects);
+    /// Adds the suspects of a request that was given up. The earliest ones go while there are too many.
+    pub fn add(&mut self, at: Duration, mut suspects: Suspects) {
+        // The parts in front are the ones that requests share.
+        suspects.retain(|feature, circumstance| {
+            let is_request = matches!(feature, Feature::Request(_));
+            is_request || (circumstance.position as usize) < SUSPECTS_MAX - 1
+        });
+        while self.count + suspects.len() > SUSPECTS_MAX {
+            self.remove_first();
+        }
+        self.count += suspects.len();
+        self.given_up.push_back((at, suspects));
+    }
+
+    /// Forgets what was given up before a time; returns whether anything is left.
+    pub fn expire(&mut self, before: Duration) -> bool {
+        while self.given_up.front().is_some_and(|(at, _)| *at <= before) {
+            self.remove_first();
+        }
+        !self.given_up.is_empty()
+    }
+
+    /// Number of suspects that are kept, counted for each attempt.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.given_up.is_empty()
+    }
+
+    /// All suspects.
+    pub fn into_suspects(self) -> Suspects {
+        let mut suspects = Suspects::new();
+        for (_, more) in self.given_up {
+            merge(&mut suspects, more);
+        }
+        suspects
+    }
+
+    fn remove_first(&mut self) {
+        if let Some((_, suspects)) = self.given_up.pop_front() {
+            self.count -= suspects.len();
+        }
     }
 }
 
+/// Adds suspects, as far as there is room for them.
 fn merge(known: &mut Suspects, more: Suspects) {
     for (feature, circumstance) in more {
-        let known = known.entry(feature).or_insert(circumstance);
-        known.merge(circumstance);
+        if let Some(known) = known.get_mut(&feature) {
+            known.merge(circumstance);
+        } else if known.len() < SUSPECTS_MAX {
+            known.insert(feature, circumstance);
+        }
     }
 }
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -23,7 +23,7 @@
 pub use candidate::{Count, Culprit};
 pub use evidence::Evidence;
 pub use feature::{shared_parts, Feature};
-pub use loss::{Abandoned, Loss, Suspects};
+pub use loss::{Abandoned, Loss, Suspects, SUSPECTS_MAX};
 pub use quarantine::Quarantine;
 pub use recent::Recent;
 
--- a/crates/relay/src/reduce/crash.rs
+++ b/crates/relay/src/reduce/crash.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crate::crash::{
-    Abandoned, Circumstance, Count, Crash, Feature, Loss, Record, Report, Suspect, Suspects,
-    ABANDONED_TIME, CRASHES_PER_CALL_MAX,
+    Circumstance, Count, Crash, Feature, Loss, Record, Report, Suspect, Suspects, ABANDONED_TIME,
+    CRASHES_PER_CALL_MAX,
 };
 use crate::decision_log::{Entry, Kind};
 use crate::event::{Effect, Presence};
@@ -107,11 +107,7 @@
             return;
         };
         let instance = in_flight.instance.clone();
-        let abandoned = self.state.abandoned.entry(instance);
-        let abandoned = abandoned.or_insert_with(|| Abandoned {
-            at: now,
-            suspects: Suspects::new(),
-        });
+        let abandoned = self.state.abandoned.entry(instance).or_default();
         abandoned.add(now, suspects);
     }
 
@@ -140,7 +136,7 @@
         let mut loss = known.unwrap_or_else(|| Loss::new(now, address));
         loss.add(suspects);
         if let Some(abandoned) = self.state.abandoned.remove(instance) {
-            loss.add(abandoned.suspects);
+            loss.add(abandoned.into_suspects());
         }
         self.state.losses.insert(instance.clone(), loss);
         if !is_checked {
@@ -369,8 +365,10 @@
 
     pub(super) fn tick_crashes(&mut self) {
         let now = self.now;
-        let abandoned = &mut self.state.abandoned;
-        abandoned.retain(|_, given_up| given_up.at + ABANDONED_TIME > now);
+        if let Some(before) = now.checked_sub(ABANDONED_TIME) {
+            let abandoned = &mut self.state.abandoned;
+            abandoned.retain(|_, given_up| given_up.expire(before));
+        }
         self.look_again();
         self.state.evidence.expire(now);
         self.quarantine_culprits();
--- a/crates/relay/tests/crash_request.rs
+++ b/crates/relay/tests/crash_request.rs
@@ -2,14 +2,17 @@
 
 mod support;
 
-use hornbeamtiller_relay::crash::{Feature, Hold, Record, Report};
+use hornbeamtiller_relay::crash::{
+    Abandoned, Feature, Hold, Record, Report, Suspects, SUSPECTS_MAX,
+};
 use hornbeamtiller_relay::decision_log::Kind;
 use hornbeamtiller_relay::event::{Decline, Effect, Event, Outcome, Presence};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::refusal::{Claim, Reason};
 use support::{
-    dispatch, has, ms, refusal, Harness, IDEMPOTENT, NON_IDEMPOTENT, STREAM_NOT_RESUMABLE,
+    circumstance, dispatch, has, ms, refusal, Harness, IDEMPOTENT, NON_IDEMPOTENT, STREAM,
+    STREAM_NOT_RESUMABLE,
 };
 
 /// What a caller asks for that crashes runners.
@@ -167,6 +170,57 @@
     }
 }
 
+/// Guards against a process that runs out of memory since what clients who leave early have asked for is kept for as long as others
+/// leave too: 24 a second, each with 1,500 parts of its own.
+#[test]
+fn abandoned_requests_are_forgotten() {
+    const PARTS: u64 = 1_500;
+    let mut harness = Harness::new(1);
+    for number in 0..400 {
+        let first = 1 + number * PARTS;
+        let parts: Vec<id::Part> = (first..first + PARTS).collect();
+        harness.arrive_asking_with_parts(STREAM, number, &parts);
+        harness.advance(ms(30));
+        let call = harness.last_call;
+        harness.apply(Event::CallerDisconnected { call });
+        harness.advance(ms(12));
+        let kept = harness.state.abandoned.values().map(Abandoned::len);
+        assert!(kept.max().unwrap_or(0) <= SUSPECTS_MAX, "{number}");
+    }
+    assert!(!harness.state.abandoned.is_empty());
+    harness.advance(ms(600));
+    assert!(harness.state.abandoned.is_empty());
+}
+
+/// Guards against what was given up long ago and is kept since a runner has had others given up after it.
+#[test]
+fn abandoned_suspects_expire_one_by_one() {
+    let suspects = |part| Suspects::from([(Feature::Part(part), circumstance(0))]);
+    let mut abandoned = Abandoned::default();
+    for number in 1..=100 {
+        let now = ms(number * 100);
+        abandoned.add(now, suspects(number));
+        assert!(abandoned.expire(now.saturating_sub(ms(500))));
+        assert!(abandoned.len() <= 5, "{number}");
+    }
+    let newest = Feature::Part(100);
+    assert!(abandoned.into_suspects().contains_key(&newest));
+}
+
+/// What is kept of one request has the request itself, and its first parts.
+#[test]
+fn abandoned_request_of_many_parts() {
+    let parts = (0..3_000).map(|part| (Feature::Part(part), circumstance(part as u32)));
+    let request = (Feature::Request(7), circumstance(3_000));
+    let mut abandoned = Abandoned::default();
+    abandoned.add(ms(0), parts.chain([request]).collect());
+    assert_eq!(abandoned.len(), SUSPECTS_MAX);
+    let suspects = abandoned.into_suspects();
+    assert!(
+        suspects.contains_key(&Feature::Request(7)) && suspects.contains_key(&Feature::Part(0))
+    );
+}
+
 /// What waits when the request is quarantined is refused, also at a VM that is told.
 #[test]
 fn waiting_request_is_refused_when_told() {
