--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -9,12 +9,12 @@
 use futures::channel::oneshot;
 use hornbeamtiller_http::body::{self, Channel, Outgoing as Body, Source, Truncated};
 use hornbeamtiller_http::memory::{Exhausted, Guard, Holder};
-use hornbeamtiller_http::server::{Handle, Handler, Timeouts, UNREAD_TIMEOUT};
+use hornbeamtiller_http::server::{Handle, Handler, Timeouts, INVALID_LOG_TARGET, UNREAD_TIMEOUT};
 use hornbeamtiller_relay::duration;
 use hornbeamtiller_relay::event::{Arrival, Event};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::organisation::Identity;
-use hornbeamtiller_relay::refusal::{Reason, Refusal};
+use hornbeamtiller_relay::refusal::{Claim, Reason, Refusal};
 use http::header::{HeaderValue, CONNECTION, EXPECT};
 use http::{request, Request, Response};
 use rand::Rng as _;
@@ -105,7 +105,11 @@
         let mut response = match self.serve(request).await {
             Ok(response) => response,
             Err(refusal) => {
-                log::info!(outcome:% = refusal.reason; "refused");
+                let target = match refusal.claim {
+                    Claim::Invalid => INVALID_LOG_TARGET,
+                    _ => module_path!(),
+                };
+                log::info!(target: target, outcome:% = refusal.reason; "refused");
                 self.build_refusal(&refusal)
             }
         };
@@ -278,7 +282,7 @@
             log::error!("a call ended without a response");
             Decision::Refused(Refusal {
                 reason: Reason::RunnersFailed,
-                claim: hornbeamtiller_relay::refusal::Claim::Unknown,
+                claim: Claim::Unknown,
                 retry_after: None,
             })
         })
--- a/crates/gateway/src/log_line.rs
+++ b/crates/gateway/src/log_line.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hornbeamtiller_http::server::STOP_LOG_TARGET;
+use hornbeamtiller_http::server::{INVALID_LOG_TARGET, STOP_LOG_TARGET};
 use hornbeamtiller_relay::decision_log::{Entry, Kind};
 use log::kv::{Error, Key, Source, Value, VisitSource};
 
@@ -68,6 +68,7 @@
     let kind: &'static str = entry.kind.into();
     let target = match entry.kind {
         Kind::Leaving | Kind::Left | Kind::StreamCut => STOP_LOG_TARGET,
+        _ if entry.is_invalid => INVALID_LOG_TARGET,
         _ => TARGET,
     };
     let fields = Fields(entry);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -33,6 +33,8 @@
 
 /// Target of log lines that are needed to examine the stop of a process. No rate limit of the log may leave one out.
 pub const STOP_LOG_TARGET: &str = "stop";
+/// Target of log lines of requests that can't be served as they are, by any process. Clients may cause any number of them.
+pub const INVALID_LOG_TARGET: &str = "invalid";
 
 /// Delay after an error of `accept`, such as running out of file descriptors, and between checks of
 /// the connection limit.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -7,6 +7,7 @@
 use crate::budget::Charge;
 use crate::crash::Feature;
 use crate::id;
+use crate::refusal::Claim;
 
 /// Event of an entry; its name is the event name of the log line.
 #[derive(
@@ -119,6 +120,8 @@
 pub struct Entry {
     /// The event.
     pub kind: Kind,
+    /// Whether it is of a request that can't be served as it is, of which clients may send any number.
+    pub is_invalid: bool,
     /// Id of the request.
     pub request: Option<Arc<str>>,
     /// Id of the request that brought the first event of the stream with which this one goes on.
@@ -185,10 +188,17 @@
 }
 
 impl Entry {
+    /// Marks the entry as one of a request that was refused with this claim.
+    pub fn claim(mut self, claim: Claim) -> Self {
+        self.is_invalid = claim == Claim::Invalid;
+        self
+    }
+
     /// Creates an entry without any fields.
     pub fn new(kind: Kind) -> Self {
         Self {
             kind,
+            is_invalid: false,
             request: None,
             first_request: None,
             runner: None,
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -192,6 +192,7 @@
         self.count_refusal(refusal);
         self.log(
             Entry::new(Kind::Refused)
+                .claim(refusal.claim)
                 .request(request)
                 .version(self.manifest_version())
                 .outcome(format!("{} {}", refusal.claim, refusal.reason)),
@@ -212,6 +213,7 @@
         self.count_refusal(refusal);
         self.log(
             Entry::new(Kind::Refused)
+                .claim(refusal.claim)
                 .request(&arrival.id)
                 .version(self.manifest_version())
                 .outcome(format!(
