A runner's Retry-After counts for as long as it says, up to an hour

The bound is now that of the protocol's parser, an hour. rest_of_many_minutes_counts fails without it.

--- a/crates/relay/src/reduce/rest.rs
+++ b/crates/relay/src/reduce/rest.rs
@@ -13,8 +13,8 @@
 
 use super::Reducer;
 
-/// Longest time for which a runner is taken at its word.
-const REST_MAX: Duration = Duration::from_secs(60);
+/// Longest time for which a runner is taken at its word, as long as the protocol can say.
+const REST_MAX: Duration = Duration::from_secs(3_600);
 /// Random factor of the delay after which a call that was refused for that is to come back.
 const RETURN_JITTER: std::ops::Range<f64> = 1.0..1.4;
 
--- a/crates/relay/tests/rest.rs
+++ b/crates/relay/tests/rest.rs
@@ -127,3 +127,18 @@
         assert!(!has(&effects, is_cut));
     }
 }
+
+/// Guards against requests to a runner that has asked for none for longer than a minute.
+#[test]
+fn rest_of_many_minutes_counts() {
+    let mut harness = Harness::new(1);
+    let minutes = |minutes| Duration::from_secs(60 * minutes);
+    rest_all(&mut harness, [minutes(50), minutes(20), minutes(30)]);
+    for _ in 0..19 {
+        harness.now += minutes(1);
+        let refused = refusal(&harness.arrive(IDEMPOTENT)).expect("a refusal");
+        assert_eq!(refused.reason, Reason::Resting);
+    }
+    harness.now += minutes(2);
+    assert!(refusal(&harness.arrive(IDEMPOTENT)).is_none());
+}
