A SIGHUP that comes before the process has its handler waits for it

It is blocked in the first statement of main now, until its handler is there; other commands are ended by it as before.

What is left passes before main, in which the process can do nothing.

--- a/crates/hornbeamtiller/src/main.rs
+++ b/crates/hornbeamtiller/src/main.rs
@@ -8,6 +8,7 @@
 mod stop;
 
 use std::future::Future;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,7 +22,7 @@
 use hornbeamtiller_platform::Process;
 use hornbeamtiller_relay::policy::{self, Policy};
 use logging::{Output, Writer};
-use stop::{Blocked, Ending, Grace, Signals, SIGNAL_POLL_INTERVAL};
+use stop::{Blocked, Ending, Grace, Hangup, Signals, SIGNAL_POLL_INTERVAL};
 
 /// Exit code for settings that fail validation.
 const EXIT_INVALID_SETTINGS: u8 = 3;
@@ -110,6 +111,7 @@
 const COLLECT_INTERVAL: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
+    let hangup = Hangup::block();
     // SAFETY: Sets a number that the allocator reads; no other thread runs yet.
     unsafe { libmimalloc_sys::mi_option_set(PURGE_DELAY_OPTION, PURGE_DELAY_MS) };
     let cli = Cli::parse();
@@ -122,7 +124,7 @@
             }),
             _,
         ) => match parse_policy(&experiment) {
-            Ok(policy) => run_gateway(&settings, policy, &key),
+            Ok(policy) => run_gateway(&settings, policy, &key, hangup),
             Err(fault) => {
                 eprintln!("hornbeamtiller: --experiment: {fault}");
                 return ExitCode::from(EXIT_INVALID_SETTINGS);
@@ -130,7 +132,7 @@
         },
         (Some(Command::Check { settings }), _) => return check_settings(&settings),
         (None, Some(flags)) => match flags.check() {
-            Ok(settings) => run_node(settings),
+            Ok(settings) => run_node(settings, hangup),
             Err(faults) => {
                 faults
                     .iter()
@@ -177,20 +179,26 @@
     ExitCode::from(EXIT_INVALID_SETTINGS)
 }
 
-fn run_node(settings: Settings) -> Result<Ending, Report<Error>> {
+fn run_node(settings: Settings, hangup: io::Result<Hangup>) -> Result<Ending, Report<Error>> {
+    let hangup = hangup.change_context(Error::Signals)?;
+    hangup.release().change_context(Error::Signals)?;
     let blocked = Blocked::block().change_context(Error::Signals)?;
     let log = logging::init(Output::Stderr).change_context(Error::Logging)?;
     let signals = blocked.handle().change_context(Error::Signals)?;
     run(serve_node(settings, signals), log)
 }
 
-fn run_gateway(settings: &Path, policy: Policy, key: &str) -> Result<Ending, Report<Error>> {
+fn run_gateway(
+    settings: &Path,
+    policy: Policy,
+    key: &str,
+    hangup: io::Result<Hangup>,
+) -> Result<Ending, Report<Error>> {
+    let hangup = hangup.change_context(Error::Signals)?;
     let blocked = Blocked::block().change_context(Error::Signals)?;
     let log = logging::init(Output::Stdout).change_context(Error::Logging)?;
     let signals = blocked.handle().change_context(Error::Signals)?;
-    let reload_requested = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal_hook::consts::SIGHUP, reload_requested.clone())
-        .change_context(Error::Signals)?;
+    let reload_requested = hangup.handle().change_context(Error::Signals)?;
     let serving = serve_gateway(settings, policy, key, signals, reload_requested);
     run(serving, log)
 }
--- a/crates/hornbeamtiller/src/stop.rs
+++ b/crates/hornbeamtiller/src/stop.rs
@@ -1,12 +1,13 @@
 //! The end of the process: the signals that ask for it, how long clients are waited for, and what the log says of it.
 
+use std::ffi::c_int;
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hornbeamtiller_http::server::{Closing, Unreceived, STOP_LOG_TARGET};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level;
 
 /// Exit code after a second SIGINT.
@@ -81,14 +82,57 @@
     }
 }
 
+/// SIGHUP waits from [`Hangup::block`] on. A process that has not come to its handler would be ended by it.
+#[derive(Debug)]
+pub struct Hangup(());
+
+impl Hangup {
+    /// Lets the signal wait, in this thread and those that it starts.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn block() -> io::Result<Self> {
+        change_mask(libc::SIG_BLOCK, &[SIGHUP])?;
+        Ok(Self(()))
+    }
+
+    /// Sets a flag whenever the signal comes, or has come since it was blocked.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn handle(self) -> io::Result<Arc<AtomicBool>> {
+        let is_received = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(SIGHUP, is_received.clone())?;
+        self.release()?;
+        Ok(is_received)
+    }
+
+    /// Lets the signal end the process again, as it does by default.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn release(self) -> io::Result<()> {
+        change_mask(libc::SIG_UNBLOCK, &[SIGHUP])
+    }
+}
+
 /// Changes whether this thread blocks SIGTERM and SIGINT.
-fn set_mask(change: std::ffi::c_int) -> io::Result<()> {
+fn set_mask(change: c_int) -> io::Result<()> {
+    change_mask(change, &[SIGTERM, SIGINT])
+}
+
+/// Changes whether this thread blocks some signals.
+fn change_mask(change: c_int, numbers: &[c_int]) -> io::Result<()> {
     let mut signals = std::mem::MaybeUninit::uninit();
     // SAFETY: The set is initialized by `sigemptyset` before anything else reads it.
     let error = unsafe {
         libc::sigemptyset(signals.as_mut_ptr());
-        libc::sigaddset(signals.as_mut_ptr(), SIGTERM);
-        libc::sigaddset(signals.as_mut_ptr(), SIGINT);
+        for number in numbers {
+            libc::sigaddset(signals.as_mut_ptr(), *number);
+        }
         libc::pthread_sigmask(change, signals.as_ptr(), std::ptr::null_mut())
     };
     match error {
