--- a/crates/relay/tests/rest.rs
+++ b/crates/relay/tests/rest.rs
@@ -132,7 +132,7 @@
 #[test]
 fn rest_of_many_minutes_counts() {
     let mut harness = Harness::new(1);
-    let minutes = |minutes| Duration::from_secs(60 * minutes);
+    let minutes = |minutes: u64| Duration::from_secs(60 * minutes);
     rest_all(&mut harness, [minutes(50), minutes(20), minutes(30)]);
     for _ in 0..19 {
         harness.now += minutes(1);
