Sessions: a request that failed before its first event binds its session to nothing

A VM recorded a session when it sent a request; a caller who came back after a failure was kept at the version that had failed it, for a quarter of its target latency. It is recorded with the origin of the stream now, at the first event.

Tests: arrived_session_of_failed_request_unbound fails without the change.

--- a/crates/relay/src/reduce/dispatch.rs
+++ b/crates/relay/src/reduce/dispatch.rs
@@ -11,7 +11,6 @@
 use crate::event::{Dispatch, Effect, Operation};
 use crate::id;
 use crate::manifest::Kind as RouteKind;
-use crate::origin::Origin;
 use crate::placement::{self, Headroom, Purpose};
 use crate::pool::{Load, Runner};
 use crate::refusal::Reason;
@@ -249,8 +248,6 @@
         let time_limit = call.remaining(self.now);
         let identity = call.identity.clone();
         let endpoint = call.endpoint.clone();
-        let session = call.parts.last().copied();
-        let is_begun = matches!(operation, Operation::Generate { .. });
         let entry = Entry::new(Kind::Dispatched)
             .request(&call.id)
             .runner(&name)
@@ -264,13 +261,6 @@
         self.log(entry);
         let attempts = &mut self.state.counters.attempts;
         *attempts.entry((endpoint, charge)).or_default() += 1;
-        if let Some(session) = session.filter(|_| is_begun) {
-            let origin = Origin {
-                endpoint: runner.descriptor.endpoint.clone(),
-                build: runner.descriptor.build.clone(),
-            };
-            self.state.sessions.insert_own(session, origin, self.now);
-        }
         let instance = runner.descriptor.instance();
         self.state.permits.take(&instance, self.now);
         let build = Some(runner.descriptor.build.clone());
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -51,7 +51,11 @@
             },
             lifetime,
         };
-        self.handle_origins(vec![record.clone()]);
+        if let Some(session) = record.session {
+            let origin = record.origin.clone();
+            self.state.sessions.insert_own(session, origin, self.now);
+        }
+        self.state.origins.insert(record.clone(), self.now);
         self.state.untold_origins.push(record);
     }
 
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -1,9 +1,9 @@
 //! Which software version has the prompts of a session.
 //!
 //! The last part of a prompt belongs to the request or to its session. While engines of several software versions serve, a
-//! session stays at the version that ran its last request: after the loss of all VMs, what engines hold of its prompts
+//! session stays at the version that began its last stream: after the loss of all VMs, what engines hold of its prompts
 //! is all that tells which version began a stream (see [`crate::cache_index`]), and it tells that only if one version
-//! holds them. The VM that sends a request to an engine records the session, and tells it to others with the
+//! holds them. The VM that forwards the first event records the session, and tells it to others with the
 //! origin of the stream (see [`crate::origin`]): to all VMs of a small fleet. In a larger one, while several versions
 //! serve, those that rank highest for the session (rendezvous hashing) are told too, and a VM that does not know a session asks
 //! two of them. Nothing is agreed upon.
--- a/crates/relay/tests/session.rs
+++ b/crates/relay/tests/session.rs
@@ -108,17 +108,34 @@
     }
 }
 
-/// A process remembers the sessions of its own requests.
+/// A process remembers the sessions of the streams that it has begun.
 #[test]
-fn arrived_session_of_own_request_stays() {
+fn arrived_session_of_own_stream_stays() {
     let mut harness = with_two_versions();
-    let first = build_of_request(&mut harness, STREAM);
-    assert!(first.is_some());
+    let effects = harness.arrive_with_parts(STREAM, &[SHARED, SESSION]);
+    let prefill = dispatch(&effects);
+    let run = dispatch(&harness.end_attempt(prefill.attempt, prefilled()));
+    let engine = harness.state.pool.get(&run.runner).expect("an engine");
+    let first = engine.descriptor.build.clone();
+    harness.apply(Event::StreamStarted {
+        attempt: run.attempt,
+    });
+    harness.stream_event(run.attempt, 1);
     for _ in 0..10 {
-        assert_eq!(build_of_request(&mut harness, STREAM), first);
+        let ran_at = build_of_request(&mut harness, STREAM);
+        assert_eq!(ran_at.as_ref(), Some(&first));
     }
 }
 
+/// Guards against a caller who comes back after a failure and is kept at the version that has failed it.
+#[test]
+fn arrived_session_of_failed_request_unbound() {
+    let mut harness = with_two_versions();
+    build_of_request(&mut harness, STREAM);
+    build_of_request(&mut harness, STREAM);
+    assert!(harness.state.counters.sessions.is_empty());
+}
+
 /// With one version there is nothing to decide.
 #[test]
 fn arrived_session_one_version_unbound() {
