Sessions: less work a tick, and what stood twice in their tests

No behaviour changes, and no assertion of a test. Each tick counted the members of the fleet though there was nothing to tell; it looks for something to tell first. Nobody used what session::Table::insert returned. Tests: the restart of all VMs stood in two files and is a method of the fleet; removing runners stood twice; the load that fills an allocator copied a claim that was never there, and one test filled an engine that it then filled otherwise.

--- a/crates/relay/src/reduce/session/tell.rs
+++ b/crates/relay/src/reduce/session/tell.rs
@@ -46,6 +46,10 @@
     /// Tells the VMs of a large fleet that rank highest for the sessions of these records, while several versions serve. In a small
     /// one all are told with the streams.
     pub(in crate::reduce) fn spread_sessions(&mut self, records: &[Record]) {
+        // This is called each tick, mostly with nothing to tell.
+        if records.is_empty() || self.state.mixed_endpoints.is_empty() {
+            return;
+        }
         let members = self.state.members.iter();
         let others = members.filter(|member| member.is_serving()).count();
         if knows_all_sessions(others) {
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -100,15 +100,12 @@
         self.sessions.insert(session, known, now + LIFETIME);
     }
 
-    /// Records where a request of a session runs, as told by another VM or an engine. Returns whether the session was not
-    /// known to be there.
-    pub fn insert(&mut self, session: id::Part, origin: Origin, now: Duration) -> bool {
+    /// Records where a request of a session runs, as told by another VM or an engine.
+    pub fn insert(&mut self, session: id::Part, origin: Origin, now: Duration) {
         let known = self.sessions.get(session, now);
         let is_own = known.is_some_and(|known| known.is_own && known.origin == origin);
-        let is_new = known.is_none_or(|known| known.origin != origin);
         let known = Session { origin, is_own };
         self.sessions.insert(session, known, now + LIFETIME);
-        is_new
     }
 
     /// The sessions whose last requests this VM sent to an endpoint, the latest first, as far as they are told at a time.
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -53,15 +53,6 @@
     }
 }
 
-fn restart_all(fleet: &mut Fleet, vms: usize) {
-    for vm in fleet.running() {
-        fleet.kill(vm);
-    }
-    for vm in 1..=vms {
-        fleet.start(vm);
-    }
-}
-
 /// Streams that begin at all VMs in turn.
 fn begin_all(fleet: &mut Fleet, vms: usize) -> Vec<(String, id::Build)> {
     (0..40)
@@ -72,7 +63,7 @@
 /// Streams of a fleet whose VMs are all killed then, in two builds.
 fn begin_and_restart_all(fleet: &mut Fleet, vms: usize) -> Vec<(String, id::Build)> {
     let streams = begin_all(fleet, vms);
-    restart_all(fleet, vms);
+    fleet.restart_all(vms);
     streams
 }
 
@@ -189,7 +180,7 @@
 fn resume_all_vms_restarted_prompt_dropped_refused() {
     let mut fleet = Fleet::new(4, &TWO_BUILDS, 1);
     let (request, _) = begin(&mut fleet, 1);
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     fleet.held.clear();
     let resumption = fleet.resume(2, Some(&request));
     assert_eq!(refused(resumption), (Reason::OriginUnreachable, true));
@@ -243,7 +234,7 @@
 fn resume_prompt_at_two_builds_refused() {
     let mut fleet = Fleet::new(4, &TWO_BUILDS, 1);
     let (request, _) = begin(&mut fleet, 1);
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     for engine in ["make-0", "make-1"] {
         let held = fleet.held.entry(engine.into()).or_default();
         held.insert(origin::stream(&request));
@@ -257,7 +248,7 @@
 fn resume_prompt_at_prefill_engine_alone_refused() {
     let mut fleet = Fleet::new(4, &TWO_BUILDS, 1);
     let (request, _) = begin(&mut fleet, 1);
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     let read = BTreeSet::from([origin::stream(&request)]);
     fleet.held = BTreeMap::from([("read-1".into(), read)]);
     let resumption = fleet.resume(2, Some(&request));
@@ -269,7 +260,7 @@
 fn resume_without_prompt_refused() {
     let mut fleet = Fleet::new(4, &TWO_BUILDS, 1);
     begin(&mut fleet, 1);
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     fleet.advance(ms(600));
     let listings = fleet.listings;
     let resumption = fleet.resume(2, None);
@@ -316,7 +307,7 @@
     let streams = begin_all(&mut fleet, 4);
     fleet.hold_sessions("make-1", &streams);
     fleet.unlist("make-0");
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     assert_eq!(resume_all(&mut fleet, &streams), 0);
 }
 
@@ -328,7 +319,7 @@
     let streams = begin_all(&mut fleet, 4);
     fleet.hold_sessions("make-1", &streams);
     fleet.list("make-0", "v1", Role::Decode);
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     assert_eq!(resume_all(&mut fleet, &streams), 0);
 }
 
@@ -392,7 +383,7 @@
             } else {
                 fleet.unlist("make-0");
             }
-            restart_all(&mut fleet, 4);
+            fleet.restart_all(4);
             let (_, joined) = count_resumed(&mut fleet, &streams);
             assert!(joined <= JOINED_MAX, "seed {seed}: {joined}");
         }
@@ -406,7 +397,7 @@
         let (mut fleet, streams) = begin_at_nine_engines(seed);
         fleet.hold_sessions("make-6", &streams);
         fleet.mute.insert("make-0".into());
-        restart_all(&mut fleet, 4);
+        fleet.restart_all(4);
         fleet.advance(ms(3_000));
         fleet.unlist("make-0");
         fleet.advance(ms(4_000));
@@ -421,7 +412,7 @@
     let (mut fleet, streams) = begin_at_nine_engines(1);
     let lost = fleet.held.get("make-0").cloned().unwrap_or_default();
     fleet.mute.insert("make-0".into());
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     let (gone_on, joined) = count_resumed(&mut fleet, &streams);
     let lost = streams
         .iter()
@@ -436,7 +427,7 @@
     fleet.has_history = true;
     let streams = begin_all(&mut fleet, 4);
     fleet.unlist("make-0");
-    restart_all(&mut fleet, 4);
+    fleet.restart_all(4);
     assert!(resume_all(&mut fleet, &streams) >= 10);
 }
 
@@ -520,7 +511,7 @@
                 fleet.unlist("make-0");
             }
         }
-        restart_all(&mut fleet, 9);
+        fleet.restart_all(9);
         let mut rng = fleet.rng.clone();
         for parts in fleet.held.values_mut() {
             parts.retain(|_| rng.random_bool(0.8));
--- a/crates/relay/tests/session.rs
+++ b/crates/relay/tests/session.rs
@@ -76,18 +76,6 @@
     Some(engine.descriptor.build.clone())
 }
 
-/// Lets another VM have these engines full.
-fn fill(harness: &mut Harness, engines: &[&str]) {
-    let full = Load {
-        requests: 16,
-        tokens: KV_TOKENS,
-        prefill_tokens: 0,
-    };
-    for engine in engines {
-        harness.receive_claim(engine, full);
-    }
-}
-
 fn decided(harness: &Harness, decision: Decision) -> u64 {
     let counts = &harness.state.counters.sessions;
     counts.get(&decision).copied().unwrap_or(0)
@@ -155,17 +143,21 @@
     assert!(harness.state.counters.sessions.is_empty());
 }
 
+fn remove(harness: &mut Harness, runners: &[&str]) {
+    for runner in runners {
+        harness.apply(Event::RunnerRemoved {
+            runner: (*runner).into(),
+            revision: 20,
+        });
+    }
+}
+
 /// Guards against requests that wait for the version of their session after it has gone.
 #[test]
 fn arrived_session_version_gone_runs_elsewhere() {
     let mut harness = with_two_versions();
     record(&mut harness, SESSION, BUILD);
-    for runner in ["make-1", "make-2"] {
-        harness.apply(Event::RunnerRemoved {
-            runner: runner.into(),
-            revision: 20,
-        });
-    }
+    remove(&mut harness, &["make-1", "make-2"]);
     assert_eq!(
         build_of_request(&mut harness, STREAM).as_deref(),
         Some(OTHER)
@@ -177,12 +169,7 @@
 fn arrived_session_version_without_prefill_runs_elsewhere() {
     let mut harness = with_two_versions();
     record(&mut harness, SESSION, BUILD);
-    for runner in ["read-1", "read-2"] {
-        harness.apply(Event::RunnerRemoved {
-            runner: runner.into(),
-            revision: 20,
-        });
-    }
+    remove(&mut harness, &["read-1", "read-2"]);
     assert_eq!(
         build_of_request(&mut harness, STREAM).as_deref(),
         Some(OTHER)
@@ -194,7 +181,6 @@
 fn arrived_session_version_full_leaves_in_time() {
     let mut harness = with_two_versions();
     record(&mut harness, SESSION, OTHER);
-    fill(&mut harness, &["make-3"]);
     let full = ["make-3", "make-4", "make-5", "make-6"];
     for runner in full {
         let runner = harness.state.pool.get_mut(&runner.into()).expect("listed");
@@ -233,22 +219,13 @@
     assert_eq!(next.as_deref(), Some(OTHER));
 }
 
-/// Lets the allocator know one more engine to be full, beside those before.
+/// Lets the allocator know an engine to be full with the load of a VM of its own.
 fn fill_at_allocator(harness: &mut Harness, engine: &str) {
     let full = Load {
         requests: 16,
         tokens: KV_TOKENS,
         prefill_tokens: 0,
     };
-    harness.state.last_attempt += 1;
-    let mut claim = harness
-        .state
-        .claims
-        .sent
-        .get("vm-1")
-        .map(|sent| sent.claim.clone());
-    let mut loads = claim.take().map(|claim| claim.loads).unwrap_or_default();
-    loads.push((engine.into(), full));
     harness.last_claim += 1;
     let claim = allocation::Claim {
         vm: format!("vm-{engine}").into(),
@@ -256,7 +233,7 @@
         peer_address: support::member("vm-2", 2, 1).peer_address,
         sequence: harness.last_claim,
         last_grant: 0,
-        loads,
+        loads: vec![(engine.into(), full)],
         asks: Vec::new(),
         readings: Vec::new(),
     };
@@ -323,15 +300,6 @@
     streams
 }
 
-fn restart_all(fleet: &mut Fleet, vms: usize) {
-    for vm in fleet.running() {
-        fleet.kill(vm);
-    }
-    for vm in 1..=vms {
-        fleet.start(vm);
-    }
-}
-
 /// Streams that go on, and whether each does so at the version that began it.
 fn resume_all(fleet: &mut Fleet, sessions: &[String], streams: &[(String, id::Build)]) -> usize {
     let mut gone_on = 0;
@@ -353,7 +321,7 @@
         let streams = begin_again(&mut fleet, &sessions, 2);
         assert!(streams.iter().all(|(_, build)| &**build == "v2"));
         fleet.mute.extend(lost.map(id::Runner::from));
-        restart_all(&mut fleet, 2);
+        fleet.restart_all(2);
         let gone_on = resume_all(&mut fleet, &sessions, &streams);
         assert!(2 * gone_on >= SESSIONS, "{lost:?}: {gone_on}");
     }
@@ -378,7 +346,7 @@
         let (mut fleet, sessions) = begin_sessions_before_second_version(vms);
         let streams = begin_again(&mut fleet, &sessions, vms);
         assert!(streams.iter().all(|(_, build)| &**build == "v2"), "{vms}");
-        restart_all(&mut fleet, vms);
+        fleet.restart_all(vms);
         fleet.mute.insert("older-0".into());
         assert_eq!(resume_all(&mut fleet, &sessions, &streams), SESSIONS);
     }
@@ -511,7 +479,7 @@
     }
     let streams = begin_again(&mut fleet, &sessions, vms);
     trouble.before(&mut fleet);
-    restart_all(&mut fleet, vms);
+    fleet.restart_all(vms);
     fleet.advance(ms(1_200));
     trouble.after(&mut fleet);
     let mut tally = Tally::default();
--- a/crates/relay/tests/support/resume.rs
+++ b/crates/relay/tests/support/resume.rs
@@ -286,6 +286,14 @@
         self.vms.remove(&vm);
     }
 
+    /// Kills all VMs, and starts the VMs 1 to `vms`.
+    pub fn restart_all(&mut self, vms: usize) {
+        self.vms.clear();
+        for vm in 1..=vms {
+            self.start(vm);
+        }
+    }
+
     /// Lets a VM shut down gracefully.
     pub fn leave(&mut self, vm: usize) {
         self.apply(
