Heads of requests are bounded by the manifest's limit

What callers saw: a head within the manifest's max_header_bytes was refused (431) if it had more than 20 KiB; with a lower limit, heads up to 20 KiB were served.

If the limit changes, connections that are open are closed with their next response. Larger heads take more memory a connection, so there are fewer at a time.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -13,6 +13,7 @@
 use hornbeamtiller_relay::duration;
 use hornbeamtiller_relay::event::{Arrival, Event};
 use hornbeamtiller_relay::id;
+use hornbeamtiller_relay::manifest::Limits;
 use hornbeamtiller_relay::organisation::Identity;
 use hornbeamtiller_relay::refusal::{Claim, Reason, Refusal};
 use http::header::{HeaderValue, CONNECTION, EXPECT};
@@ -20,6 +21,7 @@
 use rand::Rng as _;
 
 use crate::driver::{Decision, Driver};
+use crate::gateway::head_bytes;
 use crate::protocol::{CallerRequest, Metadata, Protocol};
 
 /// Maximum size of a request body, in bytes, until a manifest sets it.
@@ -120,11 +122,12 @@
         response
     }
 
+    fn head_bytes(&self) -> Option<usize> {
+        self.limits().map(|limits| head_bytes(limits.head_bytes))
+    }
+
     fn timeouts(&self) -> Option<Timeouts> {
-        let limits = self.driver.with_state(|state| {
-            let manifest = state.manifest.as_ref();
-            manifest.map(|manifest| manifest.limits)
-        });
+        let limits = self.limits();
         Some(Timeouts {
             head: limits.map_or(HEAD_TIMEOUT, |limits| limits.head_timeout),
             idle: limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout),
@@ -139,6 +142,14 @@
         Self { driver }
     }
 
+    /// The limits of the manifest in force.
+    fn limits(&self) -> Option<Limits> {
+        self.driver.with_state(|state| {
+            let manifest = state.manifest.as_ref();
+            manifest.map(|manifest| manifest.limits)
+        })
+    }
+
     async fn serve(
         &self,
         request: Request<hyper::body::Incoming>,
@@ -294,10 +305,8 @@
         expects_continue: bool,
         connection: Option<&Handle>,
     ) -> Result<Bytes, Refusal> {
-        let max = self.driver.with_state(|state| {
-            let manifest = state.manifest.as_ref();
-            manifest.map_or(BODY_BYTES_DEFAULT, |manifest| manifest.limits.body_bytes)
-        });
+        let limits = self.limits();
+        let max = limits.map_or(BODY_BYTES_DEFAULT, |limits| limits.body_bytes);
         let mark = |is_receiving| {
             if let Some(connection) = connection {
                 connection.set_receiving(is_receiving);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,9 +28,14 @@
 const RUNNER_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Maximum number of idle connections per runner.
 const RUNNER_IDLE_CONNECTIONS_MAX: usize = 8;
-/// Maximum size of a request head, in bytes.
-const HEAD_BYTES_MAX: usize = 20 << 10;
-/// Maximum number of headers in a request head: a head of 16 KiB, the limit of manifests, may have some 2,000 short ones.
+/// Size of a request head, in bytes, until a manifest sets it.
+const HEAD_BYTES_DEFAULT: usize = 16 << 10;
+/// What a head may have beyond the manifest's limit, in bytes: the request line, and the fields that a VM adds to a request
+/// that another VM is to run.
+const HEAD_SURPLUS_BYTES: usize = 4 << 10;
+/// Largest head that any manifest can allow, in bytes: what a connection may hold without a request.
+pub const HEAD_BYTES_MAX: usize = 128 << 10;
+/// Maximum number of headers in a request head: one of 16 KiB may have some 2,000 short ones.
 const HEADERS_MAX: usize = 2_048;
 /// Memory of a connection, in bytes: buffers of 8 KiB in both directions, its task, and what the system holds of bytes
 /// that have not been read.
@@ -43,6 +48,11 @@
 /// Least memory for what is held for others, in bytes: a body of 4 MiB fits.
 const BUDGET_BYTES_MIN: usize = 8 << 20;
 
+/// The most bytes that a head may have on the wire where the manifest's limit is `limit`.
+pub(crate) fn head_bytes(limit: usize) -> usize {
+    limit.min(HEAD_BYTES_MAX) + HEAD_SURPLUS_BYTES
+}
+
 /// An error that keeps a process from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -108,7 +118,8 @@
         );
         let limits = Limits {
             connections,
-            head_bytes: HEAD_BYTES_MAX,
+            connection_bytes: CONNECTION_BYTES,
+            head_bytes: head_bytes(HEAD_BYTES_DEFAULT),
             headers: HEADERS_MAX,
             budget,
             ..Limits::default()
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,7 +14,7 @@
 
 use futures::channel::oneshot;
 use futures::future::{select, Either};
-use http::header::HeaderValue;
+use http::header::{HeaderValue, CONNECTION};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -66,9 +66,11 @@
     /// Connections at a time. For a further one, one that is idle or slow is closed; if there is none, it waits in the
     /// listen backlog.
     pub connections: usize,
-    /// Size of a request head, in bytes.
+    /// Memory of a connection with heads of `head_bytes`, in bytes. With larger ones there are fewer connections.
+    pub connection_bytes: usize,
+    /// Size of a request head, in bytes, unless the handler states one.
     pub head_bytes: usize,
-    /// Number of headers of a request.
+    /// Number of headers of a request of `head_bytes`; a larger one may have more.
     pub headers: usize,
     /// Time to receive a request head, which also limits the idle time between requests, unless the handler states
     /// timeouts.
@@ -85,6 +87,7 @@
     fn default() -> Self {
         Self {
             connections: 10_000,
+            connection_bytes: 48 << 10,
             head_bytes: 16 << 10,
             headers: 64,
             head_timeout: Duration::from_secs(30),
@@ -95,6 +98,21 @@
     }
 }
 
+impl Limits {
+    /// Connections at a time if their heads may have `head_bytes`; at least one.
+    fn connections_with(&self, head_bytes: usize) -> usize {
+        let surplus = head_bytes.saturating_sub(self.head_bytes);
+        let bytes = self.connection_bytes.max(1);
+        let connections = self.connections as f64 * bytes as f64 / (bytes + surplus) as f64;
+        (connections as usize).max(1)
+    }
+
+    /// Number of headers of a request whose head may have `head_bytes`.
+    fn headers_with(&self, head_bytes: usize) -> usize {
+        self.headers * head_bytes.div_ceil(self.head_bytes.max(1)).max(1)
+    }
+}
+
 /// Handles requests.
 pub trait Handler: Clone + 'static {
     /// The source of streamed response bodies.
@@ -111,6 +129,12 @@
     fn timeouts(&self) -> Option<Timeouts> {
         None
     }
+
+    /// The size of a request head now in force, in bytes; `None` for that of the server's limits. It applies to connections
+    /// that are opened from now on, and others are closed after their next response.
+    fn head_bytes(&self) -> Option<usize> {
+        None
+    }
 }
 
 /// A running server.
@@ -367,7 +391,9 @@
         let next = pin!(listener.accept());
         match select(next, &mut stop_signal).await {
             Either::Left((Ok((stream, _)), _)) => {
-                let place = pin!(wait_for_place(&connections, limits.connections));
+                let head_bytes = handler.head_bytes().unwrap_or(limits.head_bytes);
+                let connections_max = limits.connections_with(head_bytes);
+                let place = pin!(wait_for_place(&connections, connections_max));
                 if let Either::Right(_) = select(place, &mut stop_signal).await {
                     return;
                 }
@@ -405,6 +431,8 @@
         registration.control.clone(),
         registration.connections.clone(),
     );
+    let head_bytes_default = limits.head_bytes;
+    let head_bytes = handler.head_bytes().unwrap_or(head_bytes_default);
     let service = service_fn(move |mut request: Request<Incoming>| {
         let (handler, control) = (handler.clone(), control.clone());
         let ahead = control.begin_exchange();
@@ -413,7 +441,11 @@
         request.extensions_mut().insert(control.handle().clone());
         async move {
             wait_for_turn(&control, ahead, open).await;
-            let response = add_marker(handler.handle(request).await);
+            let mut response = add_marker(handler.handle(request).await);
+            if handler.head_bytes().unwrap_or(head_bytes_default) != head_bytes {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(response.map(|body| Tracked::new(body, control, version)))
         }
     });
@@ -423,8 +455,8 @@
         control.clone(),
     );
     let connection = hyper::server::conn::http1::Builder::new()
-        .max_headers(limits.headers)
-        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
+        .max_headers(limits.headers_with(head_bytes))
+        .max_buf_size(head_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut shutdown = None;
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -69,6 +69,47 @@
     .expect("a runtime");
 }
 
+/// Allows heads four times as large as the server's limits, and takes long to respond.
+#[derive(Clone)]
+struct LargeHeads;
+
+impl Handler for LargeHeads {
+    type Source = Never;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Outgoing<Never>> {
+        Slow.handle(request).await
+    }
+
+    fn head_bytes(&self) -> Option<usize> {
+        Some(4 * Limits::default().head_bytes)
+    }
+}
+
+/// Guards against connections that together take more memory than reckoned once heads may be larger.
+#[test]
+fn larger_heads_fewer_connections() {
+    block_on(async {
+        let limits = Limits {
+            connections: 4,
+            connection_bytes: 3 * Limits::default().head_bytes,
+            ..Limits::default()
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, limits, LargeHeads).expect("a listener");
+        let mut open = Vec::new();
+        for _ in 0..4 {
+            let connecting = TcpStream::connect_addr(server.address());
+            let mut stream = connecting.await.expect("connected");
+            let request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n".to_vec();
+            stream.write_all(request).await.0.expect("written");
+            open.push(stream);
+            monoio::time::sleep(SETTLE_TIME).await;
+        }
+        assert_eq!(server.connection_count(), 2);
+    })
+    .expect("a runtime");
+}
+
 /// Bytes of a response that no buffer of the system holds.
 const LARGE_BYTES: usize = 8 << 20;
 /// What a slow reader takes at a time.
