Manifests: a VM without the store asks one VM at a time

Cause: every view to a VM that can't reach the store held the whole manifest until that VM had said that it has it. Two at a time take longer on a link of 10 Mbit/s than the 0.4 s of a call; the connection is closed, and all is sent again.

Evidence: log of all 70 VMs: 23 lose the store at 9.3 s, the first calls time out at 10.25 s, 0.4 s after the manifest came to the others; 204,322 lines peer_silent by the end, 1.18 GB between zones.

Change: views say whether their sender takes a manifest (a new field; earlier releases are read as always). A VM that sees a newer version asks one VM, of its zone if it can, at most one a second, and gets it with the reply. Such a view has the time that the manifest needs at a tenth of such a link. The log says how large a manifest is.

--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -39,6 +39,8 @@
 
 /// Timeout of a call to a peer, including the time to connect.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Least rate at which a manifest has to reach a peer: a tenth of a link of 10 Mbit/s.
+const TRANSFER_BYTES_PER_SECOND: f64 = 125e3;
 /// Maximum size of a message from a peer, in words of 8 bytes.
 const MESSAGE_WORDS_MAX: usize = 1 << 20;
 /// Timeout of a claim.
@@ -101,8 +103,8 @@
         let driver = driver.clone();
         let view = encode(view);
         monoio::spawn(async move {
-            let sent =
-                monoio::time::timeout(CALL_TIMEOUT, send_view(&driver, address, &view)).await;
+            let timeout = CALL_TIMEOUT + transfer_time(&view);
+            let sent = monoio::time::timeout(timeout, send_view(&driver, address, &view)).await;
             let Err(error) = sent.unwrap_or(Err(Error::TimedOut)) else {
                 return;
             };
@@ -327,6 +329,12 @@
     }
 }
 
+/// The time that the manifest of a view may take on its way.
+fn transfer_time(view: &view::View) -> Duration {
+    let bytes = view.manifest.as_ref().map_or(0, |bytes| bytes.len());
+    Duration::from_secs_f64(bytes as f64 / TRANSFER_BYTES_PER_SECOND)
+}
+
 async fn send_view<P: Protocol>(
     driver: &Driver<P>,
     address: SocketAddr,
--- a/crates/relay/src/member.rs
+++ b/crates/relay/src/member.rs
@@ -58,6 +58,19 @@
     }
 }
 
+/// Whether the sender of a view takes a manifest that is newer than its own. One that reaches the configuration service
+/// needs none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ManifestWish {
+    /// With any view. Releases that don't ask for manifests are read as this.
+    #[default]
+    Always,
+    /// Not now: it asks one VM at a time.
+    NotNow,
+    /// With the reply to this view.
+    Reply,
+}
+
 /// One VM's view of the fleet, as sent to a peer; `M` is the representation of the manifest.
 #[derive(Debug, Clone)]
 pub struct View<M = Arc<Manifest>> {
@@ -98,6 +111,8 @@
     pub reached: Vec<id::Endpoint>,
     /// Whether a runner has told the sender itself its slowdown.
     pub has_slowdowns: bool,
+    /// Whether the sender takes a manifest.
+    pub manifest_wish: ManifestWish,
     /// Whether a reply is requested.
     pub reply_requested: bool,
 }
@@ -124,6 +139,7 @@
             unreached: self.unreached,
             reached: self.reached,
             has_slowdowns: self.has_slowdowns,
+            manifest_wish: self.manifest_wish,
             reply_requested: self.reply_requested,
         }
     }
@@ -152,6 +168,8 @@
     pub last_change: id::Revision,
     /// Whether it reached the configuration service, as of its last message.
     pub source_reached: bool,
+    /// Whether it takes a manifest with any view, as of its last message.
+    pub takes_manifests: bool,
     /// Endpoints of which it reaches no runner, or none of a stage, as of its last message.
     pub unreached: Vec<id::Endpoint>,
     /// Whether a runner has told it its slowdown, as of its last message.
@@ -261,6 +279,7 @@
                     revision: 0,
                     last_change: 0,
                     source_reached: true,
+                    takes_manifests: false,
                     unreached: Vec::new(),
                     has_slowdowns: false,
                     reached_at: BTreeMap::new(),
--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -8,7 +8,7 @@
 use crate::decision_log::{Entry, Kind};
 use crate::event::Effect;
 use crate::id;
-use crate::member::{Descriptor, Member, Status, View};
+use crate::member::{Descriptor, ManifestWish, Member, Status, View};
 use crate::pool;
 use crate::revision;
 
@@ -34,6 +34,8 @@
 const PUBLISH_FANOUT: usize = 8;
 /// Share of the fleet that a VM has to reach to know what most others know.
 pub(super) const MAJORITY: f64 = 0.5;
+/// Least time between two VMs that are asked for a manifest.
+const MANIFEST_ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a VM that is down is remembered.
 const DOWN_RETENTION: Duration = Duration::from_secs(60);
 
@@ -51,6 +53,14 @@
             revision: (!source_reached).then_some(revision),
         }
     }
+
+    /// The same, for a peer that takes no manifest now.
+    fn without_manifest(self) -> Self {
+        Self {
+            manifest_version: None,
+            ..self
+        }
+    }
 }
 
 impl Reducer<'_> {
@@ -117,15 +127,50 @@
             return;
         };
         let address = member.descriptor.peer_address;
-        let peer_versions = PeerVersions::new(
+        let takes_manifests = member.takes_manifests;
+        let mut peer_versions = PeerVersions::new(
             member.source_reached,
             member.manifest_version,
             member.revision,
         );
+        if !takes_manifests {
+            peer_versions = peer_versions.without_manifest();
+        }
         let view = self.view(peer_versions, DESCRIPTORS_MAX, reply_requested);
         self.emit(Effect::PublishView { address, view });
     }
 
+    /// Asks a VM that has a newer manifest than this one for it, unless one has just been asked. A large manifest that
+    /// came from several at once would take the link for longer than any of them waits.
+    fn ask_manifest(&mut self, peer: &id::Vm) {
+        let now = self.now;
+        let asked_at = self.state.manifest_asked_at;
+        if asked_at.is_some_and(|at| at + MANIFEST_ASK_INTERVAL > now) {
+            return;
+        }
+        self.state.manifest_asked_at = Some(now);
+        let vm = self.find_manifest_nearby().unwrap_or_else(|| peer.clone());
+        let Some(member) = self.state.members.get(&vm) else {
+            return;
+        };
+        let address = member.descriptor.peer_address;
+        let mut view = self.view(PeerVersions::default(), DESCRIPTORS_MAX, true);
+        view.manifest_wish = ManifestWish::Reply;
+        self.emit(Effect::PublishView { address, view });
+    }
+
+    /// A VM of this availability zone that has a newer manifest than this one.
+    fn find_manifest_nearby(&mut self) -> Option<id::Vm> {
+        let version = self.manifest_version();
+        let zone = self.state.local.zone.clone();
+        let members = self.state.members.iter();
+        members
+            .filter(|member| member.descriptor.zone == zone && member.is_serving())
+            .filter(|member| member.manifest_version > version && member.unacknowledged_views == 0)
+            .map(|member| member.descriptor.vm.clone())
+            .choose(&mut self.state.rng)
+    }
+
     /// Publishes to a VM that has been found to be down, with the descriptor that says so: only the VM itself can refute
     /// it.
     pub(super) fn publish_to_down(&mut self, vm: &id::Vm) {
@@ -212,6 +257,7 @@
             unreached: self.state.unreached.iter().cloned().collect(),
             reached: self.reached_suspects(),
             has_slowdowns: self.has_slowdowns(),
+            manifest_wish: ManifestWish::NotNow,
             reply_requested: false,
         }
     }
@@ -236,6 +282,7 @@
             unreached,
             reached,
             has_slowdowns,
+            manifest_wish,
             reply_requested,
         } = view;
         let era = revision::era(self.state.pool.revision);
@@ -259,6 +306,7 @@
         if let Some(member) = self.state.members.get_mut(&peer) {
             is_first = member.last_seen_at.is_none();
             member.source_reached = source_reached;
+            member.takes_manifests = manifest_wish == ManifestWish::Always;
             member.unreached = unreached;
             member.has_slowdowns = has_slowdowns;
             for endpoint in reached {
@@ -273,6 +321,9 @@
         if let Some(manifest) = manifest {
             self.handle_manifest(manifest);
         }
+        if !self.state.source_reached && manifest_version > self.manifest_version() {
+            self.ask_manifest(&peer);
+        }
         if let Some(runners) = runners {
             // A peer's list is used only while the configuration service is unreachable.
             if !self.state.source_reached && revision > self.state.pool.revision {
@@ -293,9 +344,15 @@
         let lacks_departures = departure_digest != self.state.pool.departures.digest();
         let news = self.news_for(&peer, is_first || differs || lacks_departures);
         let has_news = !news.is_empty();
-        let peer_versions = PeerVersions::new(source_reached, manifest_version, revision);
-        let is_behind = !source_reached
-            && (manifest_version < self.manifest_version() || revision < self.state.pool.revision);
+        let mut peer_versions = PeerVersions::new(source_reached, manifest_version, revision);
+        if manifest_wish == ManifestWish::NotNow {
+            peer_versions = peer_versions.without_manifest();
+        }
+        let lacks_manifest = peer_versions
+            .manifest_version
+            .is_some_and(|version| version < self.manifest_version());
+        let lacks_runners = !source_reached && revision < self.state.pool.revision;
+        let is_behind = lacks_manifest || lacks_runners;
         // A VM that has not sent a view before may not know any other.
         let limit = if is_first {
             INITIAL_DESCRIPTORS_MAX
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -23,9 +23,10 @@
             return;
         }
         let outcome = format!(
-            "{} routes, {} endpoints",
+            "{} routes, {} endpoints, {} bytes",
             manifest.route_count(),
-            manifest.endpoints.len()
+            manifest.endpoints.len(),
+            manifest.source.len()
         );
         self.log(
             Entry::new(Kind::ManifestInForce)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -225,6 +225,8 @@
     pub seeds: Vec<std::net::SocketAddr>,
     /// When to probe the next peer.
     pub next_probe_at: Duration,
+    /// When a VM was last asked for a manifest.
+    pub manifest_asked_at: Option<Duration>,
     /// When to query the seeds next.
     pub next_seed_query_at: Duration,
     /// Number of probes sent.
@@ -345,6 +347,7 @@
             members: Table::default(),
             seeds,
             next_probe_at: Duration::ZERO,
+            manifest_asked_at: None,
             next_seed_query_at: Duration::ZERO,
             probe_count: 0,
             calls: BTreeMap::new(),
--- a/crates/relay/tests/support/fleet.rs
+++ b/crates/relay/tests/support/fleet.rs
@@ -10,7 +10,7 @@
 };
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::limit::{Rate, Statement};
-use hornbeamtiller_relay::member::{Descriptor, Status, View};
+use hornbeamtiller_relay::member::{Descriptor, ManifestWish, Status, View};
 use hornbeamtiller_relay::overload::Report;
 use hornbeamtiller_relay::pool::{self, Role};
 use hornbeamtiller_relay::refusal::{Claim, Reason, Refusal};
@@ -231,6 +231,7 @@
         has_slowdowns: false,
         departure_digest: 0,
         departures: Vec::new(),
+        manifest_wish: ManifestWish::Always,
         ..view
     }
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -25,7 +25,7 @@
 use hornbeamtiller_relay::event::{Arrival, Dispatch, Effect, Event, Operation, Outcome, Prompt};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::manifest::{Endpoint, Engine, Kind, Limits, Manifest, Route};
-use hornbeamtiller_relay::member::{Descriptor as MemberDescriptor, Status, View};
+use hornbeamtiller_relay::member::{Descriptor as MemberDescriptor, ManifestWish, Status, View};
 use hornbeamtiller_relay::organisation::Credential;
 use hornbeamtiller_relay::pool::{Descriptor, Load, Role};
 use hornbeamtiller_relay::reduce::reduce;
@@ -442,6 +442,7 @@
         unreached: Vec::new(),
         reached: Vec::new(),
         has_slowdowns: false,
+        manifest_wish: ManifestWish::Always,
         reply_requested,
     }
 }
--- a/crates/wire/schema/fleet.capnp
+++ b/crates/wire/schema/fleet.capnp
@@ -125,6 +125,14 @@
   # Era of the configuration service to which `revision` belongs; 0 if unknown.
   changedEra @23 :UInt16;
   # The same of `changed`.
+  wish @24 :ManifestWish;
+  # Whether the sender takes a manifest that is newer than its own.
+}
+
+enum ManifestWish {
+  always @0;
+  notNow @1;
+  reply @2;
 }
 
 struct Departure {
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -10,7 +10,7 @@
 
 use hornbeamtiller_relay::departure;
 use hornbeamtiller_relay::id;
-use hornbeamtiller_relay::member::{self, Descriptor, Status};
+use hornbeamtiller_relay::member::{self, Descriptor, ManifestWish, Status};
 use hornbeamtiller_relay::pool::{self, Instance, Load, Role};
 use hornbeamtiller_relay::revision;
 
@@ -69,6 +69,11 @@
     let reached = out.reborrow().init_reached(view.reached.len() as u32);
     write_endpoints(&view.reached, reached);
     out.set_slowdowns(view.has_slowdowns);
+    out.set_wish(match view.manifest_wish {
+        ManifestWish::Always => schema::ManifestWish::Always,
+        ManifestWish::NotNow => schema::ManifestWish::NotNow,
+        ManifestWish::Reply => schema::ManifestWish::Reply,
+    });
     out.set_departure_digest(view.departure_digest);
     let mut departures = out.reborrow().init_departures(view.departures.len() as u32);
     for (index, record) in view.departures.iter().enumerate() {
@@ -204,6 +209,11 @@
         unreached: read_endpoints(view.get_unreached()?)?,
         reached: read_endpoints(view.get_reached()?)?,
         has_slowdowns: view.get_slowdowns(),
+        manifest_wish: match view.get_wish()? {
+            schema::ManifestWish::Always => ManifestWish::Always,
+            schema::ManifestWish::NotNow => ManifestWish::NotNow,
+            schema::ManifestWish::Reply => ManifestWish::Reply,
+        },
         reply_requested: view.get_asks(),
     })
 }
