Test of the allocator: resident pages are counted, not read from the system's sum

Cause: the system sums it up from counters of each processor, which lag by some hundred pages. smaps_rollup counts the pages. The bounds are the same.

--- a/crates/hornbeamtiller/tests/allocator.rs
+++ b/crates/hornbeamtiller/tests/allocator.rs
@@ -9,10 +9,10 @@
 /// What may stay with the allocator, in bytes.
 const KEPT_BYTES_MAX: u64 = 4 << 20;
 
-/// Resident memory of this process, in bytes.
+/// Resident memory of this process, in bytes: counted page by page, as the system's own sum lags behind.
 fn resident_bytes() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").expect("a status");
-    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let pages = std::fs::read_to_string("/proc/self/smaps_rollup").expect("a summary of pages");
+    let line = pages.lines().find(|line| line.starts_with("Rss:"));
     let kib = line.and_then(|line| line.split_whitespace().nth(1));
     kib.and_then(|kib| kib.parse::<u64>().ok()).expect("a size") << 10
 }
