Views: what a peer lacks is decided in one place; who is asked for a manifest, beside the manifests

Whether a peer needs the manifest or the list of runners was worked out when a view was built and once more for whether to reply; a peer that takes no manifest was a copy changed afterwards, at two places. PeerVersions has both now. The choice whom to ask for a manifest stands in source.rs; fleet.rs, which had grown, only publishes. No change of behaviour.

--- a/crates/relay/src/reduce/fleet.rs
+++ b/crates/relay/src/reduce/fleet.rs
@@ -34,12 +34,11 @@
 const PUBLISH_FANOUT: usize = 8;
 /// Share of the fleet that a VM has to reach to know what most others know.
 pub(super) const MAJORITY: f64 = 0.5;
-/// Least time between two VMs that are asked for a manifest.
-const MANIFEST_ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a VM that is down is remembered.
 const DOWN_RETENTION: Duration = Duration::from_secs(60);
 
-/// Versions held by a peer that can't read the configuration service itself; none for other peers.
+/// Versions held by a peer that can't read the configuration service itself; none for other peers, and no version of a
+/// manifest for a peer that takes none now.
 #[derive(Debug, Clone, Copy, Default)]
 struct PeerVersions {
     manifest_version: Option<id::Version>,
@@ -47,19 +46,26 @@
 }
 
 impl PeerVersions {
-    fn new(source_reached: bool, version: id::Version, revision: id::Revision) -> Self {
+    fn new(
+        source_reached: bool,
+        takes_manifest: bool,
+        version: id::Version,
+        revision: id::Revision,
+    ) -> Self {
         Self {
-            manifest_version: (!source_reached).then_some(version),
+            manifest_version: (!source_reached && takes_manifest).then_some(version),
             revision: (!source_reached).then_some(revision),
         }
     }
 
-    /// The same, for a peer that takes no manifest now.
-    fn without_manifest(self) -> Self {
-        Self {
-            manifest_version: None,
-            ..self
-        }
+    /// Whether the peer needs a manifest of this version.
+    fn lacks_manifest(self, version: id::Version) -> bool {
+        self.manifest_version.is_some_and(|held| held < version)
+    }
+
+    /// Whether the peer needs a list of runners of this revision.
+    fn lacks_runners(self, revision: id::Revision) -> bool {
+        self.revision.is_some_and(|held| held < revision)
     }
 }
 
@@ -127,30 +133,19 @@
             return;
         };
         let address = member.descriptor.peer_address;
-        let takes_manifests = member.takes_manifests;
-        let mut peer_versions = PeerVersions::new(
+        let peer_versions = PeerVersions::new(
             member.source_reached,
+            member.takes_manifests,
             member.manifest_version,
             member.revision,
         );
-        if !takes_manifests {
-            peer_versions = peer_versions.without_manifest();
-        }
         let view = self.view(peer_versions, DESCRIPTORS_MAX, reply_requested);
         self.emit(Effect::PublishView { address, view });
     }
 
-    /// Asks a VM that has a newer manifest than this one for it, unless one has just been asked. A large manifest that
-    /// came from several at once would take the link for longer than any of them waits.
-    fn ask_manifest(&mut self, peer: &id::Vm) {
-        let now = self.now;
-        let asked_at = self.state.manifest_asked_at;
-        if asked_at.is_some_and(|at| at + MANIFEST_ASK_INTERVAL > now) {
-            return;
-        }
-        self.state.manifest_asked_at = Some(now);
-        let vm = self.find_manifest_nearby().unwrap_or_else(|| peer.clone());
-        let Some(member) = self.state.members.get(&vm) else {
+    /// Publishes to a VM that is to reply with its manifest.
+    pub(super) fn publish_manifest_request(&mut self, vm: &id::Vm) {
+        let Some(member) = self.state.members.get(vm) else {
             return;
         };
         let address = member.descriptor.peer_address;
@@ -159,18 +154,6 @@
         self.emit(Effect::PublishView { address, view });
     }
 
-    /// A VM of this availability zone that has a newer manifest than this one.
-    fn find_manifest_nearby(&mut self) -> Option<id::Vm> {
-        let version = self.manifest_version();
-        let zone = self.state.local.zone.clone();
-        let members = self.state.members.iter();
-        members
-            .filter(|member| member.descriptor.zone == zone && member.is_serving())
-            .filter(|member| member.manifest_version > version && member.unacknowledged_views == 0)
-            .map(|member| member.descriptor.vm.clone())
-            .choose(&mut self.state.rng)
-    }
-
     /// Publishes to a VM that has been found to be down, with the descriptor that says so: only the VM itself can refute
     /// it.
     pub(super) fn publish_to_down(&mut self, vm: &id::Vm) {
@@ -209,14 +192,8 @@
             .into_iter()
             .map(|member| member.descriptor.clone())
             .collect();
-        let local_version = self.manifest_version();
-        let send_manifest = peer_versions
-            .manifest_version
-            .is_some_and(|version| version < local_version);
-        let local_revision = self.state.pool.revision;
-        let send_runners = peer_versions
-            .revision
-            .is_some_and(|revision| revision < local_revision);
+        let send_manifest = peer_versions.lacks_manifest(self.manifest_version());
+        let send_runners = peer_versions.lacks_runners(self.state.pool.revision);
         View {
             members,
             manifest: self.state.manifest.clone().filter(|_| send_manifest),
@@ -344,15 +321,11 @@
         let lacks_departures = departure_digest != self.state.pool.departures.digest();
         let news = self.news_for(&peer, is_first || differs || lacks_departures);
         let has_news = !news.is_empty();
-        let mut peer_versions = PeerVersions::new(source_reached, manifest_version, revision);
-        if manifest_wish == ManifestWish::NotNow {
-            peer_versions = peer_versions.without_manifest();
-        }
-        let lacks_manifest = peer_versions
-            .manifest_version
-            .is_some_and(|version| version < self.manifest_version());
-        let lacks_runners = !source_reached && revision < self.state.pool.revision;
-        let is_behind = lacks_manifest || lacks_runners;
+        let takes_manifest = manifest_wish != ManifestWish::NotNow;
+        let peer_versions =
+            PeerVersions::new(source_reached, takes_manifest, manifest_version, revision);
+        let is_behind = peer_versions.lacks_manifest(self.manifest_version())
+            || peer_versions.lacks_runners(self.state.pool.revision);
         // A VM that has not sent a view before may not know any other.
         let limit = if is_first {
             INITIAL_DESCRIPTORS_MAX
--- a/crates/relay/src/reduce/source.rs
+++ b/crates/relay/src/reduce/source.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom as _;
+
 use crate::decision_log::{Entry, Kind};
 use crate::id;
 use crate::manifest::Manifest;
@@ -14,6 +16,8 @@
 
 /// How long a runner is remembered after it began to drain or its entry was removed.
 const LEAVING_RETENTION: Duration = Duration::from_secs(30);
+/// Least time between two VMs that are asked for a manifest.
+const MANIFEST_ASK_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Reducer<'_> {
     /// Puts a manifest into effect if its version is higher than the current one.
@@ -38,6 +42,31 @@
         self.state.manifest = Some(manifest);
     }
 
+    /// Asks a VM that has a newer manifest than this one for it, unless one has just been asked. A large manifest that
+    /// came from several at once would take the link for longer than any of them waits.
+    pub(super) fn ask_manifest(&mut self, peer: &id::Vm) {
+        let now = self.now;
+        let asked_at = self.state.manifest_asked_at;
+        if asked_at.is_some_and(|at| at + MANIFEST_ASK_INTERVAL > now) {
+            return;
+        }
+        self.state.manifest_asked_at = Some(now);
+        let vm = self.find_manifest_nearby().unwrap_or_else(|| peer.clone());
+        self.publish_manifest_request(&vm);
+    }
+
+    /// A VM of this availability zone that has a newer manifest than this one.
+    fn find_manifest_nearby(&mut self) -> Option<id::Vm> {
+        let version = self.manifest_version();
+        let zone = &self.state.local.zone;
+        let members = self.state.members.iter();
+        members
+            .filter(|member| member.descriptor.zone == *zone && member.is_serving())
+            .filter(|member| member.manifest_version > version && member.unacknowledged_views == 0)
+            .map(|member| member.descriptor.vm.clone())
+            .choose(&mut self.state.rng)
+    }
+
     pub(super) fn handle_pool(&mut self, descriptors: Vec<Descriptor>, revision: id::Revision) {
         let count = descriptors.len();
         let changed = self.state.pool.replace(descriptors, revision, self.now);
