Refusals: what a delegating VM is told is decided where arrivals are refused

Two places turned an invalid request into one that did not run, each with its own match on who sent it; one of them was a function for requests without a route alone. refuse_arrival does it for all it refuses, and the gateway calls the same function for bodies. Counting and logging a refusal, which stood twice, is one function. No change of behaviour: the only other invalid refusal there is already one of requests that were not delegated.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -177,12 +177,10 @@
             return Ok(response);
         }
         let received = self.receive_body(body, expects_continue, connection.as_ref());
+        let is_delegated = metadata.delegated_by.is_some();
         let body = received
             .await
-            .map_err(|refusal| match metadata.delegated_by {
-                Some(_) => refusal.for_delegation(),
-                None => refusal,
-            })?;
+            .map_err(|refusal| refusal.for_sender(is_delegated))?;
         Ok(self.answer(head, body, metadata, connection, guard).await)
     }
 
--- a/crates/relay/src/reduce/arrive.rs
+++ b/crates/relay/src/reduce/arrive.rs
@@ -61,10 +61,10 @@
             return self.refuse_arrival(&arrival, refusal);
         }
         let Some(route) = route else {
-            return self.refuse_unroutable(&arrival);
+            return self.refuse_arrival(&arrival, Refusal::invalid(Reason::NoRoute));
         };
         let Some(endpoint) = route.pick_endpoint(&mut self.state.rng).cloned() else {
-            return self.refuse_unroutable(&arrival);
+            return self.refuse_arrival(&arrival, Refusal::invalid(Reason::NoRoute));
         };
         let limit = arrival.time_limit.unwrap_or(route.timeout);
         let limit = route.timeout.min(limit.saturating_sub(RESPONSE_MARGIN));
@@ -189,43 +189,31 @@
     pub(super) fn handle_rejection(&mut self, request: &Arc<str>) {
         self.state.counters.arrived += 1;
         let refusal = Refusal::invalid(Reason::Unauthorized);
-        self.count_refusal(refusal);
-        self.log(
-            Entry::new(Kind::Refused)
-                .claim(refusal.claim)
-                .request(request)
-                .version(self.manifest_version())
-                .outcome(format!("{} {}", refusal.claim, refusal.reason)),
-        );
+        let outcome = format!("{} {}", refusal.claim, refusal.reason);
+        self.record_refusal(request, refusal, outcome);
     }
 
-    /// Refuses a request without a route. The VM that delegates one may have a later manifest.
-    fn refuse_unroutable(&mut self, arrival: &Arrival) {
-        let refusal = Refusal::invalid(Reason::NoRoute);
-        let refusal = match arrival.delegated_by {
-            Some(_) => refusal.for_delegation(),
-            None => refusal,
-        };
-        self.refuse_arrival(arrival, refusal);
+    fn refuse_arrival(&mut self, arrival: &Arrival, refusal: Refusal) {
+        let refusal = refusal.for_sender(arrival.delegated_by.is_some());
+        let outcome = format!("{} {} {}", refusal.claim, refusal.reason, arrival.path);
+        self.record_refusal(&arrival.id, refusal, outcome);
+        self.emit(Effect::Refuse {
+            call: arrival.call,
+            refusal,
+        });
+        self.emit(Effect::ReleaseCall { call: arrival.call });
     }
 
-    fn refuse_arrival(&mut self, arrival: &Arrival, refusal: Refusal) {
+    /// Counts and logs the refusal of a request that does not become a call.
+    fn record_refusal(&mut self, request: &Arc<str>, refusal: Refusal, outcome: String) {
         self.count_refusal(refusal);
         self.log(
             Entry::new(Kind::Refused)
                 .claim(refusal.claim)
-                .request(&arrival.id)
+                .request(request)
                 .version(self.manifest_version())
-                .outcome(format!(
-                    "{} {} {}",
-                    refusal.claim, refusal.reason, arrival.path
-                )),
+                .outcome(outcome),
         );
-        self.emit(Effect::Refuse {
-            call: arrival.call,
-            refusal,
-        });
-        self.emit(Effect::ReleaseCall { call: arrival.call });
     }
 
     pub(super) fn count_refusal(&mut self, refusal: Refusal) {
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -123,15 +123,15 @@
         }
     }
 
-    /// The same refusal for the VM that has delegated the request: what is invalid here, such as by an earlier manifest, was
-    /// not run, and another VM may run it.
-    pub fn for_delegation(self) -> Self {
+    /// The refusal as its sender is told. To a VM that has delegated the request, what is invalid here, such as by an
+    /// earlier manifest, was not run, and another VM may run it.
+    pub fn for_sender(self, is_delegated: bool) -> Self {
         match self.claim {
-            Claim::Invalid => Self {
+            Claim::Invalid if is_delegated => Self {
                 claim: Claim::NotRun,
                 ..self
             },
-            Claim::NotRun | Claim::Unknown | Claim::UnknownTimedOut => self,
+            _ => self,
         }
     }
 
