Server: the limits of a connection are worked out once, when it is accepted

The bound of heads in force was read and defaulted at three places, and the number of connections and of headers that go with it at two more. A connection gets the limits that hold for it. A handler that ceases to state a bound no longer closes connections; none does, as a manifest stays in force.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -99,17 +99,18 @@
 }
 
 impl Limits {
-    /// Connections at a time if their heads may have `head_bytes`; at least one.
-    fn connections_with(&self, head_bytes: usize) -> usize {
+    /// The same for connections whose heads may have `head_bytes`, if the handler states that.
+    fn with_head_bytes(&self, head_bytes: Option<usize>) -> Self {
+        let head_bytes = head_bytes.unwrap_or(self.head_bytes);
         let surplus = head_bytes.saturating_sub(self.head_bytes);
         let bytes = self.connection_bytes.max(1);
         let connections = self.connections as f64 * bytes as f64 / (bytes + surplus) as f64;
-        (connections as usize).max(1)
-    }
-
-    /// Number of headers of a request whose head may have `head_bytes`.
-    fn headers_with(&self, head_bytes: usize) -> usize {
-        self.headers * head_bytes.div_ceil(self.head_bytes.max(1)).max(1)
+        Self {
+            connections: (connections as usize).max(1),
+            head_bytes,
+            headers: self.headers * head_bytes.div_ceil(self.head_bytes.max(1)).max(1),
+            ..self.clone()
+        }
     }
 }
 
@@ -391,14 +392,13 @@
         let next = pin!(listener.accept());
         match select(next, &mut stop_signal).await {
             Either::Left((Ok((stream, _)), _)) => {
-                let head_bytes = handler.head_bytes().unwrap_or(limits.head_bytes);
-                let connections_max = limits.connections_with(head_bytes);
-                let place = pin!(wait_for_place(&connections, connections_max));
+                let limits = limits.with_head_bytes(handler.head_bytes());
+                let place = pin!(wait_for_place(&connections, limits.connections));
                 if let Either::Right(_) = select(place, &mut stop_signal).await {
                     return;
                 }
                 let registration = Registration::new(connections.clone(), &stream);
-                monoio::spawn(serve(stream, limits.clone(), handler.clone(), registration));
+                monoio::spawn(serve(stream, limits, handler.clone(), registration));
                 // Its request may have come already, and is seen before the connection could make room for another.
                 yield_now().await;
             }
@@ -431,8 +431,7 @@
         registration.control.clone(),
         registration.connections.clone(),
     );
-    let head_bytes_default = limits.head_bytes;
-    let head_bytes = handler.head_bytes().unwrap_or(head_bytes_default);
+    let head_bytes = limits.head_bytes;
     let service = service_fn(move |mut request: Request<Incoming>| {
         let (handler, control) = (handler.clone(), control.clone());
         let ahead = control.begin_exchange();
@@ -442,7 +441,10 @@
         async move {
             wait_for_turn(&control, ahead, open).await;
             let mut response = add_marker(handler.handle(request).await);
-            if handler.head_bytes().unwrap_or(head_bytes_default) != head_bytes {
+            if handler
+                .head_bytes()
+                .is_some_and(|bytes| bytes != head_bytes)
+            {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -455,8 +457,8 @@
         control.clone(),
     );
     let connection = hyper::server::conn::http1::Builder::new()
-        .max_headers(limits.headers_with(head_bytes))
-        .max_buf_size(head_bytes.max(HEAD_BYTES_MIN))
+        .max_headers(limits.headers)
+        .max_buf_size(limits.head_bytes.max(HEAD_BYTES_MIN))
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut shutdown = None;
