Sessions: versions of an endpoint are kept by their Origin; one log line for what was decided on a build

Tables of full versions and of engines dropped without a list were keyed by pairs cloned from an Origin, so that the first was searched from end to end for each request of a session; Origin is ordered now, and the table is looked up. The lines origin and session were built twice, field by field. No change of behaviour.

--- a/crates/relay/src/cache_index.rs
+++ b/crates/relay/src/cache_index.rs
@@ -62,8 +62,8 @@
     listings: HashMap<id::Endpoint, Listing>,
     /// Until when sessions of an endpoint count as ones that move between software versions.
     moving_until: HashMap<id::Endpoint, Duration>,
-    /// When an engine was dropped from the pool that never listed what it held, by endpoint and software version.
-    dropped_unlisted: BTreeMap<(id::Endpoint, id::Build), Duration>,
+    /// When an engine of a software version of an endpoint was dropped from the pool that never listed what it held.
+    dropped_unlisted: BTreeMap<Origin, Duration>,
 }
 
 impl Index {
@@ -86,8 +86,11 @@
         let unlisted = last.into_iter().flat_map(|last| &last.unlisted);
         let dropped = unlisted.filter(|(engine, _)| !engines.contains_key(*engine));
         for (_, build) in dropped {
-            let key = (endpoint.clone(), build.clone());
-            self.dropped_unlisted.insert(key, now);
+            let origin = Origin {
+                endpoint: endpoint.clone(),
+                build: build.clone(),
+            };
+            self.dropped_unlisted.insert(origin, now);
         }
         let is_unlisted = |engine: &Instance| {
             last.is_none_or(|last| {
@@ -162,8 +165,8 @@
             .flat_map(|listing| listing.unlisted.values());
         let dropped = self.dropped_unlisted.iter();
         let dropped =
-            dropped.filter(|((endpoint, _), at)| *endpoint == origin.endpoint && **at >= since);
-        let mut builds = unlisted.chain(dropped.map(|((_, build), _)| build));
+            dropped.filter(|(lost, at)| lost.endpoint == origin.endpoint && **at >= since);
+        let mut builds = unlisted.chain(dropped.map(|(lost, _)| &lost.build));
         builds.any(|build| *build != origin.build)
     }
 
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -64,7 +64,7 @@
 }
 
 /// Where a stream began.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Origin {
     /// The endpoint.
     pub endpoint: id::Endpoint,
--- a/crates/relay/src/reduce/build.rs
+++ b/crates/relay/src/reduce/build.rs
@@ -1,6 +1,7 @@
 //! Builds: a stream goes on only at the software version that began it, and a KV cache is read only at the
 //! one that wrote it.
 
+use crate::decision_log::{Entry, Kind};
 use crate::id;
 use crate::placement::{self, Purpose};
 use crate::pool::{Runner, Status};
@@ -18,6 +19,28 @@
         bound.or(call.session_build.as_ref())
     }
 
+    /// Logs what was decided on the build of a call.
+    pub(super) fn log_build(
+        &mut self,
+        kind: Kind,
+        number: id::Call,
+        outcome: impl ToString,
+        build: Option<&id::Build>,
+    ) {
+        let Some(call) = self.state.calls.get(&number) else {
+            return;
+        };
+        let entry = Entry::new(kind)
+            .request(&call.id)
+            .endpoint(&call.endpoint)
+            .outcome(outcome)
+            .age(self.now.saturating_sub(call.arrived_at));
+        self.log(match build {
+            Some(build) => entry.build(build),
+            None => entry,
+        });
+    }
+
     /// The build that a prefill runner must have for a decode runner, if it matters.
     pub(super) fn prefill_build<'a>(&self, decode: &'a Runner) -> Option<&'a id::Build> {
         let across = self.state.policy.kv_across_builds;
--- a/crates/relay/src/reduce/origin.rs
+++ b/crates/relay/src/reduce/origin.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::call::{Call, Phase};
-use crate::decision_log::{Entry, Kind};
+use crate::decision_log::Kind;
 use crate::event::Effect;
 use crate::id;
 use crate::manifest::Kind as RouteKind;
@@ -440,18 +440,7 @@
 
     fn record_source(&mut self, number: id::Call, source: Source, build: Option<&id::Build>) {
         *self.state.counters.origins.entry(source).or_default() += 1;
-        let Some(call) = self.state.calls.get(&number) else {
-            return;
-        };
-        let entry = Entry::new(Kind::Origin)
-            .request(&call.id)
-            .endpoint(&call.endpoint)
-            .outcome(source)
-            .age(self.now.saturating_sub(call.arrived_at));
-        self.log(match build {
-            Some(build) => entry.build(build),
-            None => entry,
-        });
+        self.log_build(Kind::Origin, number, source, build);
     }
 }
 
--- a/crates/relay/src/reduce/session/mod.rs
+++ b/crates/relay/src/reduce/session/mod.rs
@@ -3,7 +3,7 @@
 mod ask;
 mod tell;
 
-use crate::decision_log::{Entry, Kind};
+use crate::decision_log::Kind;
 use crate::duration::Scale as _;
 use crate::id;
 use crate::manifest::Kind as RouteKind;
@@ -99,11 +99,12 @@
         let Some(call) = self.state.calls.get(&number) else {
             return false;
         };
-        let Some(build) = call.session_build.as_ref().filter(|_| call.build.is_none()) else {
+        let Some(build) = call.session_build.clone().filter(|_| call.build.is_none()) else {
             return false;
         };
-        let sessions = &mut self.state.sessions;
-        sessions.mark_full(&call.endpoint, build, self.now);
+        let endpoint = call.endpoint.clone();
+        let origin = Origin { endpoint, build };
+        self.state.sessions.mark_full(origin, self.now);
         self.release_session(number, reason);
         true
     }
@@ -118,18 +119,9 @@
 
     fn record_session(&mut self, number: id::Call, decision: Decision) {
         *self.state.counters.sessions.entry(decision).or_default() += 1;
-        let Some(call) = self.state.calls.get(&number) else {
-            return;
-        };
-        let entry = Entry::new(Kind::Session)
-            .request(&call.id)
-            .endpoint(&call.endpoint)
-            .outcome(decision)
-            .age(self.now.saturating_sub(call.arrived_at));
-        self.log(match &call.session_build {
-            Some(build) => entry.build(build),
-            None => entry,
-        });
+        let call = self.state.calls.get(&number);
+        let build = call.and_then(|call| call.session_build.clone());
+        self.log_build(Kind::Session, number, decision, build.as_ref());
     }
 }
 
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -63,8 +63,8 @@
 #[derive(Debug)]
 pub struct Table {
     sessions: expiry::Map<Session>,
-    /// Until when software versions count as full, by endpoint.
-    full_until: BTreeMap<(id::Endpoint, id::Build), Duration>,
+    /// Until when software versions of endpoints count as full.
+    full_until: BTreeMap<Origin, Duration>,
 }
 
 impl Default for Table {
@@ -128,17 +128,14 @@
     }
 
     /// Records that a software version has no room.
-    pub fn mark_full(&mut self, endpoint: &id::Endpoint, build: &id::Build, now: Duration) {
-        let key = (endpoint.clone(), build.clone());
-        self.full_until.insert(key, now + FULL_TIME);
+    pub fn mark_full(&mut self, origin: Origin, now: Duration) {
+        self.full_until.insert(origin, now + FULL_TIME);
     }
 
     /// Whether a software version had no room a moment ago.
     pub fn is_full(&self, origin: &Origin, now: Duration) -> bool {
-        let mut full = self.full_until.iter();
-        full.any(|((endpoint, build), until)| {
-            *until > now && *endpoint == origin.endpoint && *build == origin.build
-        })
+        let until = self.full_until.get(origin);
+        until.is_some_and(|until| *until > now)
     }
 
     /// Drops the sessions that have expired.
