Tests of sessions and allocation share the batch that refuses a call; shorter set-ups

Two tests built the same batch of the harness's allocator, two more the same harness without some engines, and three the same origin. Assertions are the same.

--- a/crates/relay/tests/allocation.rs
+++ b/crates/relay/tests/allocation.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use hornbeamtiller_relay::allocation::{
-    self, group_count, group_of, rank, Allocator, Ask, Batch, Claim, Delivery, Grant, Limits,
-    Urgency,
+    group_count, group_of, rank, Allocator, Ask, Claim, Delivery, Grant, Limits, Urgency,
 };
 use hornbeamtiller_relay::event::{Effect, Event, Outcome};
 use hornbeamtiller_relay::id;
@@ -19,8 +18,8 @@
 use proptest::prelude::*;
 use support::fleet::Fleet;
 use support::{
-    descriptor, descriptors, member, ms, proptest_config, refusal, Harness, BUILD, KV_TOKENS,
-    STREAM,
+    descriptor, descriptors, member, ms, proptest_config, refusal, refuse_grant, Harness, BUILD,
+    KV_TOKENS, STREAM,
 };
 
 /// A software version other than that of the harness's runners.
@@ -441,22 +440,6 @@
     assert_eq!(repeated[0].retry_after, refused.retry_after - ms(500));
 }
 
-/// A batch of the harness's allocator that refuses a call.
-fn refusing(call: id::Call) -> Event {
-    let refusal = allocation::Refusal {
-        call,
-        group: 0,
-        retry_after: ms(1_234),
-    };
-    let batch = Batch {
-        allocator: "vm-1".into(),
-        incarnation: 100,
-        grants: Vec::new(),
-        refusals: vec![refusal],
-    };
-    Event::GrantsReceived { batch }
-}
-
 fn fill_engines(harness: &mut Harness) {
     let full = Load {
         requests: 16,
@@ -479,7 +462,7 @@
     fill_engines(&mut harness);
     let effects = harness.arrive(STREAM);
     assert!(refusal(&effects).is_none());
-    let refused = refusal(&harness.apply(refusing(harness.last_call))).expect("a refusal");
+    let refused = refusal(&harness.apply(refuse_grant(harness.last_call, 0))).expect("a refusal");
     assert_eq!(refused.claim, RefusalClaim::NotRun);
     assert_eq!(refused.retry_after, Some(ms(1_234)));
     assert!(harness.state.calls.is_empty());
@@ -497,7 +480,7 @@
     fill_engines(&mut harness);
     harness.end_attempt(run.attempt, Outcome::Lost);
     assert!(harness.state.calls[&run.call].ask.is_some(), "it waits");
-    let effects = harness.apply(refusing(run.call));
+    let effects = harness.apply(refuse_grant(run.call, 0));
     assert!(refusal(&effects).is_none());
     assert!(harness.state.calls.contains_key(&run.call));
 }
--- a/crates/relay/tests/session.rs
+++ b/crates/relay/tests/session.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use hornbeamtiller_relay::allocation::{self, Batch};
+use hornbeamtiller_relay::allocation;
 use hornbeamtiller_relay::event::{Effect, Event, Operation};
 use hornbeamtiller_relay::id;
 use hornbeamtiller_relay::origin::{self, Origin, NO_STREAM};
@@ -11,8 +11,8 @@
 use strum::IntoEnumIterator as _;
 use support::resume::{Fleet, Resumption};
 use support::{
-    descriptor, dispatch, dispatches, has, ms, prefilled, Harness, BUILD, KV_TOKENS, STREAM,
-    STREAM_NOT_RESUMABLE,
+    descriptor, dispatch, dispatches, has, ms, prefilled, refuse_grant, Harness, BUILD, KV_TOKENS,
+    STREAM, STREAM_NOT_RESUMABLE,
 };
 
 /// The software version that serves beside that of the harness.
@@ -47,12 +47,16 @@
     harness
 }
 
-fn record(harness: &mut Harness, session: id::Part, build: &str) {
-    let origin = Origin {
+fn origin(build: &str) -> Origin {
+    Origin {
         endpoint: "llm".into(),
         build: build.into(),
-    };
-    harness.state.sessions.insert(session, origin, harness.now);
+    }
+}
+
+fn record(harness: &mut Harness, session: id::Part, build: &str) {
+    let sessions = &mut harness.state.sessions;
+    sessions.insert(session, origin(build), harness.now);
 }
 
 /// The software version of the engine that a request of the session is sent to; none while it waits.
@@ -143,37 +147,31 @@
     assert!(harness.state.counters.sessions.is_empty());
 }
 
-fn remove(harness: &mut Harness, runners: &[&str]) {
+/// The version at which a request runs whose session is at that of the harness, once some of its engines are gone.
+fn build_after_removal(runners: &[&str]) -> Option<id::Build> {
+    let mut harness = with_two_versions();
+    record(&mut harness, SESSION, BUILD);
     for runner in runners {
         harness.apply(Event::RunnerRemoved {
             runner: (*runner).into(),
             revision: 20,
         });
     }
+    build_of_request(&mut harness, STREAM)
 }
 
 /// Guards against requests that wait for the version of their session after it has gone.
 #[test]
 fn arrived_session_version_gone_runs_elsewhere() {
-    let mut harness = with_two_versions();
-    record(&mut harness, SESSION, BUILD);
-    remove(&mut harness, &["make-1", "make-2"]);
-    assert_eq!(
-        build_of_request(&mut harness, STREAM).as_deref(),
-        Some(OTHER)
-    );
+    let ran_at = build_after_removal(&["make-1", "make-2"]);
+    assert_eq!(ran_at.as_deref(), Some(OTHER));
 }
 
 /// Guards against prompts that decode engines read by themselves, since the version has no prefill engine any more.
 #[test]
 fn arrived_session_version_without_prefill_runs_elsewhere() {
-    let mut harness = with_two_versions();
-    record(&mut harness, SESSION, BUILD);
-    remove(&mut harness, &["read-1", "read-2"]);
-    assert_eq!(
-        build_of_request(&mut harness, STREAM).as_deref(),
-        Some(OTHER)
-    );
+    let ran_at = build_after_removal(&["read-1", "read-2"]);
+    assert_eq!(ran_at.as_deref(), Some(OTHER));
 }
 
 /// Guards against callers who wait for a full version until they are late, though another one has room.
@@ -250,18 +248,7 @@
     }
     assert_eq!(build_of_request(&mut harness, STREAM), None);
     let group = harness.state.calls[&1].ask.as_ref().expect("an ask").group;
-    let refusal = allocation::Refusal {
-        call: 1,
-        group,
-        retry_after: ms(1_234),
-    };
-    let batch = Batch {
-        allocator: "vm-1".into(),
-        incarnation: 100,
-        grants: Vec::new(),
-        refusals: vec![refusal],
-    };
-    let mut effects = harness.apply(Event::GrantsReceived { batch });
+    let mut effects = harness.apply(refuse_grant(1, group));
     effects.extend(harness.advance(ms(15)));
     assert!(!has(&effects, |effect| matches!(
         effect,
@@ -378,10 +365,6 @@
 #[test]
 fn table_latest_counts() {
     let mut table = Table::default();
-    let origin = |build: &str| Origin {
-        endpoint: "llm".into(),
-        build: build.into(),
-    };
     table.insert(SESSION, origin("v1"), ms(0));
     table.insert(SESSION, origin("v2"), ms(10));
     assert_eq!(table.get(SESSION, ms(20)), Some(&origin("v2")));
@@ -393,12 +376,8 @@
 #[test]
 fn table_bounded() {
     let mut table = Table::default();
-    let origin = Origin {
-        endpoint: "llm".into(),
-        build: "v1".into(),
-    };
     for session in 0..100_000 {
-        table.insert(session, origin.clone(), ms(session));
+        table.insert(session, origin("v1"), ms(session));
     }
     assert_eq!(table.len(), 16_384);
     assert_eq!(table.latest(ms(100_000)).count(), 2_048);
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hornbeamtiller_relay::allocation::Claim;
+use hornbeamtiller_relay::allocation::{self, Claim};
 use hornbeamtiller_relay::crash::Circumstance;
 use hornbeamtiller_relay::event::{Arrival, Dispatch, Effect, Event, Operation, Outcome, Prompt};
 use hornbeamtiller_relay::id;
@@ -447,6 +447,22 @@
     }
 }
 
+/// A batch of the harness's allocator that refuses a call of a group of engines.
+pub fn refuse_grant(call: id::Call, group: allocation::Group) -> Event {
+    let refusal = allocation::Refusal {
+        call,
+        group,
+        retry_after: ms(1_234),
+    };
+    let batch = allocation::Batch {
+        allocator: "vm-1".into(),
+        incarnation: 100,
+        grants: Vec::new(),
+        refusals: vec![refusal],
+    };
+    Event::GrantsReceived { batch }
+}
+
 /// How a runner had the part at a position of a prompt when it crashed.
 pub fn circumstance(position: u32) -> Circumstance {
     Circumstance {
