--- a/crates/relay/tests/allocation.rs
+++ b/crates/relay/tests/allocation.rs
@@ -16,10 +16,10 @@
 use hornbeamtiller_relay::pool::{self, Load, Pool, Role};
 use hornbeamtiller_relay::refusal::Claim as RefusalClaim;
 use proptest::prelude::*;
+use support::cases::proptest_config;
 use support::fleet::Fleet;
 use support::{
-    descriptor, descriptors, member, ms, proptest_config, refusal, refuse_grant, Harness, BUILD,
-    KV_TOKENS, STREAM,
+    descriptor, descriptors, member, ms, refusal, refuse_grant, Harness, BUILD, KV_TOKENS, STREAM,
 };
 
 /// A software version other than that of the harness's runners.
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -59,7 +59,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(200))]
+    #![proptest_config(support::cases::proptest_config(200))]
 
     /// However many requests come in each second, and over however many VMs, no window has more
     /// retries than the limit allows.
--- a/crates/relay/tests/cap.rs
+++ b/crates/relay/tests/cap.rs
@@ -13,9 +13,9 @@
 use hornbeamtiller_relay::refusal::{Claim, Reason};
 use proptest::prelude::*;
 use support::caps::{cap, manifest_with_caps, name, request};
+use support::cases::proptest_config;
 use support::{
-    dispatch, dispatches, has, member, ms, proptest_config, refusal, Harness, IDEMPOTENT,
-    NON_IDEMPOTENT,
+    dispatch, dispatches, has, member, ms, refusal, Harness, IDEMPOTENT, NON_IDEMPOTENT,
 };
 
 /// Cost of a request that is not small.
--- a/crates/relay/tests/extreme.rs
+++ b/crates/relay/tests/extreme.rs
@@ -269,7 +269,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(1_000))]
+    #![proptest_config(support::cases::proptest_config(1_000))]
 
     /// Over any sequence of events with any figures nothing panics and nothing runs twice, refusals are true, and
     /// nothing is left at the end.
--- a/crates/relay/tests/once.rs
+++ b/crates/relay/tests/once.rs
@@ -609,7 +609,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(600))]
+    #![proptest_config(support::cases::proptest_config(600))]
 
     /// Over any sequence of events and silences, a call gets one final response and has at most one
     /// attempt in flight, or two while a silent stream is replaced, and no refusal claims that a request
--- a/crates/relay/tests/order.rs
+++ b/crates/relay/tests/order.rs
@@ -22,11 +22,12 @@
 use hornbeamtiller_relay::pool::Instance;
 use hornbeamtiller_relay::refusal::Claim;
 use proptest::prelude::*;
+use support::cases::proptest_config;
 use support::fleet::Fleet;
 use support::order::{play, Load, Report, Rule, Size, Tally, ORGANISATIONS, RULES};
 use support::{
-    dispatch, dispatches, has, manifest, ms, proptest_config, refusal, routes, stream_arrival,
-    Harness, IDEMPOTENT, STREAM,
+    dispatch, dispatches, has, manifest, ms, refusal, routes, stream_arrival, Harness, IDEMPOTENT,
+    STREAM,
 };
 
 /// Bursts beside a flood of one organisation, while two of five decode engines are lost.
--- a/crates/relay/tests/organisation.rs
+++ b/crates/relay/tests/organisation.rs
@@ -226,7 +226,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(64))]
+    #![proptest_config(support::cases::proptest_config(64))]
 
     /// Whatever keys organisations have, a key is found if and only if it was inserted, with its first owner.
     #[test]
--- a/crates/relay/tests/origin.rs
+++ b/crates/relay/tests/origin.rs
@@ -14,8 +14,9 @@
 use proptest::prelude::*;
 use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 use rand::Rng as _;
+use support::cases::proptest_config;
 use support::resume::{Fleet, Network, Resumption};
-use support::{has, manifest, ms, proptest_config, routes, stream_arrival, Harness, STREAM};
+use support::{has, manifest, ms, routes, stream_arrival, Harness, STREAM};
 
 const TWO_BUILDS: [&str; 2] = ["v1", "v2"];
 
--- a/crates/relay/tests/storm.rs
+++ b/crates/relay/tests/storm.rs
@@ -103,7 +103,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(24))]
+    #![proptest_config(support::cases::proptest_config(24))]
 
     #[test]
     fn retry_budget_any_storm(storm in storms(0)) {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod caps;
+pub mod cases;
 pub mod check;
 pub mod fleet;
 pub mod limits;
@@ -32,7 +33,6 @@
 use hornbeamtiller_relay::refusal::Refusal;
 use hornbeamtiller_relay::settings::Settings;
 use hornbeamtiller_relay::state::State;
-use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 /// Host of all routes.
 pub const HOST: &str = "pay.example";
@@ -59,17 +59,6 @@
     Duration::from_millis(millis)
 }
 
-/// Configuration of the property tests: a fixed seed, unless the environment sets another.
-pub fn proptest_config(cases: u32) -> ProptestConfig {
-    let parse_env = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
-    ProptestConfig {
-        cases: parse_env("HORNBEAMTILLER_CASES").map_or(cases, |cases| cases as u32),
-        rng_seed: RngSeed::Fixed(parse_env("HORNBEAMTILLER_SEED").unwrap_or(1)),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 /// Removes the items that are due and returns them.
 pub fn take_due<T>(items: &mut Vec<T>, is_due: impl Fn(&T) -> bool) -> Vec<T> {
     let (due, rest) = std::mem::take(items).into_iter().partition(is_due);
--- a/crates/wire/tests/peer_bytes.rs
+++ b/crates/wire/tests/peer_bytes.rs
@@ -402,7 +402,7 @@
 }
 
 proptest! {
-    #![proptest_config(support::proptest_config(1_000))]
+    #![proptest_config(support::cases::proptest_config(1_000))]
 
     #[test]
     fn reduce_any_peer_bytes(seed in any::<u64>(), steps in steps()) {
